--- /dev/null
+++ b/src/bin/corianderyoke-controller/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests.
