--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,201 @@
+//! The platform over HTTP.
+//!
+//! Each request has one timeout and is sent once: a repeat is the caller's decision, since only
+//! the caller knows whether it is idempotent. After a timeout the connection pool is replaced,
+//! because connections that went silent would cost a timeout each.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use parking_lot::RwLock;
+use reqwest::Client;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::protocol;
+use crate::protocol::ErrorAnswer;
+use crate::protocol::InstanceList;
+use crate::protocol::RowAnswer;
+use crate::protocol::RowsAnswer;
+use crate::Commit;
+use crate::Error;
+use crate::Instance;
+use crate::Platform;
+use crate::Result;
+use crate::Row;
+use crate::Transaction;
+
+/// Settings of the adapter.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Address of the platform as `ip:port`.
+    pub address: String,
+    /// Time until a request counts as unanswered.
+    pub timeout: Duration,
+    /// Time until a connection attempt counts as failed.
+    pub connect_timeout: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            address: "127.0.0.1:7800".to_owned(),
+            timeout: Duration::from_secs(2),
+            connect_timeout: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Whether a request changes something, which decides what a missing answer means.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Access {
+    Read,
+    Write,
+}
+
+impl Access {
+    /// The error for a request that was sent and not answered well.
+    fn unanswered(self, text: String) -> Error {
+        match self {
+            Access::Read => Error::Unavailable(text),
+            Access::Write => Error::Unknown(text),
+        }
+    }
+}
+
+/// Adapter to a platform that speaks HTTP.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    settings: Settings,
+    client: RwLock<Client>,
+}
+
+impl HttpPlatform {
+    /// An adapter; connects at the first request.
+    pub fn new(settings: Settings) -> Result<Self> {
+        let client = RwLock::new(client(&settings)?);
+        Ok(HttpPlatform { settings, client })
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.settings.address)
+    }
+
+    fn client(&self) -> Client {
+        self.client.read().clone()
+    }
+
+    /// Sends once and returns an answer with status 2xx.
+    async fn send(&self, access: Access, request: RequestBuilder) -> Result<Response> {
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(error) => return Err(self.failure(access, &error)),
+        };
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        let text = match response.json::<ErrorAnswer>().await {
+            Ok(answer) => answer.error,
+            Err(_) => format!("status {status}"),
+        };
+        Err(match status {
+            StatusCode::SERVICE_UNAVAILABLE => Error::Unavailable(text),
+            status if status.is_client_error() => Error::Invalid(text),
+            _ => access.unanswered(text),
+        })
+    }
+
+    async fn json<T: DeserializeOwned>(
+        &self,
+        access: Access,
+        request: RequestBuilder,
+    ) -> Result<T> {
+        let response = self.send(access, request).await?;
+        response.json().await.map_err(|error| self.failure(access, &error))
+    }
+
+    fn failure(&self, access: Access, error: &reqwest::Error) -> Error {
+        if error.is_connect() {
+            return Error::Unavailable(text(error));
+        }
+        if error.is_timeout() {
+            if let Ok(fresh) = client(&self.settings) {
+                *self.client.write() = fresh;
+            }
+        }
+        access.unanswered(text(error))
+    }
+}
+
+#[async_trait]
+impl Platform for HttpPlatform {
+    async fn get(&self, table: &str, key: &str) -> Result<Option<Row>> {
+        let query = [("table", table), ("key", key)];
+        let request = self.client().get(self.url(protocol::ROW)).query(&query);
+        let answer: RowAnswer = self.json(Access::Read, request).await?;
+        Ok(answer.row)
+    }
+
+    async fn scan(&self, table: &str, from: &str, to: &str) -> Result<Vec<Row>> {
+        let query = [("table", table), ("from", from), ("to", to)];
+        let request = self.client().get(self.url(protocol::ROWS)).query(&query);
+        let answer: RowsAnswer = self.json(Access::Read, request).await?;
+        if answer.rows.len() != answer.count {
+            return Err(Error::Unavailable("a scan's answer was cut".into()));
+        }
+        Ok(answer.rows)
+    }
+
+    async fn transact(&self, transaction: &Transaction) -> Result<Commit> {
+        let request = self.client().post(self.url(protocol::TRANSACT)).json(transaction);
+        self.json(Access::Write, request).await
+    }
+
+    async fn object(&self, name: &str) -> Result<Option<Vec<u8>>> {
+        let request = self.client().get(self.url(protocol::OBJECT)).query(&[("name", name)]);
+        let response = self.send(Access::Read, request).await?;
+        if response.status() == StatusCode::NO_CONTENT {
+            return Ok(None);
+        }
+        let body = response.bytes().await.map_err(|error| self.failure(Access::Read, &error))?;
+        Ok(Some(body.to_vec()))
+    }
+
+    async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<()> {
+        let request = self.client().put(self.url(protocol::OBJECT)).query(&[("name", name)]);
+        self.send(Access::Write, request.body(body)).await?;
+        Ok(())
+    }
+
+    async fn instances(&self) -> Result<Vec<Instance>> {
+        let request = self.client().get(self.url(protocol::INSTANCES));
+        let answer: InstanceList = self.json(Access::Read, request).await?;
+        Ok(answer.instances)
+    }
+}
+
+fn client(settings: &Settings) -> Result<Client> {
+    Client::builder()
+        .no_proxy()
+        .retry(reqwest::retry::never())
+        .redirect(reqwest::redirect::Policy::none())
+        .timeout(settings.timeout)
+        .connect_timeout(settings.connect_timeout)
+        .build()
+        .map_err(|error| Error::Invalid(text(&error)))
+}
+
+/// An error with its causes on one line.
+fn text(error: &reqwest::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,11 @@
 //! Everything that has to last lives behind [`Platform`]. A write has three outcomes: it took
 //! effect, it was refused by a condition, or nobody knows ([`Error::Unknown`]); callers read back
 //! or choose the safe direction.
+//!
+//! [`http::HttpPlatform`] is the adapter that daemons and tools use. [`memory::Tables`] is the
+//! store's logic without time; [`store::Store`] puts the rates, the faults and the lagging
+//! instance list around it, and serves both the stand-in's server and
+//! [`memory::MemoryPlatform`].
 
 #![forbid(unsafe_code)]
 
@@ -10,6 +15,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub mod faults;
+pub mod http;
+pub mod memory;
+pub mod protocol;
+pub mod store;
+
 /// One row of a table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
