--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,185 @@
+//! The platform's adapter against the stand-in, under each fault.
+
+use std::time::Duration;
+
+use corianderyoke_platform::faults::Fault;
+use corianderyoke_platform::faults::Order;
+use corianderyoke_platform::http::HttpPlatform;
+use corianderyoke_platform::http::Settings as ClientSettings;
+use corianderyoke_platform::store::Settings as StoreSettings;
+use corianderyoke_platform::Commit;
+use corianderyoke_platform::Condition;
+use corianderyoke_platform::Error;
+use corianderyoke_platform::Instance;
+use corianderyoke_platform::InstanceState;
+use corianderyoke_platform::Platform;
+use corianderyoke_platform::Transaction;
+use corianderyoke_platform::Write;
+use corianderyoke_standin::platform;
+use corianderyoke_standin::platform::Server;
+
+async fn pair(store: StoreSettings) -> (Server, HttpPlatform) {
+    let settings = platform::Settings { store, ..platform::Settings::default() };
+    let server = platform::serve(settings).await.unwrap();
+    let client = ClientSettings {
+        address: server.running.address.to_string(),
+        timeout: Duration::from_millis(400),
+        ..ClientSettings::default()
+    };
+    (server, HttpPlatform::new(client).unwrap())
+}
+
+fn put(key: &str, value: &str) -> Transaction {
+    let write = Write::Put { table: "t".into(), key: key.into(), value: value.into() };
+    Transaction { writes: vec![write], ..Transaction::default() }
+}
+
+fn fault(fault: Fault) -> Order {
+    Order { fault, span_ms: None }
+}
+
+#[tokio::test]
+async fn conditions_versions_and_ranges() {
+    let (_server, client) = pair(StoreSettings::default()).await;
+    let Commit::Done { version } = client.transact(&put("a/1", "one")).await.unwrap() else {
+        panic!("refused without a condition");
+    };
+    client.transact(&put("a/2 & ü?", "two")).await.unwrap();
+    client.transact(&put("b", "three")).await.unwrap();
+    let rows = client.scan("t", "a/", "b").await.unwrap();
+    let keys: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["a/1", "a/2 & ü?"]);
+    assert_eq!(client.scan("t", "b", "").await.unwrap().len(), 1);
+
+    let mut update = put("a/1", "new");
+    update.conditions = vec![Condition::Version { table: "t".into(), key: "a/1".into(), version }];
+    assert!(matches!(client.transact(&update).await.unwrap(), Commit::Done { .. }));
+    let Commit::Refused { condition: 0, found: Some(row) } =
+        client.transact(&update).await.unwrap()
+    else {
+        panic!("an old version was taken");
+    };
+    assert_eq!(row.value, "new");
+    assert!(row.version > version);
+}
+
+#[tokio::test]
+async fn a_refused_transaction_writes_nothing() {
+    let (_server, client) = pair(StoreSettings::default()).await;
+    client.transact(&put("a", "one")).await.unwrap();
+    let mut both = put("b", "two");
+    both.conditions = vec![Condition::Absent { table: "t".into(), key: "a".into() }];
+    assert!(matches!(client.transact(&both).await.unwrap(), Commit::Refused { .. }));
+    assert_eq!(client.get("t", "b").await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn a_version_is_not_reused_after_a_delete() {
+    let (_server, client) = pair(StoreSettings::default()).await;
+    client.transact(&put("a", "one")).await.unwrap();
+    let first = client.get("t", "a").await.unwrap().unwrap();
+    let delete = Write::Delete { table: "t".into(), key: "a".into() };
+    client.transact(&Transaction { writes: vec![delete], ..Default::default() }).await.unwrap();
+    client.transact(&put("a", "one")).await.unwrap();
+    assert!(client.get("t", "a").await.unwrap().unwrap().version > first.version);
+}
+
+#[tokio::test]
+async fn objects_and_the_lagging_list() {
+    let store = StoreSettings { instance_lag_ms: 150, ..StoreSettings::default() };
+    let (server, client) = pair(store).await;
+    assert_eq!(client.object("o").await.unwrap(), None);
+    client.put_object("o", vec![0, 159, 255]).await.unwrap();
+    assert_eq!(client.object("o").await.unwrap(), Some(vec![0, 159, 255]));
+
+    let instance = Instance {
+        name: "engine-1".into(),
+        zone: "z1".into(),
+        address: "127.0.0.1:1".into(),
+        state: InstanceState::Live,
+    };
+    server.store.set_instances(vec![instance.clone()]);
+    assert_eq!(client.instances().await.unwrap(), []);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(client.instances().await.unwrap(), [instance]);
+}
+
+#[tokio::test]
+async fn down_takes_no_effect() {
+    let (server, client) = pair(StoreSettings::default()).await;
+    server.store.faults().order(fault(Fault::Down));
+    let error = client.transact(&put("a", "one")).await.unwrap_err();
+    assert!(matches!(error, Error::Unavailable(_)), "{error}");
+    server.store.faults().clear();
+    assert_eq!(client.get("t", "a").await.unwrap(), None);
+    assert_eq!(server.store.counters().refused, 1);
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_unknown_and_took_effect() {
+    let (server, client) = pair(StoreSettings::default()).await;
+    server.store.faults().order(fault(Fault::LostAnswers { count: Some(1) }));
+    let error = client.transact(&put("a", "one")).await.unwrap_err();
+    assert!(matches!(error, Error::Unknown(_)), "{error}");
+    assert_eq!(client.get("t", "a").await.unwrap().unwrap().value, "one");
+    client.transact(&put("a", "two")).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_frozen_store_acts_after_its_caller_gave_up() {
+    let (server, client) = pair(StoreSettings::default()).await;
+    server.store.faults().order(fault(Fault::Frozen));
+    let error = client.transact(&put("a", "one")).await.unwrap_err();
+    assert!(matches!(error, Error::Unknown(_)), "{error}");
+    assert!(matches!(client.get("t", "a").await.unwrap_err(), Error::Unavailable(_)));
+    server.store.faults().clear();
+    while client.get("t", "a").await.unwrap().is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn silent_connections_are_replaced() {
+    let (server, client) = pair(StoreSettings::default()).await;
+    client.get("t", "a").await.unwrap();
+    server.store.faults().order(fault(Fault::Silent));
+    let error = client.transact(&put("a", "one")).await.unwrap_err();
+    assert!(matches!(error, Error::Unknown(_)), "{error}");
+    assert_eq!(client.get("t", "a").await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn nobody_listening_is_unavailable() {
+    let settings = ClientSettings { address: "127.0.0.1:1".into(), ..ClientSettings::default() };
+    let client = HttpPlatform::new(settings).unwrap();
+    let error = client.transact(&put("a", "one")).await.unwrap_err();
+    assert!(matches!(error, Error::Unavailable(_)), "{error}");
+}
+
+#[tokio::test]
+async fn over_the_rate_is_refused_loudly() {
+    let store =
+        StoreSettings { writes_per_second: 10.0, max_wait_ms: 100, ..StoreSettings::default() };
+    let (server, client) = pair(store).await;
+    let mut refused = 0;
+    for _ in 0..10 {
+        let results = futures::future::join_all((0..4).map(|_| client.get("t", "a"))).await;
+        assert!(results.iter().all(Result::is_ok));
+    }
+    for result in futures::future::join_all(
+        [(); 8].map(|()| async { client.transact(&put("a", "one")).await }),
+    )
+    .await
+    {
+        match result {
+            Ok(_) => {}
+            Err(Error::Unavailable(text)) => {
+                assert!(text.contains("rate"), "{text}");
+                refused += 1;
+            }
+            Err(error) => panic!("{error}"),
+        }
+    }
+    assert!(refused > 0);
+    assert_eq!(server.store.counters().refused, refused);
+}
