--- /dev/null
+++ b/crates/coord/src/register/diff.rs
@@ -0,0 +1,53 @@
+//! Changes between two configurations.
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use super::Address;
+use super::Entries;
+use super::Entry;
+use super::Result;
+
+/// One entry that was added, changed or removed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Change {
+    /// Where, as `kind/name`.
+    pub address: String,
+    /// The entry before, unless it was added.
+    pub before: Option<Value>,
+    /// The entry after, unless it was removed.
+    pub after: Option<Value>,
+}
+
+impl Change {
+    /// Carries the change out on `entries`.
+    pub fn apply(&self, entries: &mut Entries) -> Result<()> {
+        let address: Address = self.address.parse()?;
+        match &self.after {
+            Some(value) => {
+                let entry = Entry::from_value(&address, value.clone())?;
+                entries.insert(address, entry);
+            }
+            None => {
+                entries.shift_remove(&address);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// All changes that lead from `old` to `new`, ordered by address.
+pub fn diff(old: &Entries, new: &Entries) -> Vec<Change> {
+    let mut addresses: Vec<&Address> = old.keys().chain(new.keys()).collect();
+    addresses.sort();
+    addresses.dedup();
+    let changed = addresses.into_iter().filter(|address| old.get(*address) != new.get(*address));
+    changed
+        .map(|address| Change {
+            address: address.to_string(),
+            before: old.get(address).map(Entry::to_value),
+            after: new.get(address).map(Entry::to_value),
+        })
+        .collect()
+}
