--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,5 +8,6 @@
 #![forbid(unsafe_code)]
 
 pub mod keys;
+pub mod pools;
 pub mod register;
 pub mod time;
