Keep the configuration in the platform's tables

Cause: register and rules had no home, no revision and no trail. Ruled out: taking a refused condition for a lost race, since an earlier send whose answer was lost may be what moved the head; the audit record's id tells. Conclusion: a repeated send is conditional on the head as read, so at most one takes effect.

--- a/crates/coord/src/register/document.rs
+++ b/crates/coord/src/register/document.rs
@@ -4,6 +4,7 @@
 //! configuration may be split over several files; an entry stands in one of them.
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use serde_json::Map;
@@ -24,6 +25,8 @@
     pub entries: Entries,
     /// File of each entry.
     pub origins: IndexMap<Address, String>,
+    /// Kinds that have a section.
+    pub kinds: IndexSet<Kind>,
 }
 
 impl Document {
@@ -41,9 +44,35 @@
         problems
     }
 
+    /// What the document makes of the present entries.
+    ///
+    /// Kinds without a section stay as they are, and so do keys that the document leaves out: they
+    /// may have been issued by command. A drained zone stays drained and a revoked key revoked,
+    /// whatever a file says, since the file may be older than the command.
+    pub fn over(&self, present: &Entries) -> Entries {
+        let stays =
+            |address: &Address| address.kind == Kind::Key || !self.kinds.contains(&address.kind);
+        let kept = present.iter().filter(|(address, _)| stays(address));
+        let mut entries: Entries =
+            kept.map(|(address, entry)| (address.clone(), entry.clone())).collect();
+        for (address, entry) in &self.entries {
+            let mut entry = entry.clone();
+            if let Some(old) = present.get(address) {
+                carry(old, &mut entry);
+            }
+            entries.insert(address.clone(), entry);
+        }
+        entries
+    }
+
     /// Checks the entries and names the file of each problem where one entry is at fault.
     pub fn check(&self) -> Vec<Problem> {
-        let mut problems = super::check(&self.entries);
+        self.check_entries(&self.entries)
+    }
+
+    /// Checks other entries that this document had a part in.
+    pub fn check_entries(&self, entries: &Entries) -> Vec<Problem> {
+        let mut problems = super::check(entries);
         for problem in &mut problems {
             problem.file = self.file_of(&problem.key).cloned();
         }
@@ -73,6 +102,7 @@
                 found.push(Problem::new(section, value, "a table"));
                 continue;
             };
+            self.kinds.insert(kind);
             if kind == Kind::Rules {
                 self.entry(file, Address::new(kind, RULES_NAME), value, found);
                 continue;
@@ -150,6 +180,15 @@
     }
 }
 
+/// Carries over what only commands may undo.
+fn carry(old: &Entry, new: &mut Entry) {
+    match (old, new) {
+        (Entry::Zone(old), Entry::Zone(new)) => new.drained |= old.drained,
+        (Entry::Key(old), Entry::Key(new)) => new.revoked |= old.revoked,
+        _ => {}
+    }
+}
+
 fn without_nulls(value: Value) -> Value {
     match value {
         Value::Object(map) => {
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,3 @@
+//! What the binaries do, apart from their command lines.
+
+pub mod config;
--- /dev/null
+++ b/src/util/exit.rs
@@ -0,0 +1,61 @@
+//! Exit codes of the binaries.
+//!
+//! | code | meaning |
+//! |---|---|
+//! | 0 | done |
+//! | 1 | failed for a reason without a code of its own |
+//! | 2 | the command line is wrong |
+//! | 3 | settings or configuration are wrong; each problem is named |
+//! | 4 | somebody else changed the configuration first; nothing was changed |
+//! | 5 | the platform or a member can't be reached; nothing was changed |
+//! | 6 | the outcome is unknown; look it up before a repeat |
+//! | 7 | some members don't have the revision yet; the change is accepted |
+//! | 8 | what was named doesn't exist |
+
+use std::process::ExitCode;
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Exit {
+    /// Done.
+    Done,
+    /// Failed for a reason without a code of its own.
+    Failed,
+    /// The command line is wrong.
+    Usage,
+    /// Settings or configuration are wrong.
+    Invalid,
+    /// Somebody else changed the configuration first.
+    Raced,
+    /// The platform or a member can't be reached.
+    Unavailable,
+    /// The outcome is unknown.
+    Unknown,
+    /// Some members lag.
+    Lagging,
+    /// What was named doesn't exist.
+    Missing,
+}
+
+impl Exit {
+    /// The process's exit code.
+    pub fn code(self) -> u8 {
+        match self {
+            Exit::Done => 0,
+            Exit::Failed => 1,
+            Exit::Usage => 2,
+            Exit::Invalid => 3,
+            Exit::Raced => 4,
+            Exit::Unavailable => 5,
+            Exit::Unknown => 6,
+            Exit::Lagging => 7,
+            Exit::Missing => 8,
+        }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit.code())
+    }
+}
