--- a/src/ops/config/record.rs
+++ b/src/ops/config/record.rs
@@ -6,6 +6,7 @@
 use corianderyoke_coord::register::Entry;
 use corianderyoke_coord::register::Revision;
 use corianderyoke_platform::Row;
+use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
@@ -84,6 +85,32 @@
         }
         Ok(snapshot)
     }
+
+    /// Writes the revision and the entries as JSON, for a peer.
+    pub fn to_json(&self) -> String {
+        let entries = self.entries.iter();
+        let entries = entries.map(|(address, entry)| (address.to_string(), entry.to_value()));
+        encode(&Portable { revision: self.revision, entries: entries.collect() })
+    }
+
+    /// Reads what a peer wrote with [`Snapshot::to_json`].
+    pub fn from_json(text: &str) -> Result<Snapshot> {
+        let portable: Portable = decode(CONFIG_TABLE, HEAD_KEY, text)?;
+        let mut snapshot = Snapshot { revision: portable.revision, ..Snapshot::default() };
+        for (address, value) in portable.entries {
+            let Ok(address) = address.parse::<Address>() else { continue };
+            let entry = Entry::from_value(&address, value)?;
+            snapshot.entries.insert(address, entry);
+        }
+        Ok(snapshot)
+    }
+}
+
+/// A configuration on its way between peers.
+#[derive(Deserialize, Serialize)]
+struct Portable {
+    revision: Revision,
+    entries: IndexMap<String, Value>,
 }
 
 /// Key of a revision's audit record.
