--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
 //! Integration tests.
+
+mod operators;
