--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -9,4 +9,5 @@
 
 pub mod keys;
 pub mod pools;
+pub mod register;
 pub mod time;
