--- /dev/null
+++ b/crates/coord/src/entry/mod.rs
@@ -0,0 +1,123 @@
+//! Which routers a caller should use.
+//!
+//! Only ready routers that stay are named. Callers of a team are steered to the same few routers:
+//! ranked by rendezvous hash over the team, those in the zone of the team's home first, so that
+//! most of the team's tokens are held where its requests arrive. Routers in the caller's own zone
+//! come first among the chosen.
+
+use std::time::Duration;
+
+use crate::keys::ZoneKey;
+
+/// State of a router as the members' table and the rules tell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouterState {
+    /// Serves, and may be named.
+    Ready,
+    /// Starts, or can't serve now.
+    Unready,
+    /// Goes away.
+    Leaving,
+}
+
+/// A router that may be named.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Router {
+    /// Member name; it feeds the rank.
+    pub name: String,
+    /// Address for callers.
+    pub address: String,
+    /// Availability zone.
+    pub zone: ZoneKey,
+    /// Whether its zone is drained.
+    pub drained: bool,
+    /// State.
+    pub state: RouterState,
+}
+
+/// Settings of the entry list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EntrySettings {
+    /// Most routers named for one team.
+    pub routers: usize,
+    /// How long callers keep the answer.
+    pub keep: Duration,
+    /// The same, while any router is leaving, unready or drained.
+    pub keep_unsettled: Duration,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        EntrySettings {
+            routers: 3,
+            keep: Duration::from_secs(10),
+            keep_unsettled: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Who asks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Caller<'a> {
+    /// The team's name; empty for callers on open routes.
+    pub team: &'a str,
+    /// The caller's zone, where it is known.
+    pub zone: Option<ZoneKey>,
+    /// Zone of the team's home.
+    pub home: Option<ZoneKey>,
+}
+
+/// Answer to a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Addresses, best first; empty while no router is ready.
+    pub addresses: Vec<String>,
+    /// How long the answer may be kept.
+    pub keep: Duration,
+}
+
+/// The routers that a caller should use, best first.
+pub fn entry(settings: EntrySettings, routers: &[Router], caller: &Caller<'_>) -> Entry {
+    let open = routers.iter().filter(|router| router.is_open());
+    let mut chosen: Vec<&Router> = open.collect();
+    let settled = chosen.len() == routers.len();
+    chosen.sort_by_cached_key(|router| {
+        let far = caller.home.is_some_and(|zone| zone != router.zone);
+        (far, u64::MAX - rank(caller.team, &router.name))
+    });
+    let all = chosen.split_off(settings.routers.min(chosen.len()));
+    if let Some(near) = near(&chosen, &all, caller) {
+        chosen.pop();
+        chosen.push(near);
+    }
+    chosen.sort_by_key(|router| caller.zone.is_some_and(|zone| zone != router.zone));
+    let addresses = chosen.iter().map(|router| router.address.clone()).collect();
+    Entry { addresses, keep: if settled { settings.keep } else { settings.keep_unsettled } }
+}
+
+impl Router {
+    /// Whether the router may be named.
+    pub fn is_open(&self) -> bool {
+        self.state == RouterState::Ready && !self.drained
+    }
+}
+
+/// A router in the caller's zone, where none is among the chosen.
+fn near<'a>(chosen: &[&Router], rest: &[&'a Router], caller: &Caller<'_>) -> Option<&'a Router> {
+    let zone = caller.zone?;
+    if chosen.len() < 2 || chosen.iter().any(|router| router.zone == zone) {
+        return None;
+    }
+    rest.iter().copied().find(|router| router.zone == zone)
+}
+
+/// Rendezvous rank of a router for a team: FNV-1a over both names, finished by SplitMix64.
+fn rank(team: &str, router: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let bytes = team.bytes().chain([0]).chain(router.bytes());
+    let hash = bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,8 @@
 
 #![forbid(unsafe_code)]
 
+pub mod entry;
+pub mod idempotency;
 pub mod keys;
 pub mod pools;
 pub mod time;
