--- /dev/null
+++ b/crates/coord/src/dispatch/bound.rs
@@ -0,0 +1,83 @@
+//! The slot bound of one upstream: slow start, additive increase, multiplicative decrease.
+
+use super::DispatchSettings;
+use crate::time::Tick;
+
+/// What a release told of the upstream's latency.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Sign {
+    /// Near its best.
+    Good,
+    /// Above the tolerated multiple of its best.
+    Slow,
+    /// Far above it, or failed.
+    Cold,
+}
+
+/// How many slots of an upstream may be in use.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bound {
+    slots: f64,
+    most: u32,
+    /// Whether no sign of overload was seen since the start.
+    slow_start: bool,
+    /// Slots started before this can't cut the bound again.
+    cut: Tick,
+}
+
+impl Bound {
+    /// The bound of a fresh upstream.
+    pub(super) fn new(settings: &DispatchSettings, most: u32, now: Tick) -> Self {
+        let slots = f64::from(settings.start.min(most));
+        Bound { slots, most, slow_start: true, cut: now }
+    }
+
+    /// Whole slots.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots as u32
+    }
+
+    /// Changes the most that the bound may reach.
+    pub(super) fn set_most(&mut self, most: u32) {
+        self.most = most;
+        self.slots = self.slots.min(f64::from(most));
+    }
+
+    /// Raises the bound to what a home before had granted.
+    pub(super) fn raise(&mut self, slots: u32) {
+        self.slots = self.slots.max(f64::from(slots.min(self.most)));
+    }
+
+    /// Takes a release of a slot that started at `started`; `full` tells whether the upstream was
+    /// at its bound.
+    pub(super) fn note(
+        &mut self,
+        settings: &DispatchSettings,
+        sign: Sign,
+        full: bool,
+        started: Tick,
+        now: Tick,
+    ) {
+        match sign {
+            Sign::Good if full => self.grow(settings),
+            Sign::Good => {}
+            Sign::Slow if started >= self.cut => self.cut(settings, self.slots / 2.0, now),
+            Sign::Slow => {}
+            Sign::Cold if started >= self.cut => self.cut(settings, 0.0, now),
+            Sign::Cold => {}
+        }
+    }
+
+    fn grow(&mut self, settings: &DispatchSettings) {
+        let step =
+            if self.slow_start { settings.growth } else { settings.increase / self.slots.max(1.0) };
+        self.slots = (self.slots + step).min(f64::from(self.most));
+    }
+
+    fn cut(&mut self, settings: &DispatchSettings, slots: f64, now: Tick) {
+        let least = f64::from(settings.start.min(self.most));
+        self.slots = slots.max(least).min(self.slots);
+        self.slow_start = false;
+        self.cut = now;
+    }
+}
--- /dev/null
+++ b/crates/coord/src/dispatch/budget.rs
@@ -0,0 +1,32 @@
+//! Retry budget: retries as a ratio of admitted requests.
+
+/// Most retries that a quiet time saves up.
+const MOST: f64 = 10.0;
+
+/// A budget that first tries fill and retries use up.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    ratio: f64,
+    credit: f64,
+}
+
+impl RetryBudget {
+    /// A full budget that gains `ratio` retries with each admitted request.
+    pub fn new(ratio: f64) -> Self {
+        RetryBudget { ratio, credit: MOST }
+    }
+
+    /// Counts an admitted first try.
+    pub fn admit(&mut self) {
+        self.credit = (self.credit + self.ratio).min(MOST);
+    }
+
+    /// Takes one retry out, if there is one.
+    pub fn take(&mut self) -> bool {
+        if self.credit < 1.0 {
+            return false;
+        }
+        self.credit -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/coord/src/dispatch/commands.rs
@@ -0,0 +1,445 @@
+//! Commands of the dispatcher: enqueue, release, time, and what changes around it.
+
+use std::time::Duration;
+
+use super::Decision;
+use super::Dispatcher;
+use super::Effect;
+use super::Outcome;
+use super::Reason;
+use super::Refusal;
+use super::Release;
+use super::ReplicaState;
+use super::Request;
+use super::RequestKey;
+use super::Slot;
+use super::SlotKey;
+use super::Start;
+use super::Upstream;
+use super::UpstreamStatus;
+use super::Waiting;
+use crate::keys::ModelKey;
+use crate::keys::TeamKey;
+use crate::keys::UpstreamKey;
+use crate::keys::ZoneKey;
+use crate::time::Tick;
+
+/// Lanes of a queue that are tried when the first can't start.
+const LANES_TRIED: usize = 4;
+
+/// Free upstreams that are looked at for affinity.
+const UPSTREAMS_TRIED: usize = 8;
+
+/// Prefixes remembered per model.
+const PREFIXES: usize = 4096;
+
+/// Least wait told with a refusal.
+const WAIT_LEAST: Duration = Duration::from_millis(100);
+
+impl Dispatcher {
+    /// Takes a request in. The same key again gets the same decision, so a lost answer can be
+    /// asked for again.
+    pub fn enqueue(&mut self, request: Request, now: Tick) -> Decision {
+        if let Some(start) = self.start_of(request.key) {
+            return Decision::Start(start);
+        }
+        if self.waiting.contains_key(&request.key) {
+            return Decision::Queued;
+        }
+        if let Some(refusal) = self.refuse_early(&request, now) {
+            return Decision::Refuse(refusal);
+        }
+        if !request.retry {
+            self.budget.admit();
+        }
+        let key = request.key;
+        let model = request.model;
+        self.push(request, now);
+        // Only this request can start here: the others had their chance when a slot became free.
+        let mut effects = Vec::new();
+        self.serve(model, now, &mut effects);
+        match self.start_of(key) {
+            Some(start) => Decision::Start(start),
+            None => Decision::Queued,
+        }
+    }
+
+    /// Takes a request out whose caller hung up, whether it waits or has a slot.
+    pub fn cancel(&mut self, request: RequestKey, now: Tick) -> Vec<Effect> {
+        self.unqueue(request);
+        let Some(slot) = self.started.get(&request).copied() else {
+            return Vec::new();
+        };
+        let outcome = Outcome::Cancelled;
+        let release = Release { slot, outcome, first_token: None, token_gap: None, used: 0 };
+        self.release(&release, now)
+    }
+
+    /// Takes a slot back. Repeats are without effect.
+    pub fn release(&mut self, release: &Release, now: Tick) -> Vec<Effect> {
+        let Some(slot) = self.slots.get(&release.slot).copied() else {
+            return Vec::new();
+        };
+        let settings = self.settings;
+        if let Some(upstream) = self.upstreams.get_mut(&slot.upstream) {
+            upstream.note(&settings, slot.model, release, slot.started, now);
+        }
+        if let Some(model) = self.models.get_mut(&slot.model) {
+            model.queue.refund(slot.team, slot.cost.saturating_sub(release.used));
+            if release.outcome == Outcome::Done {
+                model.service.note(now.since(slot.started));
+            }
+        }
+        self.drop_slot(release.slot, now);
+        let mut effects = Vec::new();
+        self.serve_upstream(slot.upstream, now, &mut effects);
+        effects
+    }
+
+    /// Lets time pass: refuses who can't start in time any more, frees slots that nobody releases.
+    pub fn tick(&mut self, now: Tick) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.expire(now, &mut effects);
+        while let Some((at, slot)) = self.orphans.first().copied() {
+            if at > now {
+                break;
+            }
+            self.orphans.pop_first();
+            let upstream = self.slots.get(&slot).map(|slot| slot.upstream);
+            self.drop_slot(slot, now);
+            if let Some(upstream) = upstream {
+                self.serve_upstream(upstream, now, &mut effects);
+            }
+        }
+        effects
+    }
+
+    /// Sets a team's weight; teams not set have weight 1.
+    pub fn set_team(&mut self, team: TeamKey, weight: u32) {
+        self.teams.insert(team, weight.max(1));
+    }
+
+    /// Drains or restores an availability zone.
+    pub fn set_zone(&mut self, zone: ZoneKey, drained: bool, now: Tick) -> Vec<Effect> {
+        let changed =
+            if drained { self.drained.insert(zone) } else { self.drained.swap_remove(&zone) };
+        if !changed {
+            return Vec::new();
+        }
+        let inside = |upstream: &Upstream| upstream.status.zone == zone;
+        let keys = self.upstreams.iter().filter(|(_, upstream)| inside(upstream));
+        let keys: Vec<UpstreamKey> = keys.map(|(key, _)| *key).collect();
+        let mut effects = Vec::new();
+        for key in keys {
+            let models = self.models_of(key);
+            self.note_loading(key, &models, now);
+            self.restore(key, !drained, now);
+            self.note_wanting(&models);
+            self.serve_upstream(key, now, &mut effects);
+        }
+        effects
+    }
+
+    /// Takes an upstream's state over, a new one's too.
+    pub fn set_upstream(
+        &mut self,
+        key: UpstreamKey,
+        status: UpstreamStatus,
+        now: Tick,
+    ) -> Vec<Effect> {
+        let settings = self.settings;
+        let fresh = || Upstream::new(&settings, status.clone(), now);
+        let upstream = self.upstreams.entry(key).or_insert_with(fresh);
+        let back = upstream.status.leaving && !status.leaving;
+        let restarted = upstream.status.incarnation != status.incarnation;
+        let before = std::mem::replace(&mut upstream.status, status);
+        upstream.bound.set_most(upstream.status.slots);
+        let models: Vec<ModelKey> = before.models.into_keys().collect();
+        self.note_loading(key, &models, now);
+        self.restore(key, back || restarted, now);
+        self.note_wanting(&models);
+        let mut effects = Vec::new();
+        self.serve_upstream(key, now, &mut effects);
+        effects
+    }
+
+    /// Forgets an upstream that is gone. Its slots stay until they're released.
+    pub fn remove_upstream(&mut self, key: UpstreamKey, now: Tick) {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return;
+        };
+        let models = Default::default();
+        let status = UpstreamStatus { leaving: true, models, ..upstream.status.clone() };
+        self.set_upstream(key, status, now);
+        self.upstreams.swap_remove(&key);
+    }
+
+    /// Takes placement's estimate of a model's wake.
+    pub fn set_wake(&mut self, model: ModelKey, span: Duration) {
+        self.models.entry(model).or_default().wake = Some(span);
+    }
+
+    /// Brings an upstream up to date; one that comes back is fresh.
+    fn restore(&mut self, key: UpstreamKey, fresh: bool, now: Tick) {
+        let settings = self.settings;
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            if fresh {
+                upstream.reset(&settings, now);
+            }
+        }
+        self.refile(key);
+    }
+
+    /// Notes where the upstream's models are loading.
+    fn note_loading(&mut self, key: UpstreamKey, before: &[ModelKey], now: Tick) {
+        for model in before {
+            if let Some(model) = self.models.get_mut(model) {
+                model.loading.swap_remove(&key);
+            }
+        }
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return;
+        };
+        if upstream.status.leaving || self.drained.contains(&upstream.status.zone) {
+            return;
+        }
+        for (model, state) in &upstream.status.models {
+            if let ReplicaState::Loading(span) = state {
+                self.models.entry(*model).or_default().loading.insert(key, now + *span);
+            }
+        }
+    }
+
+    fn models_of(&self, key: UpstreamKey) -> Vec<ModelKey> {
+        let upstream = self.upstreams.get(&key);
+        upstream.map_or_else(Vec::new, |upstream| upstream.status.models.keys().copied().collect())
+    }
+
+    /// Finds out whether models want a replica, after replicas of them went.
+    fn note_wanting(&mut self, models: &[ModelKey]) {
+        for key in models {
+            if self.models.get(key).is_some_and(|model| !model.queue.is_empty()) {
+                self.wanting.insert(*key);
+            }
+        }
+    }
+
+    fn refuse_early(&mut self, request: &Request, now: Tick) -> Option<Refusal> {
+        let key = request.key;
+        let refuse = |wait: Duration, reason| {
+            Some(Refusal { request: key, wait: wait.max(WAIT_LEAST), reason })
+        };
+        let model = self.models.entry(request.model).or_default();
+        let service = model.service.careful();
+        let latest = now + request.deadline.saturating_sub(service);
+        let model = &self.models[&request.model];
+        let wait = self.start_wait(model, request.team, latest, now);
+        if self.waiting.len() >= self.settings.waiting {
+            return refuse(wait, Reason::Full);
+        }
+        if wait + service > request.deadline {
+            let reason = if model.bound == 0 { Reason::Waking } else { Reason::Busy };
+            return refuse((wait + service).saturating_sub(request.deadline), reason);
+        }
+        if request.retry && !self.budget.take() {
+            return refuse(wait, Reason::RetryBudget);
+        }
+        None
+    }
+
+    fn push(&mut self, request: Request, now: Tick) {
+        let key = request.key;
+        let team = request.team;
+        let weight = self.teams.get(&team).copied().unwrap_or(1);
+        let model = self.models.entry(request.model).or_default();
+        let latest = now + request.deadline.saturating_sub(model.service.careful());
+        let deadline = now + request.deadline;
+        self.next += 1;
+        let number = self.next;
+        model.queue.push(team, weight, (latest, number), key);
+        model.queue.touch(team, now);
+        model.queue.prune(self.settings.active, now);
+        if model.bound == 0 {
+            self.wanting.insert(request.model);
+        }
+        self.expiry.insert((latest, key));
+        self.waiting.insert(key, Waiting { request, latest, deadline, number });
+    }
+
+    /// Takes a request out of its queue.
+    fn unqueue(&mut self, key: RequestKey) -> Option<Waiting> {
+        let waiting = self.waiting.swap_remove(&key)?;
+        self.expiry.remove(&(waiting.latest, key));
+        let request = &waiting.request;
+        if let Some(model) = self.models.get_mut(&request.model) {
+            model.queue.remove(request.team, (waiting.latest, waiting.number));
+            if model.queue.is_empty() {
+                self.wanting.swap_remove(&request.model);
+            }
+        }
+        Some(waiting)
+    }
+
+    fn expire(&mut self, now: Tick, effects: &mut Vec<Effect>) {
+        while let Some((latest, request)) = self.expiry.first().copied() {
+            if latest >= now {
+                return;
+            }
+            let Some(waiting) = self.unqueue(request) else {
+                continue;
+            };
+            let model = &self.models[&waiting.request.model];
+            let wait = self.start_wait(model, waiting.request.team, latest, now).max(WAIT_LEAST);
+            effects.push(Effect::Refuse(Refusal { request, wait, reason: Reason::Late }));
+        }
+    }
+
+    /// Starts what can start of one model.
+    pub(super) fn serve(&mut self, model: ModelKey, now: Tick, effects: &mut Vec<Effect>) {
+        self.expire(now, effects);
+        while let Some(start) = self.start_next(model, now) {
+            effects.push(Effect::Start(start));
+        }
+    }
+
+    /// Starts what can start on one upstream, over all its models.
+    pub(super) fn serve_upstream(
+        &mut self,
+        key: UpstreamKey,
+        now: Tick,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.expire(now, effects);
+        loop {
+            let models = self.neediest(key);
+            let start = models.into_iter().find_map(|model| self.start_next(model, now));
+            let Some(start) = start else {
+                return;
+            };
+            effects.push(Effect::Start(start));
+        }
+    }
+
+    /// Models of an upstream with waiting requests; first those whose next team uses least of it.
+    fn neediest(&self, key: UpstreamKey) -> Vec<ModelKey> {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return Vec::new();
+        };
+        let mut models = Vec::new();
+        for model in upstream.status.models.keys() {
+            let head = self.models.get(model).and_then(|model| model.queue.heads().next());
+            let Some(waiting) = head.and_then(|request| self.waiting.get(&request)) else {
+                continue;
+            };
+            let team = waiting.request.team;
+            let weight = self.teams.get(&team).copied().unwrap_or(1);
+            let used = upstream.teams.get(&team).copied().unwrap_or(0);
+            models.push((used * 1000 / weight, waiting.latest, *model));
+        }
+        models.sort_unstable();
+        models.into_iter().map(|(_, _, model)| model).collect()
+    }
+
+    fn start_next(&mut self, model: ModelKey, now: Tick) -> Option<Start> {
+        if !self.missing.is_empty() || self.models.get(&model)?.free.is_empty() {
+            return None;
+        }
+        let heads = self.models[&model].queue.heads().take(LANES_TRIED);
+        let fits = |key: RequestKey| {
+            let upstream = self.choose(&self.waiting.get(&key)?.request, now)?;
+            Some((key, upstream))
+        };
+        let found = heads.filter_map(fits).next();
+        let (request, upstream) = found?;
+        self.start(request, upstream, now)
+    }
+
+    /// The upstream for a request: where its prefix was, else where its adapter is, unless that
+    /// costs too much load; else the least loaded.
+    fn choose(&self, request: &Request, now: Tick) -> Option<UpstreamKey> {
+        let model = self.models.get(&request.model)?;
+        let fits = |upstream: &UpstreamKey| {
+            !request.avoid.contains(upstream) && self.leaves_headroom(*upstream, request.team, now)
+        };
+        let free = model.free.iter().filter(|(_, upstream)| fits(upstream));
+        let tried: Vec<(u32, UpstreamKey)> = free.take(UPSTREAMS_TRIED).copied().collect();
+        let (least, first) = tried.first().copied()?;
+        let most = least + self.settings.affinity;
+        let last = request.prefix.and_then(|prefix| model.prefixes.get(&prefix));
+        if let Some(upstream) = last.filter(|upstream| fits(upstream)) {
+            if self.load(*upstream).is_some_and(|load| load <= most) {
+                return Some(*upstream);
+            }
+        }
+        let Some(adapter) = request.adapter else {
+            return Some(first);
+        };
+        let near = tried.iter().filter(|(load, _)| *load <= most);
+        let mut with = near.filter(|(_, upstream)| self.has_adapter(*upstream, adapter));
+        Some(with.next().map_or(first, |(_, upstream)| *upstream))
+    }
+
+    fn start(&mut self, key: RequestKey, upstream: UpstreamKey, now: Tick) -> Option<Start> {
+        let Waiting { request, deadline, .. } = self.unqueue(key)?;
+        self.next += 1;
+        let slot = SlotKey { home: self.home, number: self.next };
+        let Request { model, team, cost, .. } = request;
+        let state = Slot {
+            request: key,
+            upstream,
+            model,
+            team,
+            cost,
+            started: now,
+            deadline,
+            orphan: false,
+        };
+        self.freshen(upstream, now);
+        self.take_slot(slot, state, now);
+        let model = self.models.get_mut(&model)?;
+        model.queue.charge(team, cost);
+        if let Some(prefix) = request.prefix {
+            if model.prefixes.len() >= PREFIXES && !model.prefixes.contains_key(&prefix) {
+                model.prefixes.swap_remove_index(0);
+            }
+            model.prefixes.insert(prefix, upstream);
+        }
+        Some(Start { request: key, slot, upstream })
+    }
+
+    /// An upstream that was unused for long may have turned cold: it starts again with few slots.
+    fn freshen(&mut self, key: UpstreamKey, now: Tick) {
+        let settings = self.settings;
+        let Some(upstream) = self.upstreams.get_mut(&key) else {
+            return;
+        };
+        if upstream.in_use == 0 && now.since(upstream.used) >= settings.idle {
+            upstream.reset(&settings, now);
+        }
+    }
+
+    /// Counts a slot as in use.
+    pub(super) fn take_slot(&mut self, key: SlotKey, slot: Slot, now: Tick) {
+        self.started.insert(slot.request, key);
+        self.slots.insert(key, slot);
+        self.models.entry(slot.model).or_default().in_use += 1;
+        if let Some(upstream) = self.upstreams.get_mut(&slot.upstream) {
+            upstream.take(slot.team, now);
+        }
+        self.refile(slot.upstream);
+    }
+
+    fn drop_slot(&mut self, key: SlotKey, now: Tick) {
+        let Some(slot) = self.slots.swap_remove(&key) else {
+            return;
+        };
+        self.started.swap_remove(&slot.request);
+        if let Some(model) = self.models.get_mut(&slot.model) {
+            model.in_use -= 1;
+        }
+        if let Some(upstream) = self.upstreams.get_mut(&slot.upstream) {
+            upstream.free(slot.team, now);
+        }
+        self.refile(slot.upstream);
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod dispatch;
 pub mod entry;
 pub mod idempotency;
 pub mod keys;
