--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod dispatch;
+pub mod entry;
+pub mod idempotency;
 pub mod keys;
 pub mod pools;
 pub mod register;
