--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,4 +8,5 @@
 #![forbid(unsafe_code)]
 
 pub mod keys;
+pub mod placement;
 pub mod time;
--- /dev/null
+++ b/crates/coord/src/placement/effects.rs
@@ -0,0 +1,100 @@
+//! What the planner asks of its driver, and what the driver reports back.
+
+use crate::keys::ModelKey;
+use crate::keys::UpstreamKey;
+use crate::time::Tick;
+
+use super::row::IntentRow;
+use super::row::RowKey;
+
+/// A model on an upstream.
+pub type Pair = (ModelKey, UpstreamKey);
+
+/// One thing for the driver to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Scan table `intents` and report it by [`super::Planner::adopt`].
+    Scan,
+    /// Carry out a transaction and report it by [`super::Planner::committed`].
+    Commit(Change),
+    /// Send an order, after checking the term, and report it by [`super::Planner::answered`].
+    Order(Order),
+    /// Ask an upstream's state and report it by [`super::Planner::observed`].
+    Observe {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// When it was asked; goes into the observation.
+        asked: Tick,
+    },
+}
+
+/// A transaction on table `intents`, conditional on the view row and on the sequence row.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Change {
+    /// Number within this planner.
+    pub id: u64,
+    /// The sequence row's version that must stand; `None` means that the row must not exist.
+    pub expected: Option<u64>,
+    /// The new fencing token.
+    pub fence: u64,
+    /// Rows to write.
+    pub puts: Vec<IntentRow>,
+    /// Rows to delete.
+    pub deletes: Vec<RowKey>,
+    /// Grounds, a line each, for the audit trail.
+    pub grounds: Vec<String>,
+}
+
+/// What became of a [`Change`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It took effect; the sequence row has this version now.
+    Done(u64),
+    /// A condition didn't hold.
+    Refused,
+    /// Nobody knows.
+    Unknown,
+    /// It wasn't sent, because the term had ended or the store refused to work.
+    Unsent,
+}
+
+/// What an order does.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Op {
+    /// Load the model.
+    Load,
+    /// Unload the model.
+    Unload,
+}
+
+/// An order to an upstream, idempotent for its model.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// Number within this planner.
+    pub id: u64,
+    /// What to do.
+    pub op: Op,
+    /// The model.
+    pub model: ModelKey,
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Bytes set aside.
+    pub bytes: u64,
+    /// Fencing token.
+    pub fence: u64,
+}
+
+/// What became of an [`Order`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// The upstream took it.
+    Accepted,
+    /// The upstream has seen a newer fencing token.
+    StaleFence,
+    /// The upstream says that its memory doesn't suffice.
+    Overcommit,
+    /// It was never sent: the term had ended or no connection came about.
+    Unsent,
+    /// No answer came: it may still arrive.
+    Lost,
+}
--- /dev/null
+++ b/crates/coord/src/placement/gaps.rs
@@ -0,0 +1,119 @@
+//! Keep-alive by a histogram of the gaps between a model's uses.
+//!
+//! This follows the hybrid histogram policy published for serverless functions (Shahrad and others,
+//! "Serverless in the Wild", USENIX ATC 2020): a model with enough observed gaps gets a window of
+//! its own, any other a fixed one. The window here minimises expected cost: keeping a replica costs
+//! its idle time, unloading it costs a cold start whenever the next use comes after the window.
+
+use std::time::Duration;
+
+/// Upper bound of the first bucket.
+const FIRST: Duration = Duration::from_secs(5);
+
+/// Buckets; each reaches 1.25 times as far as the one before, the last one to about 13 hours.
+const BUCKETS: usize = 42;
+
+/// Ratio between bounds of neighbouring buckets.
+const GROWTH: f64 = 1.25;
+
+/// Share of old gaps kept each time that the histogram is full.
+const DECAY: f64 = 0.5;
+
+/// Weight of all gaps at which old ones decay.
+const FULL: f64 = 256.0;
+
+/// The operators' rule for idle replicas.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum KeepRule {
+    /// Weigh cold starts against idle time by each model's gaps.
+    Histogram {
+        /// Idle accelerator seconds that one second of cold start is worth.
+        worth: f64,
+        /// Gaps from which on a model has a window of its own.
+        needed: u32,
+        /// Window of a model with fewer gaps.
+        fallback: Duration,
+    },
+    /// The same window for each model.
+    Fixed(Duration),
+    /// Replicas go only when memory is needed.
+    Always,
+}
+
+impl Default for KeepRule {
+    fn default() -> Self {
+        KeepRule::Histogram { worth: 20.0, needed: 5, fallback: Duration::from_secs(600) }
+    }
+}
+
+/// Gaps between uses of one model, in buckets that grow geometrically.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Gaps {
+    weights: [f64; BUCKETS],
+    beyond: f64,
+}
+
+impl Default for Gaps {
+    fn default() -> Self {
+        Gaps { weights: [0.0; BUCKETS], beyond: 0.0 }
+    }
+}
+
+impl Gaps {
+    /// Upper bound of bucket `index`.
+    fn bound(index: usize) -> Duration {
+        FIRST.mul_f64(GROWTH.powi(index as i32))
+    }
+
+    /// Takes one gap in.
+    pub fn record(&mut self, gap: Duration) {
+        if self.total() >= FULL {
+            self.weights.iter_mut().for_each(|weight| *weight *= DECAY);
+            self.beyond *= DECAY;
+        }
+        match (0..BUCKETS).find(|index| gap <= Self::bound(*index)) {
+            Some(index) => self.weights[index] += 1.0,
+            None => self.beyond += 1.0,
+        }
+    }
+
+    /// Weight of all gaps.
+    pub fn total(&self) -> f64 {
+        self.weights.iter().sum::<f64>() + self.beyond
+    }
+
+    /// The window with the least expected cost for a model that takes `cold` to start and `share`
+    /// of an accelerator while it is loaded.
+    pub fn window(&self, cold: Duration, share: f64, worth: f64) -> Duration {
+        let penalty = cold.as_secs_f64() * worth;
+        let mut later = self.total();
+        let mut idle = 0.0;
+        let mut best = (later * penalty, Duration::ZERO);
+        for (index, weight) in self.weights.iter().enumerate() {
+            let bound = Self::bound(index);
+            later -= weight;
+            idle += weight * bound.as_secs_f64();
+            let cost = share * (idle + later * bound.as_secs_f64()) + later * penalty;
+            if cost < best.0 {
+                best = (cost, bound);
+            }
+        }
+        best.1
+    }
+}
+
+impl KeepRule {
+    /// How long an idle replica stays, or `None` for as long as memory allows.
+    pub fn window(&self, gaps: &Gaps, cold: Duration, share: f64) -> Option<Duration> {
+        match *self {
+            KeepRule::Histogram { worth, needed, fallback } => {
+                if gaps.total() < f64::from(needed) {
+                    return Some(fallback);
+                }
+                Some(gaps.window(cold, share, worth))
+            }
+            KeepRule::Fixed(window) => Some(window),
+            KeepRule::Always => None,
+        }
+    }
+}
