--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod idempotency;
 pub mod keys;
+pub mod placement;
 pub mod pools;
 pub mod register;
 pub mod time;
