Parse callers' requests and name refusals

Refusals carry what became of the work, so that nothing is said to be not run that may have run. Only listed fields of a body go on to an upstream.

--- /dev/null
+++ b/src/router/hangup.rs
@@ -0,0 +1,127 @@
+//! Finds callers that went away before their answer began.
+//!
+//! Rocket runs a handler apart from its connection, so a handler that waits isn't told when the
+//! caller hangs up. The kernel's table of TCP sockets tells: the connection of a caller that is
+//! gone is no longer established. One reader looks for all waiting requests together.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::fs::read_to_string;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::Ipv6Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::sleep;
+
+use crate::router::open::Cut;
+use crate::router::open::Cutter;
+
+/// Time between two looks at the kernel's tables.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Where the kernel lists its TCP sockets.
+const TABLES: [&str; 2] = ["/proc/net/tcp", "/proc/net/tcp6"];
+/// State of an established connection in these tables.
+const ESTABLISHED: &str = "01";
+
+/// Waiting requests by the address of their caller.
+#[derive(Default)]
+pub struct Hangups {
+    waiting: Mutex<HashMap<SocketAddr, Cutter>>,
+}
+
+impl Hangups {
+    /// Watches the connection from `caller` until the guard is dropped.
+    pub fn watch(self: &Arc<Self>, caller: SocketAddr, cutter: Cutter) -> Watched {
+        let caller = plain(caller);
+        self.waiting.lock().insert(caller, cutter);
+        Watched { caller, hangups: Arc::clone(self) }
+    }
+
+    /// Looks for callers that went away, until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            sleep(LOOK_EVERY).await;
+            if !self.waiting.lock().is_empty() {
+                self.look();
+            }
+        }
+    }
+
+    fn look(&self) {
+        // The set is taken first: a request that starts to wait after the tables were read must
+        // not be taken for one whose connection is missing from them.
+        let waiting = self.waiting.lock().clone();
+        let Some(established) = established() else {
+            return;
+        };
+        for (caller, cutter) in waiting {
+            if !established.contains(&caller) {
+                cutter.cut(Cut::CallerGone);
+            }
+        }
+    }
+}
+
+/// Keeps a caller's connection watched.
+pub struct Watched {
+    caller: SocketAddr,
+    hangups: Arc<Hangups>,
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.hangups.waiting.lock().remove(&self.caller);
+    }
+}
+
+/// Remote ends of all established connections; `None` where the kernel shows no table.
+fn established() -> Option<HashSet<SocketAddr>> {
+    let mut remotes = HashSet::new();
+    let mut tables = 0;
+    for table in TABLES {
+        let Ok(text) = read_to_string(table) else {
+            continue;
+        };
+        tables += 1;
+        remotes.extend(text.lines().filter_map(remote));
+    }
+    (tables > 0).then_some(remotes)
+}
+
+/// Remote end of one line of the kernel's table, if that connection is established.
+pub fn remote(line: &str) -> Option<SocketAddr> {
+    let mut fields = line.split_ascii_whitespace();
+    let remote = fields.nth(2)?;
+    let state = fields.next()?;
+    if state != ESTABLISHED {
+        return None;
+    }
+    let (ip, port) = remote.split_once(':')?;
+    let port = u16::from_str_radix(port, 16).ok()?;
+    Some(plain(SocketAddr::new(address(ip)?, port)))
+}
+
+/// An address as the kernel prints it: 32-bit words in the machine's byte order.
+fn address(hex: &str) -> Option<IpAddr> {
+    let word = |at: usize| u32::from_str_radix(hex.get(at..at + 8)?, 16).ok().map(u32::to_ne_bytes);
+    match hex.len() {
+        8 => Some(IpAddr::V4(Ipv4Addr::from(word(0)?))),
+        32 => {
+            let mut octets = [0; 16];
+            for (at, chunk) in octets.chunks_mut(4).enumerate() {
+                chunk.copy_from_slice(&word(at * 8)?);
+            }
+            Some(IpAddr::V6(Ipv6Addr::from(octets)))
+        }
+        _ => None,
+    }
+}
+
+/// The address with an IPv4 one mapped into IPv6 made plain.
+fn plain(address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip().to_canonical(), address.port())
+}
--- /dev/null
+++ b/src/router/http.rs
@@ -0,0 +1,277 @@
+//! The callers' address: bounds what comes in, finds the call and turns its end into an answer.
+//!
+//! One handler stands at every path, so that a wrong path or method gets the same kind of refusal
+//! as everything else, and nothing reaches an upstream but through [`generate`] or [`service`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderyoke_http::Running;
+use futures::Stream;
+use futures::StreamExt;
+use rocket::catch;
+use rocket::catchers;
+use rocket::data::ByteUnit;
+use rocket::data::Data;
+use rocket::http::ContentType;
+use rocket::http::Header;
+use rocket::http::Method;
+use rocket::http::Status;
+use rocket::response::stream::ByteStream;
+use rocket::response::Responder;
+use rocket::route::Handler;
+use rocket::route::Outcome;
+use rocket::route::Route;
+use rocket::Request;
+use rocket::Response;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::router::generate;
+use crate::router::listing;
+use crate::router::refusal::Code;
+use crate::router::refusal::Refusal;
+use crate::router::refusal::Result;
+use crate::router::request::Kind;
+use crate::router::service;
+use crate::router::Router;
+
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// Most bytes of all header names and values together.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Most bytes of a body.
+const MAX_BODY_BYTES: u64 = 1024 * 1024;
+/// Longest time in which a whole body has to arrive.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+/// Query parameters by which callers wrongly send keys.
+const KEY_PARAMETERS: [&str; 5] = ["key", "api_key", "api-key", "apikey", "access_token"];
+/// The methods that a path can be asked with.
+const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Post,
+    Method::Put,
+    Method::Patch,
+    Method::Delete,
+    Method::Head,
+    Method::Options,
+];
+
+/// A request's parts, detached from the connection.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// Id given by the router.
+    pub id: String,
+    /// Method name in capitals.
+    pub method: String,
+    /// Path segments, decoded by nobody.
+    pub path: String,
+    /// Query text without the question mark, empty where there is none.
+    pub query: String,
+    /// Header names in lower case, with values.
+    pub headers: Vec<(String, String)>,
+    /// The caller's end of the connection.
+    pub caller: Option<SocketAddr>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Parts {
+    /// The value of header `name`, if it came once.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut found = self.headers.iter().filter(|(n, _)| n == name);
+        match (found.next(), found.next()) {
+            (Some((_, value)), None) => Some(value),
+            _ => None,
+        }
+    }
+}
+
+/// A successful answer.
+pub enum Answer {
+    /// Whole, with its length.
+    Whole {
+        /// HTTP status.
+        status: u16,
+        /// Headers for the caller.
+        headers: Vec<(String, String)>,
+        /// The body.
+        body: Bytes,
+    },
+    /// Server-sent events as they come.
+    Events(mpsc::Receiver<Bytes>),
+}
+
+impl Answer {
+    /// A JSON answer.
+    pub fn json(value: &serde_json::Value) -> Answer {
+        let headers = vec![("content-type".to_owned(), "application/json".to_owned())];
+        Answer::Whole { status: 200, headers, body: Bytes::from(value.to_string()) }
+    }
+}
+
+/// Serves callers on `address`.
+pub async fn serve(
+    address: SocketAddr,
+    router: Arc<Router>,
+) -> corianderyoke_http::Result<Running> {
+    let front = Front { router };
+    let routes = METHODS.map(|method| Route::new(method, "/<path..>", front.clone()));
+    let rocket = rocket::custom(corianderyoke_http::config(address))
+        .mount("/", routes.to_vec())
+        .register("/", catchers![refuse]);
+    corianderyoke_http::launch(rocket, address).await
+}
+
+#[catch(default)]
+fn refuse(status: Status, _: &Request<'_>) -> Refusal {
+    match status.code {
+        404 => Refusal::not_run(Code::NotFound, "no such path"),
+        413 => Refusal::not_run(Code::TooLarge, "the request is too large"),
+        _ => Refusal::not_run(Code::BadRequest, "the request isn't valid HTTP"),
+    }
+}
+
+#[derive(Clone)]
+struct Front {
+    router: Arc<Router>,
+}
+
+#[rocket::async_trait]
+impl Handler for Front {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let id = self.router.new_id();
+        let answered = match parts(request, data, &id).await {
+            Ok(parts) => route(&self.router, parts).await,
+            Err(refusal) => Err(refusal),
+        };
+        match answered {
+            Ok(answer) => Outcome::Success(respond(request, answer, &id)),
+            Err(refusal) => {
+                let refusal = refusal.with_id(&id);
+                self.router.refused(&refusal);
+                match refusal.respond_to(request) {
+                    Ok(response) => Outcome::Success(response),
+                    Err(status) => Outcome::Error(status),
+                }
+            }
+        }
+    }
+}
+
+async fn route(router: &Arc<Router>, parts: Parts) -> Result<Answer> {
+    let path = parts.path.clone();
+    let method = parts.method.as_str();
+    match (method, path.as_str()) {
+        ("POST", "/v1/chat/completions") => generate::serve(router, Kind::Chat, parts).await,
+        ("POST", "/v1/completions") => generate::serve(router, Kind::Text, parts).await,
+        ("GET", "/v1/models") => listing::models(router, &parts),
+        ("GET", "/v1/entry") => listing::entry(router, &parts).await,
+        (_, "/v1/chat/completions" | "/v1/completions" | "/v1/models" | "/v1/entry") => {
+            Err(Refusal::not_run(Code::MethodNotAllowed, format!("{path} doesn't take {method}")))
+        }
+        _ => match path.strip_prefix("/services/") {
+            Some(rest) => service::serve(router, rest, parts).await,
+            None => Err(Refusal::not_run(Code::NotFound, format!("no such path: {path}"))),
+        },
+    }
+}
+
+async fn parts(request: &Request<'_>, data: Data<'_>, id: &str) -> Result<Parts> {
+    let headers = headers(request)?;
+    let query = request.uri().query().map_or("", |query| query.as_str()).to_owned();
+    refuse_keys_in_query(&query)?;
+    let body = body(request, data).await?;
+    Ok(Parts {
+        id: id.to_owned(),
+        method: request.method().as_str().to_owned(),
+        path: request.uri().path().as_str().to_owned(),
+        query,
+        headers,
+        caller: request.remote(),
+        body,
+    })
+}
+
+fn headers(request: &Request<'_>) -> Result<Vec<(String, String)>> {
+    let headers: Vec<(String, String)> = request
+        .headers()
+        .iter()
+        .map(|header| (header.name().as_str().to_ascii_lowercase(), header.value().to_owned()))
+        .collect();
+    let bytes: usize = headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+    if headers.len() > MAX_HEADERS || bytes > MAX_HEADER_BYTES {
+        let message = format!("at most {MAX_HEADERS} headers of {MAX_HEADER_BYTES} bytes in all");
+        return Err(Refusal::not_run(Code::HeadersTooLarge, message));
+    }
+    for single in ["authorization", "x-api-key", "idempotency-key", "host", "content-length"] {
+        if headers.iter().filter(|(name, _)| name == single).count() > 1 {
+            let message = format!("header `{single}` came more than once");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+    }
+    Ok(headers)
+}
+
+fn refuse_keys_in_query(query: &str) -> Result<()> {
+    let named = query.split('&').filter_map(|pair| pair.split('=').next());
+    for name in named {
+        if KEY_PARAMETERS.contains(&name.to_ascii_lowercase().as_str()) {
+            let message = format!("`{name}` isn't taken in the query; send it as a bearer token");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+    }
+    Ok(())
+}
+
+async fn body(request: &Request<'_>, data: Data<'_>) -> Result<Bytes> {
+    let declared = request.headers().get_one("content-length").and_then(|n| n.parse::<u64>().ok());
+    let too_large = || {
+        let message = format!("the body may have at most {MAX_BODY_BYTES} bytes");
+        Refusal::not_run(Code::TooLarge, message)
+    };
+    if declared.is_some_and(|n| n > MAX_BODY_BYTES) {
+        return Err(too_large());
+    }
+    let read = data.open(ByteUnit::from(MAX_BODY_BYTES)).into_bytes();
+    match timeout(BODY_WITHIN, read).await {
+        Err(_) => Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
+        Ok(Err(e)) => Err(Refusal::not_run(Code::BadRequest, format!("the body broke off: {e}"))),
+        Ok(Ok(body)) if !body.is_complete() => Err(too_large()),
+        Ok(Ok(body)) => Ok(Bytes::from(body.into_inner())),
+    }
+}
+
+fn respond<'r>(request: &'r Request<'_>, answer: Answer, id: &str) -> Response<'r> {
+    let mut response = match answer {
+        Answer::Whole { status, headers, body } => whole(status, headers, body),
+        Answer::Events(events) => {
+            let stream = ByteStream(received(events));
+            let mut response = stream.respond_to(request).unwrap_or_default();
+            response.set_header(ContentType::EventStream);
+            response.set_header(Header::new("cache-control", "no-store"));
+            response
+        }
+    };
+    response.set_header(Header::new("x-request-id", id.to_owned()));
+    response
+}
+
+fn whole<'r>(status: u16, headers: Vec<(String, String)>, body: Bytes) -> Response<'r> {
+    let mut response = Response::new();
+    response.set_status(Status::new(status));
+    for (name, value) in headers {
+        response.adjoin_header(Header::new(name, value));
+    }
+    response.set_sized_body(body.len(), std::io::Cursor::new(body));
+    response
+}
+
+fn received(events: mpsc::Receiver<Bytes>) -> impl Stream<Item = Bytes> + Send {
+    futures::stream::unfold(events, |mut events| async {
+        events.recv().await.map(|event| (event, events))
+    })
+    .boxed()
+}
--- /dev/null
+++ b/src/router/request.rs
@@ -0,0 +1,178 @@
+//! Parses the bodies of chat and completion requests.
+//!
+//! Only the fields listed here go on to an upstream, so that no key a caller puts into the body
+//! leaves the router.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::router::refusal::Code;
+use crate::router::refusal::Refusal;
+use crate::router::refusal::Result;
+
+/// Tokens generated at most where the caller names no limit.
+pub const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Upper bound of a caller's own token limit.
+const MAX_TOKENS: u32 = 131_072;
+/// Longest model name in bytes.
+const MAX_NAME_BYTES: usize = 200;
+/// Sampling fields that go on to the engine as they are.
+const PASSED_FIELDS: [&str; 8] = [
+    "temperature",
+    "top_p",
+    "stop",
+    "seed",
+    "presence_penalty",
+    "frequency_penalty",
+    "logit_bias",
+    "response_format",
+];
+
+/// Which of the two generation calls it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// `/v1/chat/completions`
+    Chat,
+    /// `/v1/completions`
+    Text,
+}
+
+/// A generation request as the caller sent it, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Generation {
+    /// Which call.
+    pub kind: Kind,
+    /// Model or adapter name.
+    pub model: String,
+    /// The prompt as one text; a chat's messages are joined in order.
+    pub prompt: String,
+    /// Whether the caller wants server-sent events.
+    pub stream: bool,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Deadline that the caller set, from its arrival.
+    pub deadline: Option<Duration>,
+    /// Sampling fields for the engine.
+    pub sampling: Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    content: Value,
+}
+
+/// Parses the `body` of a call of `kind`.
+///
+/// # Errors
+///
+/// A [`Refusal`] with [`Code::BadRequest`] that names the field.
+pub fn parse(kind: Kind, body: &[u8]) -> Result<Generation> {
+    let value: Value =
+        serde_json::from_slice(body).map_err(|e| bad(format!("the body isn't valid JSON: {e}")))?;
+    let Value::Object(fields) = value else {
+        return Err(bad("the body must be a JSON object"));
+    };
+    let model = name(&fields)?;
+    let prompt = match kind {
+        Kind::Chat => chat_prompt(&fields)?,
+        Kind::Text => text_prompt(&fields)?,
+    };
+    Ok(Generation {
+        kind,
+        model,
+        prompt,
+        stream: flag(&fields, "stream")?,
+        max_tokens: max_tokens(&fields)?,
+        deadline: deadline(&fields)?,
+        sampling: sampling(&fields),
+    })
+}
+
+fn bad(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(Code::BadRequest, message)
+}
+
+fn name(fields: &Map<String, Value>) -> Result<String> {
+    match fields.get("model") {
+        Some(Value::String(name)) if !name.is_empty() && name.len() <= MAX_NAME_BYTES => {
+            Ok(name.clone())
+        }
+        _ => Err(bad("`model` must be a string of 1 to 200 bytes")),
+    }
+}
+
+fn chat_prompt(fields: &Map<String, Value>) -> Result<String> {
+    let messages = fields.get("messages").cloned().unwrap_or(Value::Null);
+    let messages: Vec<Message> = serde_json::from_value(messages).map_err(|e| {
+        bad(format!("`messages` must be a list of objects with role and content: {e}"))
+    })?;
+    if messages.is_empty() {
+        return Err(bad("`messages` must not be empty"));
+    }
+    let mut prompt = String::new();
+    for message in &messages {
+        let text = content(&message.content)?;
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        prompt.push_str(&text);
+        prompt.push('\n');
+    }
+    Ok(prompt)
+}
+
+fn content(content: &Value) -> Result<String> {
+    match content {
+        Value::String(text) => Ok(text.clone()),
+        Value::Array(parts) => {
+            let texts = parts.iter().map(|part| part.get("text").and_then(Value::as_str));
+            let joined: Option<Vec<&str>> = texts.collect();
+            joined.map(|texts| texts.concat()).ok_or_else(|| bad("only text content is served"))
+        }
+        _ => Err(bad("a message's `content` must be a string or a list of text parts")),
+    }
+}
+
+fn text_prompt(fields: &Map<String, Value>) -> Result<String> {
+    match fields.get("prompt") {
+        Some(Value::String(prompt)) => Ok(prompt.clone()),
+        _ => Err(bad("`prompt` must be a string")),
+    }
+}
+
+fn flag(fields: &Map<String, Value>, field: &str) -> Result<bool> {
+    match fields.get(field) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(bad(format!("`{field}` must be true or false"))),
+    }
+}
+
+fn max_tokens(fields: &Map<String, Value>) -> Result<u32> {
+    let given = fields.get("max_tokens").or_else(|| fields.get("max_completion_tokens"));
+    match given {
+        None | Some(Value::Null) => Ok(DEFAULT_MAX_TOKENS),
+        Some(value) => match value.as_u64() {
+            Some(n) if (1..=u64::from(MAX_TOKENS)).contains(&n) => Ok(n as u32),
+            _ => Err(bad(format!("`max_tokens` must be a whole number from 1 to {MAX_TOKENS}"))),
+        },
+    }
+}
+
+fn deadline(fields: &Map<String, Value>) -> Result<Option<Duration>> {
+    match fields.get("deadline_ms") {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_u64() {
+            Some(n) if n > 0 => Ok(Some(Duration::from_millis(n))),
+            _ => Err(bad("`deadline_ms` must be a whole number of milliseconds above 0")),
+        },
+    }
+}
+
+fn sampling(fields: &Map<String, Value>) -> Map<String, Value> {
+    let passed = fields.iter().filter(|(field, _)| PASSED_FIELDS.contains(&field.as_str()));
+    passed.map(|(field, value)| (field.clone(), value.clone())).collect()
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,4 @@
-//! Integration tests.
+//! Integration tests: a module a command or feature.
+
+mod events;
+mod parsing;
