--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,6 +1,9 @@
-//! Parts that the binaries share: settings files, tables, exit codes, times.
+//! Small helpers that every process shares.
 
+pub mod clock;
+pub mod events;
 pub mod exit;
+pub mod observe;
 pub mod settings;
 pub mod table;
 pub mod utc;
