Prove the operators' commands under races, lost answers and outages

Cause: when every answer was lost, the commit's own refusal was lost as well and the command ended as unknown although the audit row was there. Ruled out: trusting a refusal alone; the row of the revision is now read back after every send that was not answered with done.

--- a/crates/coord/src/register/check.rs
+++ b/crates/coord/src/register/check.rs
@@ -168,7 +168,10 @@
     }
 
     fn key(&mut self, key: &ApiKey) {
-        self.reference("team", &key.team, self.register.teams.keys().map(String::as_str));
+        // Keys are never removed, so a revoked one may outlive its team.
+        if !key.revoked {
+            self.reference("team", &key.team, self.register.teams.keys().map(String::as_str));
+        }
         if digest_bytes(&key.digest).is_none() {
             self.report("digest", format!("`{}`", key.digest), "64 hexadecimal digits");
         }
--- a/src/bin/corianderyoke/commands/shared.rs
+++ b/src/bin/corianderyoke/commands/shared.rs
@@ -97,7 +97,9 @@
         }
     };
     let lagging: Vec<&Report> = reports.iter().filter(|report| report.lags(revision)).collect();
-    let (said, exit) = if lagging.is_empty() {
+    let (said, exit) = if reports.is_empty() {
+        ("no member is live\n".to_owned(), Exit::Done)
+    } else if lagging.is_empty() {
         (format!("in force on all {} members\n", reports.len()), Exit::Done)
     } else {
         let names: Vec<&str> = lagging.iter().map(|report| report.name.as_str()).collect();
--- a/src/ops/config/commands.rs
+++ b/src/ops/config/commands.rs
@@ -1,5 +1,6 @@
 //! Changes of the configuration.
 
+use corianderyoke_coord::register::check;
 use corianderyoke_coord::register::diff;
 use corianderyoke_coord::register::document::Document;
 use corianderyoke_coord::register::Address;
@@ -115,6 +116,7 @@
     let entry = ApiKey { team: team.to_owned(), digest, revoked: false };
     let owner = Address::new(Kind::Team, team);
     let address = Address::new(Kind::Key, &key);
+    let prefix = format!("{}.{key}", Kind::Key.section());
     let applied = edit(platform, author, |entries| {
         if !entries.contains_key(&owner) {
             return Err(missing(&owner));
@@ -123,7 +125,14 @@
             return Err(taken(&address));
         }
         entries.insert(address.clone(), Entry::Key(entry.clone()));
-        Ok(())
+        // Problems that other entries have already don't stop a key.
+        let mut problems = check(entries);
+        problems.retain(|problem| problem.key.starts_with(&prefix));
+        if problems.is_empty() {
+            Ok(())
+        } else {
+            Err(Error::Problems(problems))
+        }
     })
     .await?;
     Ok(Issued { key, secret, revision: applied.revision })
--- a/src/ops/config/commit.rs
+++ b/src/ops/config/commit.rs
@@ -31,6 +31,13 @@
 /// Pause before a send is repeated.
 const SEND_PAUSE: Duration = Duration::from_millis(200);
 
+/// Whose the audit record of a revision is.
+enum Owner {
+    Ours,
+    Other,
+    Nobody,
+}
+
 /// Commits `record` on top of `base`.
 ///
 /// A repeated send is safe: the condition on the head's version lets at most one of them take
@@ -41,42 +48,48 @@
     record: &AuditRecord,
 ) -> Result<()> {
     let transaction = transaction(base, record);
-    let mut cause = String::new();
+    let mut cause = None;
     for send in 0..SENDS {
         if send > 0 {
             tokio::time::sleep(SEND_PAUSE).await;
         }
-        match platform.transact(&transaction).await {
+        let sent = platform.transact(&transaction).await;
+        let refused = match sent {
             Ok(Commit::Done { .. }) => return Ok(()),
-            Ok(Commit::Refused { .. }) => match settled(platform, base, record).await {
-                Ok(()) => return Ok(()),
-                Err(Error::Platform(error)) if !cause.is_empty() => cause = error.to_string(),
-                Err(error) => return Err(error),
-            },
-            Err(platform::Error::Unknown(text)) => cause = text,
+            Ok(Commit::Refused { .. }) => true,
+            Err(platform::Error::Unknown(text)) => {
+                cause = Some(text);
+                false
+            }
             // Nothing took effect by this send, but an earlier one may have.
-            Err(error) if cause.is_empty() => return Err(error.into()),
-            Err(error) => cause = error.to_string(),
+            Err(error) if cause.is_none() => return Err(error.into()),
+            Err(_) => false,
+        };
+        match owner(platform, record).await {
+            Ok(Owner::Ours) => return Ok(()),
+            Ok(Owner::Other) => return Err(raced(platform, base.revision).await?),
+            Ok(Owner::Nobody) if refused => return Err(raced(platform, base.revision).await?),
+            Ok(Owner::Nobody) => {}
+            Err(error) if cause.is_none() => return Err(error),
+            Err(_) => {}
         }
     }
-    Err(Error::Unknown { apply: record.apply.clone(), cause })
+    Err(Error::Unknown { apply: record.apply.clone(), cause: cause.unwrap_or_default() })
 }
 
-/// After a refusal: whether the revision is ours after all, or whose it is.
-async fn settled(platform: &dyn Platform, base: &Snapshot, record: &AuditRecord) -> Result<()> {
-    if let Some(row) = platform.get(AUDIT_TABLE, &audit_key(record.revision)).await? {
-        let found: AuditRecord = decode(AUDIT_TABLE, &row.key, &row.value)?;
-        if found.apply == record.apply {
-            return Ok(());
-        }
-    }
-    Err(raced(platform, base.revision).await?)
+/// Looks up whose the revision of `record` is.
+async fn owner(platform: &dyn Platform, record: &AuditRecord) -> Result<Owner> {
+    let Some(row) = platform.get(AUDIT_TABLE, &audit_key(record.revision)).await? else {
+        return Ok(Owner::Nobody);
+    };
+    let found: AuditRecord = decode(AUDIT_TABLE, &row.key, &row.value)?;
+    Ok(if found.apply == record.apply { Owner::Ours } else { Owner::Other })
 }
 
 /// The error for a change made for `read` when a newer revision is in force.
 pub(super) async fn raced(platform: &dyn Platform, read: Revision) -> Result<Error> {
     let since = queries::audit(platform, read.next(), None).await?;
-    let found = since.last().map_or(read, |record| record.revision);
+    let found = queries::head(platform).await?;
     Ok(Error::Raced { read, found, since })
 }
 
--- /dev/null
+++ b/tests/testsuite/operators/failures.rs
@@ -0,0 +1,192 @@
+//! Racing operators, lost answers, outages, and what a daemon's reader makes of them.
+
+use std::time::Duration;
+
+use corianderyoke::ops::config::commands;
+use corianderyoke::ops::config::queries;
+use corianderyoke::ops::config::Author;
+use corianderyoke::ops::config::ConfigReader;
+use corianderyoke::ops::config::Snapshot;
+use corianderyoke_coord::register::Revision;
+use corianderyoke_platform::faults::Fault;
+use corianderyoke_platform::faults::Order;
+use corianderyoke_platform::memory::MemoryPlatform;
+use corianderyoke_platform::Commit;
+use corianderyoke_platform::Instance;
+use corianderyoke_platform::Platform;
+use corianderyoke_platform::Result as StoreResult;
+use corianderyoke_platform::Row;
+use corianderyoke_platform::Transaction;
+use corianderyoke_standin::platform::Server;
+use serde_json::json;
+
+use super::show;
+use super::Fixture;
+use super::REGISTER;
+use super::TIMEOUT_MS;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_racing_operators_each_wins_whole_or_is_told_who_did() {
+    let fixture = Fixture::configured().await;
+    let mut racers = Vec::new();
+    for rate in 1..=6 {
+        let name = format!("rate-{rate}.toml");
+        fixture.write(&name, &REGISTER.replace("rate = 1000", &format!("rate = {rate}")));
+        racers.push(name);
+    }
+    let runs = racers.iter().map(|name| {
+        let fixture = &fixture;
+        async move {
+            let operator = format!("operator-of-{name}");
+            fixture.run(&["apply", name, "--base", "1", "--operator", &operator]).await
+        }
+    });
+    let outputs = futures::future::join_all(runs).await;
+    let winners: Vec<usize> =
+        (0..outputs.len()).filter(|&racer| outputs[racer].status.success()).collect();
+    assert_eq!(winners.len(), 1);
+    let winner = format!("operator-of-{}", racers[winners[0]]);
+    for output in outputs.iter().filter(|output| !output.status.success()) {
+        assert_eq!(output.status.code(), Some(4), "{}", show(output));
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert!(text.contains(&winner) && text.contains("team/depots"), "{text}");
+    }
+    let records = queries::audit(&fixture.platform(), Revision(1), None).await.unwrap();
+    assert_eq!(records.len(), 2);
+    assert_eq!(records[1].operator, winner);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_on_different_entries_all_get_through() {
+    let fixture = Fixture::configured().await;
+    let outputs = futures::future::join_all([
+        fixture.run(&["drain", "south"]),
+        fixture.run(&["drain", "north"]),
+        fixture.run(&["revoke", "depots-1"]),
+        fixture.run(&["issue-key", "depots"]),
+    ])
+    .await;
+    assert!(outputs.iter().all(|output| output.status.success()));
+    let records = queries::audit(&fixture.platform(), Revision(1), None).await.unwrap();
+    let revisions: Vec<u64> = records.iter().map(|record| record.revision.0).collect();
+    assert_eq!(revisions, [1, 2, 3, 4, 5]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_looked_up() {
+    let fixture = Fixture::configured().await;
+    fixture.order(Fault::LostAnswers { count: Some(1) });
+    let output = fixture.run(&["drain", "south"]).await;
+    assert!(output.status.success(), "{}", show(&output));
+    assert_eq!(queries::head(&fixture.platform()).await.unwrap(), Revision(2));
+    fixture.order(Fault::LostAnswers { count: None });
+    let output = fixture.run(&["restore", "south"]).await;
+    assert!(output.status.success(), "{}", show(&output));
+    assert_eq!(queries::head(&fixture.platform()).await.unwrap(), Revision(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_during_an_outage_is_refused_and_one_into_a_frozen_store_unknown() {
+    let fixture = Fixture::configured().await;
+    fixture.order(Fault::Down);
+    insta::assert_snapshot!("apply_down", fixture.show(&["drain", "south"]).await);
+    fixture.clear();
+
+    let base = queries::snapshot(&fixture.platform()).await.unwrap();
+    assert_eq!(base.revision, Revision(1));
+    let author = Author { operator: "tester".into(), action: "drain south".into() };
+    let timeout = Duration::from_millis(TIMEOUT_MS);
+    let platform =
+        FreezesAtWrite { inner: fixture.platform().with_timeout(timeout), store: &fixture.server };
+    let error = commands::drain(&platform, "south", &author).await.unwrap_err();
+    assert_eq!(error.exit().code(), 6, "{error}");
+    fixture.clear();
+    // The sends that wait in the store take effect now, once at most.
+    let mut reader = ConfigReader::new();
+    while reader.revision() < Revision(2) {
+        reader.poll(&fixture.platform()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let records = queries::audit(&fixture.platform(), Revision(2), None).await.unwrap();
+    assert_eq!(records.len(), 1);
+    assert!(error.to_string().contains(&records[0].apply), "{error}");
+}
+
+/// A platform whose store freezes as soon as a write is sent.
+struct FreezesAtWrite<'a> {
+    inner: MemoryPlatform,
+    store: &'a Server,
+}
+
+#[async_trait::async_trait]
+impl Platform for FreezesAtWrite<'_> {
+    async fn get(&self, table: &str, key: &str) -> StoreResult<Option<Row>> {
+        self.inner.get(table, key).await
+    }
+
+    async fn scan(&self, table: &str, from: &str, to: &str) -> StoreResult<Vec<Row>> {
+        self.inner.scan(table, from, to).await
+    }
+
+    async fn transact(&self, transaction: &Transaction) -> StoreResult<Commit> {
+        self.store.store.faults().order(Order { fault: Fault::Frozen, span_ms: None });
+        self.inner.transact(transaction).await
+    }
+
+    async fn object(&self, name: &str) -> StoreResult<Option<Vec<u8>>> {
+        self.inner.object(name).await
+    }
+
+    async fn put_object(&self, name: &str, body: Vec<u8>) -> StoreResult<()> {
+        self.inner.put_object(name, body).await
+    }
+
+    async fn instances(&self) -> StoreResult<Vec<Instance>> {
+        self.inner.instances().await
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reader_follows_each_revision_and_never_goes_back() {
+    let fixture = Fixture::configured().await;
+    let platform = fixture.platform();
+    let mut reader = ConfigReader::new();
+    let first = reader.poll(&platform).await.unwrap().unwrap();
+    assert_eq!(first.revision, Revision(1));
+    assert!(!first.is_drained("south"));
+    let old = reader.snapshot();
+
+    fixture.run(&["drain", "south"]).await;
+    fixture.run(&["revoke", "depots-1"]).await;
+    let second = reader.poll(&platform).await.unwrap().unwrap();
+    assert_eq!(second.revision, Revision(3));
+    assert!(second.is_drained("south"));
+    assert_eq!(second.authenticate("open sesame"), None);
+    assert_eq!(reader.poll(&platform).await.unwrap(), None);
+
+    // What changes lead to is what a whole scan finds.
+    let scanned = ConfigReader::new().poll(&platform).await.unwrap().unwrap();
+    assert_eq!(second, scanned);
+
+    // An older configuration isn't taken, whether from a peer or from a store that went back.
+    assert_eq!(reader.adopt(old), None);
+    fixture.put("config", "!head", json!({ "revision": 2 })).await;
+    assert_eq!(reader.poll(&platform).await.unwrap(), None);
+    assert_eq!(reader.revision(), Revision(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reader_starts_from_a_peer_while_the_store_is_down() {
+    let fixture = Fixture::configured().await;
+    let mut peer = ConfigReader::new();
+    let held = peer.poll(&fixture.platform()).await.unwrap().unwrap();
+    fixture.order(Fault::Down);
+    let mut reader = ConfigReader::new();
+    reader.poll(&fixture.platform()).await.unwrap_err();
+    let sent = Snapshot::from_json(&peer.snapshot().to_json()).unwrap();
+    assert_eq!(reader.adopt(sent).unwrap(), held);
+    fixture.clear();
+    fixture.run(&["drain", "south"]).await;
+    let next = reader.poll(&fixture.platform()).await.unwrap().unwrap();
+    assert_eq!(next.revision, Revision(2));
+}
