--- /dev/null
+++ b/tests/testsuite/samples.rs
@@ -0,0 +1,73 @@
+//! The sample configurations are right and have the sizes of their deployments.
+
+use std::path::PathBuf;
+
+use corianderyoke_coord::register::document::Document;
+use corianderyoke_coord::register::Register;
+use corianderyoke_coord::register::Revision;
+use corianderyoke_coord::register::UpstreamKind;
+
+/// What a deployment's register has to count.
+#[derive(Debug, Eq, PartialEq)]
+struct Sizes {
+    zones: usize,
+    engines: usize,
+    apps: usize,
+    models: usize,
+    adapters: usize,
+    teams: usize,
+}
+
+fn register(deployment: &str) -> Register {
+    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("samples").join(deployment);
+    let mut document = Document::default();
+    for file in ["register.toml", "rules.toml"] {
+        let text = std::fs::read_to_string(dir.join(file)).unwrap();
+        assert_eq!(document.read(file, &text), []);
+    }
+    assert_eq!(document.check(), []);
+    Register::compile(Revision(1), &document.entries)
+}
+
+fn sizes(register: &Register) -> Sizes {
+    let of = |kind| register.upstreams.values().filter(|upstream| upstream.kind == kind).count();
+    Sizes {
+        zones: register.zones.len(),
+        engines: of(UpstreamKind::Engine),
+        apps: of(UpstreamKind::Service),
+        models: register.models.len(),
+        adapters: register.adapters.len(),
+        teams: register.teams.len(),
+    }
+}
+
+#[test]
+fn kumlama() {
+    let expected = Sizes { zones: 4, engines: 10, apps: 4, models: 30, adapters: 55, teams: 5 };
+    let register = register("kumlama");
+    assert_eq!(sizes(&register), expected);
+    assert!(register.rules.load_rate < 2.0);
+    assert!(!register.services["orders"].repeatable);
+}
+
+#[test]
+fn speglagler() {
+    let expected = Sizes { zones: 4, engines: 12, apps: 4, models: 25, adapters: 75, teams: 5 };
+    let register = register("speglagler");
+    assert_eq!(sizes(&register), expected);
+    assert_eq!(register.rules.load_rate, 3.0);
+    assert!(!register.services["reservations"].repeatable);
+}
+
+#[test]
+fn each_team_may_use_something_and_each_model_has_a_team() {
+    for deployment in ["kumlama", "speglagler"] {
+        let register = register(deployment);
+        for team in register.teams.keys() {
+            assert!(register.models_of(team).next().is_some(), "{deployment}: {team}");
+        }
+        let used: usize = register.models.keys().chain(register.adapters.keys()).count();
+        let largest = register.teams.keys().map(|team| register.models_of(team).count()).max();
+        assert_eq!(largest, Some(used), "{deployment}");
+    }
+}
