--- /dev/null
+++ b/src/bin/corianderyoke-standin/commands/service.rs
@@ -0,0 +1,23 @@
+//! `corianderyoke-standin service`
+
+use std::process::ExitCode;
+
+use clap::Args;
+use corianderyoke::ops::standin;
+use corianderyoke::util::start;
+
+/// Options.
+#[derive(Args)]
+pub struct Cli {
+    #[command(flatten)]
+    options: start::Options,
+}
+
+/// Runs the stand-in.
+pub async fn exec(cli: Cli) -> ExitCode {
+    match start::settings(&cli.options) {
+        Ok(Some(settings)) => start::ended(standin::run_service(settings).await),
+        Ok(None) => ExitCode::SUCCESS,
+        Err(exit) => exit.into(),
+    }
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,3 +1,4 @@
 //! What the binaries do, apart from their command lines.
 
 pub mod config;
+pub mod standin;
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -10,7 +10,14 @@
 
 use bytes::Bytes;
 use corianderyoke_coord::time::Tick;
-use corianderyoke_upstream::generate::Event as UpstreamEvent;
+use corianderyoke_coord::membership::Kind as HomeKind;
+use corianderyoke_upstream::generate::Event as Coming;
+use corianderyoke_upstream::generate::Request;
+use corianderyoke_upstream::Outcome as Sent;
+use corianderyoke_wire::peer;
+use corianderyoke_wire::peer::request::Body as Call;
+use corianderyoke_wire::peer::response::Body as Reply;
+use futures::StreamExt;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -32,7 +39,9 @@
 use crate::router::start;
 use crate::router::start::Slot;
 use crate::router::start::Wish;
+use crate::router::start::DISPATCH;
 use crate::router::Router;
+use crate::router::Target;
 use crate::util::clock;
 use crate::util::events;
 use crate::util::events::Event;
@@ -42,6 +51,9 @@
 /// Longest time for which a caller may leave a full buffer unread.
 const READ_WITHIN: Duration = Duration::from_secs(30);
 
+/// Longest wait for an adapter to be loaded.
+const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
+
 /// A part of an answer.
 #[derive(Clone, Debug, PartialEq)]
 enum Piece {
@@ -56,12 +68,13 @@
     let caller = router.authenticate(&parts)?;
     let wish = request::parse(kind, &parts.body)?;
     let target = router.target(&caller, &wish.model)?;
-    let deadline = arrived + wish.deadline.unwrap_or(target.deadline);
-    let grant = Grant { key: caller.key.clone(), team: caller.team.clone(), target: wish.model.clone() };
+    let deadline = arrived + wish.deadline.unwrap_or(target.deadline).min(target.longest);
+    let prompt_tokens = prompt_tokens(&target, &wish)?;
+    let (key, team) = (caller.key.clone(), caller.team.clone());
+    let grant = Grant { key, team, target: wish.model.clone() };
     let ticket = router.enter(grant)?;
     let watched = parts.caller.map(|caller| router.hangups.watch(caller, ticket.cutter()));
     let format = Format::new(kind, &parts.id, &wish.model);
-    let prompt_tokens = target.prompt_tokens(&wish.prompt);
     let stream = wish.stream;
     let job = Job {
         router: Arc::clone(router),
@@ -89,6 +102,18 @@
     answer
 }
 
+/// Tokens that the prompt takes at most.
+fn prompt_tokens(target: &Target, wish: &Generation) -> Result<u32> {
+    let tokens = target.base.prompt_bound(wish.prompt_bytes());
+    let all = tokens + u64::from(wish.max_tokens);
+    if all > target.base.context_tokens {
+        let most = target.base.context_tokens;
+        let message = format!("prompt and output may take {all} tokens, the model takes {most}");
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    Ok(tokens as u32)
+}
+
 /// The refusal for a task that ended without a last piece.
 fn lost() -> Refusal {
     Refusal::not_run(Code::UpstreamFailed, "the answer was lost inside the router")
@@ -186,11 +211,18 @@
             cut = self.ticket.cut() => Err(cut_refusal(cut)),
         };
         match ended {
-            Ok(()) => self.router.answered(&self.id, &self.team, &self.wish.model),
+            Ok(tokens) => {
+                self.router.metrics.answered(&self.team, tokens);
+                let (id, team, model) = (&self.id, &self.team, &self.wish.model);
+                let detail = format_args!("request={id} team={team} model={model} tokens={tokens}");
+                events::log(Event::Answered, detail);
+            }
             Err(refusal) => {
                 let refusal = refusal.with_id(&self.id);
-                if pieces.is_closed() {
-                    self.router.cancelled(&self.id, &self.team);
+                if pieces.is_closed() || self.ticket.is_cut() == Cut::CallerGone {
+                    self.router.metrics.cancelled(&self.team);
+                    let detail = format_args!("request={} team={}", self.id, self.team);
+                    events::log(Event::Cancelled, detail);
                 }
                 // A closed channel means that the caller went away; nobody is left to tell.
                 let _ = timeout(READ_WITHIN, pieces.send(Piece::Failed(refusal))).await;
@@ -198,29 +230,33 @@
         }
     }
 
-    async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<()> {
+    async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
         // Dropped early (a cut, a caller gone), the reservation returns what wasn't used.
-        let mut reserved = limit::reserve(&self.router, &self.team, cost, self.deadline).await?;
+        let mut reserved = limit::reserve(&self.router, &self.team, u64::from(cost), self.deadline).await?;
         let mut progress = Progress::default();
         loop {
             let slot = start::obtain(&self.router, self.start_wish(&progress)).await;
             let slot = slot.map_err(|refusal| after(refusal, &progress))?;
             progress.attempts += 1;
             let upstream = slot.upstream.clone();
-            match self.attempt(slot, &mut progress, &mut reserved, pieces).await {
+            let attempt = self.attempt(slot, &mut progress, &mut reserved, pieces).await;
+            match attempt {
                 Attempt::Done { reason } => {
                     let prompt_tokens = self.prompt_tokens;
                     let done = Piece::Done { reason, prompt_tokens, tokens: progress.tokens };
                     let _ = pieces.send(done).await;
-                    return Ok(());
+                    return Ok(reserved.used());
                 }
                 Attempt::CallerGone => return Err(gone()),
                 Attempt::Broken { outcome, cause } => {
                     progress.avoid.push(upstream.clone());
                     self.may_resume(&progress, outcome, &cause)?;
                     let tokens = progress.tokens;
-                    let detail = format_args!("request={} upstream={upstream} tokens={tokens} cause={cause}", self.id);
+                    let id = &self.id;
+                    let detail =
+                        format_args!("request={id} upstream={upstream} tokens={tokens} cause={cause}");
                     events::log(Event::Resumed, detail);
+                    self.router.metrics.resumed();
                 }
             }
         }
@@ -228,22 +264,20 @@
 
     fn start_wish(&self, progress: &Progress) -> Wish {
         Wish {
-            request: self.id.clone(),
             team: self.team.clone(),
             model: self.model.clone(),
             adapter: self.adapter.clone(),
-            cost: self.prompt_tokens + self.wish.max_tokens,
+            cost: u64::from(self.prompt_tokens + self.wish.max_tokens - progress.tokens),
             deadline: self.deadline,
-            prefix: start::prefix_hash(&self.model, &self.wish.prompt),
+            prefix: self.wish.prefix(),
             avoid: progress.avoid.clone(),
         }
     }
 
+    /// Whether the answer goes on elsewhere; the refusal that ends it otherwise.
     fn may_resume(&self, progress: &Progress, outcome: Outcome, cause: &str) -> Result<()> {
-        let settings = &self.router.settings;
         let late = clock::now() >= self.deadline;
-        let spent = outcome != Outcome::NotRun && !self.router.may_retry();
-        if progress.attempts < settings.attempts && !late && !spent {
+        if progress.attempts < self.router.settings.attempts && !late {
             return Ok(());
         }
         events::log(Event::Broken, format_args!("request={} cause={cause}", self.id));
@@ -252,6 +286,29 @@
         Err(Refusal::not_run(Code::UpstreamFailed, message).with_outcome(outcome))
     }
 
+    /// Has the adapter loaded at an upstream that doesn't hold it yet.
+    async fn ensure_adapter(&self, upstream: &str) -> std::result::Result<(), String> {
+        let Some(adapter) = &self.adapter else {
+            return Ok(());
+        };
+        let dispatch = &self.router.homes.dispatch;
+        if dispatch.has_adapter(upstream, &self.model, adapter) {
+            return Ok(());
+        }
+        let (model, adapter) = (self.model.clone(), adapter.clone());
+        let ask = peer::AdapterRequest { model, adapter, upstream: upstream.to_owned() };
+        let limit = self.deadline.since(clock::now()).min(ADAPTER_WITHIN);
+        let call = Call::Adapter(ask.clone());
+        let reply = self.router.call_home(HomeKind::Placement, DISPATCH, call, limit).await;
+        match reply {
+            Some(Reply::Adapter(reply)) if reply.loaded => {
+                dispatch.note_adapter(upstream, &ask.model, &ask.adapter);
+                Ok(())
+            }
+            _ => Err(format!("adapter `{}` couldn't be loaded there", ask.adapter)),
+        }
+    }
+
     async fn attempt(
         &self,
         mut slot: Slot,
@@ -259,17 +316,22 @@
         reserved: &mut Reservation,
         pieces: &mpsc::Sender<Piece>,
     ) -> Attempt {
-        let call = start::upstream_call(self.call(progress), &slot);
+        if let Err(cause) = self.ensure_adapter(&slot.upstream).await {
+            slot.finish(false, 0);
+            return Attempt::Broken { outcome: Outcome::NotRun, cause };
+        }
+        let Some(address) = self.router.address(&slot.upstream) else {
+            slot.finish(false, 0);
+            let cause = "the upstream left the register".to_owned();
+            return Attempt::Broken { outcome: Outcome::NotRun, cause };
+        };
         if progress.attempts == 1 {
             reserved.use_tokens(self.prompt_tokens);
         }
-        let mut stream = match self.router.upstreams.generate(call).await {
-            Ok(stream) => stream,
-            Err(e) => return broken(slot, &e),
-        };
+        let mut coming = self.router.upstreams.generate(address, self.request(progress));
         loop {
-            match stream.next().await {
-                Ok(UpstreamEvent::Token(token)) => {
+            match coming.next().await {
+                Some(Ok(Coming::Token(token))) => {
                     slot.token(clock::now());
                     progress.tokens += 1;
                     reserved.use_tokens(1);
@@ -278,34 +340,45 @@
                         return Attempt::CallerGone;
                     }
                 }
-                Ok(UpstreamEvent::Done { reason, .. }) => {
-                    slot.finish(true);
+                Some(Ok(Coming::Done { reason, .. })) => {
+                    slot.finish(true, reserved.used());
                     return Attempt::Done { reason };
                 }
-                Err(e) => return broken(slot, &e),
+                Some(Err(e)) => {
+                    slot.finish(false, reserved.used());
+                    let outcome = match e.outcome {
+                        Sent::NotRun => Outcome::NotRun,
+                        Sent::Unknown => Outcome::Unknown,
+                        Sent::Ran => Outcome::Ran,
+                    };
+                    return Attempt::Broken { outcome, cause: e.kind.to_string() };
+                }
+                None => {
+                    slot.finish(false, reserved.used());
+                    let cause = "the upstream's answer ended early".to_owned();
+                    return Attempt::Broken { outcome: Outcome::Unknown, cause };
+                }
             }
         }
     }
 
-    fn call(&self, progress: &Progress) -> corianderyoke_upstream::generate::Call {
-        corianderyoke_upstream::generate::Call {
-            request_id: self.id.clone(),
+    fn request(&self, progress: &Progress) -> Request {
+        let settings = &self.router.settings;
+        Request {
+            id: self.id.clone(),
             model: self.model.clone(),
             adapter: self.adapter.clone(),
             prompt: self.wish.prompt.clone(),
             max_tokens: self.wish.max_tokens,
             resume_from: progress.tokens,
             sampling: self.wish.sampling.clone(),
-            ..Default::default()
+            first_timeout: Duration::from_millis(settings.first_ms),
+            next_timeout: Duration::from_millis(settings.next_ms),
+            ..Request::default()
         }
     }
 }
 
-fn broken(slot: Slot, e: &corianderyoke_upstream::generate::Error) -> Attempt {
-    slot.finish(false);
-    Attempt::Broken { outcome: e.outcome().into(), cause: e.to_string() }
-}
-
 /// A refusal that came after an upstream had already worked on the request.
 fn after(refusal: Refusal, progress: &Progress) -> Refusal {
     match progress.tokens {
--- /dev/null
+++ b/src/router/home/tokens.rs
@@ -0,0 +1,134 @@
+//! Homes of team limits at this router.
+
+use corianderyoke_coord::keys::MemberKey;
+use corianderyoke_coord::membership::Kind;
+use corianderyoke_coord::membership::MemberId;
+use corianderyoke_coord::pools::Ask;
+use corianderyoke_coord::pools::Bucket;
+use corianderyoke_coord::pools::Counters;
+use corianderyoke_coord::pools::Error;
+use corianderyoke_coord::pools::Handover;
+use corianderyoke_coord::pools::Limits;
+use corianderyoke_coord::pools::Verdict;
+use corianderyoke_wire::peer;
+use corianderyoke_wire::peer::tokens_response::Verdict as WireVerdict;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
+use crate::router::home::serves;
+use crate::router::limit::from_wire;
+use crate::router::Router;
+use crate::util::clock;
+
+/// Buckets of the teams whose home is here.
+#[derive(Default)]
+pub struct Tokens {
+    buckets: Mutex<IndexMap<String, Bucket>>,
+}
+
+/// One member's report on one team.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The member.
+    pub member: MemberKey,
+    /// Its account.
+    pub counters: Counters,
+}
+
+impl Tokens {
+    /// Whether a bucket of `team` stands here.
+    pub fn holds(&self, team: &str) -> bool {
+        self.buckets.lock().contains_key(team)
+    }
+
+    /// Starts the bucket of `team` at `epoch`, with the whole inventory at hand.
+    pub fn start(
+        &self,
+        team: &str,
+        epoch: u64,
+        limits: Limits,
+        handed: Option<Handover>,
+        reports: &[Report],
+    ) {
+        let now = clock::now();
+        let members: Vec<MemberKey> = reports.iter().map(|report| report.member).collect();
+        let mut bucket = Bucket::start(epoch, limits, &members, now);
+        if let Some(handed) = handed {
+            bucket.accept(handed);
+        }
+        for report in reports {
+            bucket.adopt(report.member, report.counters, now);
+        }
+        self.buckets.lock().insert(team.to_owned(), bucket);
+    }
+
+    /// Stops the bucket of `team` for good, if it stands here, and tells what is left of it.
+    pub fn stop(&self, team: &str) -> Option<Handover> {
+        let mut bucket = self.buckets.lock().swap_remove(team)?;
+        Some(bucket.hand_over(clock::now()))
+    }
+
+    /// Stops all buckets.
+    pub fn reset(&self) {
+        self.buckets.lock().clear();
+    }
+
+    /// Forgets a member whose term has ended; its holdings are lost.
+    pub fn lapse(&self, member: MemberKey) {
+        let now = clock::now();
+        for bucket in self.buckets.lock().values_mut() {
+            bucket.lapse(member, now);
+        }
+    }
+
+    /// Takes changed rates over.
+    pub fn set_rates(&self, rate: impl Fn(&str) -> Option<Limits>) {
+        let now = clock::now();
+        for (team, bucket) in self.buckets.lock().iter_mut() {
+            match rate(team) {
+                Some(limits) if limits != bucket.limits() => bucket.set_limits(limits, now),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Answers a router's ask.
+pub fn answer(router: &Router, from: &MemberId, ask: &peer::TokensRequest) -> peer::TokensResponse {
+    let not_home = |home| peer::TokensResponse {
+        home,
+        granted: 0,
+        verdict: Some(WireVerdict::NotHome(true)),
+    };
+    if !serves(router, Kind::Bucket, &ask.team) || !router.agent.view().contains(from) {
+        return not_home(0);
+    }
+    let member = router.homes.names.member(from);
+    let mut buckets = router.homes.tokens.buckets.lock();
+    let Some(bucket) = buckets.get_mut(&ask.team) else {
+        return not_home(0);
+    };
+    let counters = from_wire(ask.counters.unwrap_or_default());
+    let asked = Ask { home: ask.home, counters, want: ask.want, need: ask.need };
+    match bucket.ask(member, &asked, clock::now()) {
+        Ok(grant) => {
+            let verdict = Some(to_wire(grant.verdict));
+            peer::TokensResponse { home: grant.home, granted: grant.granted, verdict }
+        }
+        Err(Error::OtherHome { asked, found }) if asked > found => {
+            // The asker followed a takeover that this home never finished: take over anew.
+            buckets.swap_remove(&ask.team);
+            not_home(0)
+        }
+        Err(Error::OtherHome { found, .. }) => not_home(found),
+        Err(Error::Stopped | Error::NoAccount) => not_home(0),
+    }
+}
+
+fn to_wire(verdict: Verdict) -> WireVerdict {
+    match verdict {
+        Verdict::Granted => WireVerdict::Met(true),
+        Verdict::Wait(wait) => WireVerdict::WaitUs(wait.as_micros() as u64),
+        Verdict::TooLarge => WireVerdict::TooLarge(true),
+    }
+}
--- /dev/null
+++ b/src/router/limit.rs
@@ -0,0 +1,344 @@
+//! Takes a request's tokens from its team's pool before the request runs.
+//!
+//! Each team has a [`Slice`] here, which asks the team's home for more. This module drives the
+//! slices: it sends their asks, hands in the answers and wakes the requests that wait.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderyoke_coord::membership::Kind;
+use corianderyoke_coord::pools;
+use corianderyoke_coord::pools::Ask;
+use corianderyoke_coord::pools::Counters;
+use corianderyoke_coord::pools::Effect;
+use corianderyoke_coord::pools::Grant;
+use corianderyoke_coord::pools::Limits as Rate;
+use corianderyoke_coord::pools::Reason;
+use corianderyoke_coord::pools::Slice;
+use corianderyoke_coord::pools::SliceSettings;
+use corianderyoke_coord::pools::Verdict;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_wire::peer;
+use corianderyoke_wire::peer::request::Body as Call;
+use corianderyoke_wire::peer::response::Body as Answer;
+use corianderyoke_wire::peer::tokens_response::Verdict as WireVerdict;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use crate::router::refusal::Code;
+use crate::router::refusal::Refusal;
+use crate::router::refusal::Result;
+use crate::router::Router;
+use crate::util::clock;
+
+/// Time between two looks at a slice that is in use.
+const TICK: Duration = Duration::from_millis(20);
+/// Longest wait for a home's answer.
+const ASK_WITHIN: Duration = Duration::from_millis(500);
+
+type Told = std::result::Result<pools::Reservation, Refused>;
+
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    wait: Duration,
+    reason: Reason,
+}
+
+/// The slices of all teams at this router.
+#[derive(Default)]
+pub struct Limits {
+    teams: Mutex<IndexMap<String, Arc<TeamSlice>>>,
+}
+
+/// One team's slice and the requests that wait for it.
+pub struct TeamSlice {
+    team: String,
+    state: Mutex<State>,
+}
+
+struct State {
+    slice: Slice,
+    waiting: IndexMap<u64, oneshot::Sender<Told>>,
+    next: u64,
+    /// Whether a task ticks the slice.
+    driven: bool,
+}
+
+/// Tokens reserved for one request. What wasn't used goes back when it is dropped.
+pub struct Reservation {
+    team: Arc<TeamSlice>,
+    held: Option<pools::Reservation>,
+    reserved: u64,
+    used: u64,
+}
+
+impl Reservation {
+    /// Counts tokens as used, never more than were reserved.
+    pub fn use_tokens(&mut self, tokens: u32) {
+        self.used = (self.used + u64::from(tokens)).min(self.reserved);
+    }
+
+    /// Tokens used so far.
+    pub fn used(&self) -> u64 {
+        self.used
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if let Some(held) = self.held.take() {
+            self.team.state.lock().slice.settle(held, self.used, clock::now());
+        }
+    }
+}
+
+impl Limits {
+    /// The account of each team for a home that takes the teams over at `epoch`.
+    ///
+    /// From here on grants of homes before are ignored, so that nothing can be spent that the
+    /// account doesn't show.
+    pub fn follow(&self, team: &str, epoch: u64) -> Counters {
+        let slice = self.teams.lock().get(team).cloned();
+        match slice {
+            Some(slice) => slice.state.lock().slice.follow(epoch, clock::now()),
+            None => Counters::default(),
+        }
+    }
+
+    /// Forgets all slices. Their tokens are lost; the member that held them has lapsed.
+    pub fn reset(&self) {
+        self.teams.lock().clear();
+    }
+
+    /// Takes changed rates over.
+    pub fn set_rates(&self, rate: impl Fn(&str) -> Option<Rate>) {
+        let teams = self.teams.lock().clone();
+        for (name, slice) in teams {
+            if let Some(rate) = rate(&name) {
+                let mut state = slice.state.lock();
+                if state.slice.limits() != rate {
+                    state.slice.set_limits(rate, clock::now());
+                }
+            }
+        }
+    }
+
+    fn team(&self, team: &str, rate: Rate) -> Arc<TeamSlice> {
+        let mut teams = self.teams.lock();
+        if let Some(slice) = teams.get(team) {
+            return Arc::clone(slice);
+        }
+        let slice = Slice::new(SliceSettings::default(), 0, rate, clock::now());
+        let waiting = IndexMap::new();
+        let state = Mutex::new(State { slice, waiting, next: 0, driven: false });
+        let slice = Arc::new(TeamSlice { team: team.to_owned(), state });
+        teams.insert(team.to_owned(), Arc::clone(&slice));
+        slice
+    }
+}
+
+/// Reserves `tokens` of `team`, waiting until `deadline` at most.
+///
+/// # Errors
+///
+/// A refusal with outcome "not run": the rate leaves no room in time, the request is above the
+/// burst, or the home can't be reached.
+pub async fn reserve(
+    router: &Arc<Router>,
+    team: &str,
+    tokens: u64,
+    deadline: Tick,
+) -> Result<Reservation> {
+    let rate = router.rate(team).ok_or_else(|| gone(team))?;
+    let slice = router.limits.team(team, rate);
+    let (tell, told) = oneshot::channel();
+    let ticket = start(router, &slice, tokens, deadline, tell);
+    let mut queued = Queued { slice: Arc::clone(&slice), ticket: Some(ticket) };
+    let told = told.await;
+    queued.ticket = None;
+    match told {
+        Ok(Ok(held)) => {
+            let held = Some(held);
+            let reservation = Reservation { team: slice, held, reserved: tokens, used: 0 };
+            // A member whose term lapsed counts as lost with all it held, so it must not spend.
+            router.may_act().map(|()| reservation)
+        }
+        Ok(Err(refused)) => Err(refusal(team, refused)),
+        Err(_) => Err(Refusal::not_run(Code::Unavailable, "the router rejoined; ask again")),
+    }
+}
+
+/// Takes a waiting request out of the queue when its future is dropped.
+struct Queued {
+    slice: Arc<TeamSlice>,
+    ticket: Option<u64>,
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else {
+            return;
+        };
+        let mut state = self.slice.state.lock();
+        if state.waiting.swap_remove(&ticket).is_some() {
+            // Asks that fall due by this are sent at the next tick.
+            let effects = state.slice.cancel(ticket, clock::now());
+            state.tell(effects);
+        }
+    }
+}
+
+fn start(
+    router: &Arc<Router>,
+    slice: &Arc<TeamSlice>,
+    tokens: u64,
+    deadline: Tick,
+    tell: oneshot::Sender<Told>,
+) -> u64 {
+    let mut state = slice.state.lock();
+    let ticket = state.next;
+    state.next += 1;
+    state.waiting.insert(ticket, tell);
+    let effects = state.slice.reserve(ticket, tokens, deadline, clock::now());
+    let asks = state.tell(effects);
+    let drive = !std::mem::replace(&mut state.driven, true);
+    drop(state);
+    send(router, slice, asks);
+    if drive {
+        tokio::spawn(ticks(Arc::clone(router), Arc::clone(slice)));
+    }
+    ticket
+}
+
+impl State {
+    /// Tells waiting requests what the slice decided; returns the asks to send.
+    fn tell(&mut self, effects: Vec<Effect>) -> Vec<Ask> {
+        let mut asks = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Reserved { ticket, reservation } => self.reserved(ticket, reservation),
+                Effect::Refused { ticket, wait, reason } => {
+                    if let Some(tell) = self.waiting.swap_remove(&ticket) {
+                        let _ = tell.send(Err(Refused { wait, reason }));
+                    }
+                }
+                Effect::Ask(ask) => asks.push(ask),
+            }
+        }
+        asks
+    }
+
+    fn reserved(&mut self, ticket: u64, reservation: pools::Reservation) {
+        let unheard = match self.waiting.swap_remove(&ticket) {
+            Some(tell) => tell.send(Ok(reservation)).err(),
+            None => Some(Ok(reservation)),
+        };
+        if let Some(Ok(reservation)) = unheard {
+            self.slice.settle(reservation, 0, clock::now());
+        }
+    }
+}
+
+async fn ticks(router: Arc<Router>, slice: Arc<TeamSlice>) {
+    loop {
+        sleep(TICK).await;
+        let mut state = slice.state.lock();
+        if !state.slice.is_busy() {
+            state.driven = false;
+            return;
+        }
+        let effects = state.slice.tick(clock::now());
+        let asks = state.tell(effects);
+        drop(state);
+        send(&router, &slice, asks);
+    }
+}
+
+fn send(router: &Arc<Router>, slice: &Arc<TeamSlice>, asks: Vec<Ask>) {
+    for ask in asks {
+        tokio::spawn(ask_home(Arc::clone(router), Arc::clone(slice), ask));
+    }
+}
+
+async fn ask_home(router: Arc<Router>, slice: Arc<TeamSlice>, ask: Ask) {
+    let request = peer::TokensRequest {
+        team: slice.team.clone(),
+        home: ask.home,
+        counters: Some(to_wire(ask.counters)),
+        want: ask.want,
+        need: ask.need,
+    };
+    let body = Call::Tokens(request);
+    let answer = router.call_home(Kind::Bucket, &slice.team, body, ASK_WITHIN).await;
+    // Without an answer the slice asks again by itself.
+    let Some(Answer::Tokens(answer)) = answer else {
+        return;
+    };
+    let mut state = slice.state.lock();
+    let now = clock::now();
+    let effects = match verdict(&answer) {
+        Some(verdict) => {
+            let grant = Grant { home: answer.home, granted: answer.granted, verdict };
+            state.slice.answer(&grant, now)
+        }
+        None => {
+            // A slice without any account yet takes the number that the home says it has.
+            if state.slice.counters() == Counters::default() {
+                state.slice.follow(answer.home, now);
+            }
+            Vec::new()
+        }
+    };
+    let asks = state.tell(effects);
+    drop(state);
+    send(&router, &slice, asks);
+}
+
+fn verdict(answer: &peer::TokensResponse) -> Option<Verdict> {
+    match answer.verdict? {
+        WireVerdict::Met(_) => Some(Verdict::Granted),
+        WireVerdict::WaitUs(us) => Some(Verdict::Wait(Duration::from_micros(us))),
+        WireVerdict::TooLarge(_) => Some(Verdict::TooLarge),
+        WireVerdict::NotHome(_) => None,
+    }
+}
+
+/// Counters as peers exchange them.
+pub fn to_wire(counters: Counters) -> peer::Counters {
+    let Counters { granted, spent, returned, refunded } = counters;
+    peer::Counters { granted, spent, returned, refunded }
+}
+
+/// Counters as a peer sent them.
+pub fn from_wire(counters: peer::Counters) -> Counters {
+    let peer::Counters { granted, spent, returned, refunded } = counters;
+    Counters { granted, spent, returned, refunded }
+}
+
+fn gone(team: &str) -> Refusal {
+    Refusal::not_run(Code::Forbidden, format!("team `{team}` is no longer registered"))
+}
+
+fn refusal(team: &str, refused: Refused) -> Refusal {
+    let refusal = match refused.reason {
+        Reason::Rate => {
+            let message = format!("team `{team}` has used up its rate and burst");
+            Refusal::not_run(Code::OverLimit, message)
+        }
+        Reason::TooLarge => {
+            let message = format!("the request needs more tokens than the burst of team `{team}`");
+            return Refusal::not_run(Code::OverLimit, message);
+        }
+        Reason::Full => {
+            let message = format!("too many requests of team `{team}` wait");
+            Refusal::not_run(Code::Overloaded, message)
+        }
+        Reason::NoHome => {
+            let message = "the home of the team's limit didn't answer in time";
+            Refusal::not_run(Code::Unavailable, message)
+        }
+    };
+    refusal.with_retry(refused.wait)
+}
--- /dev/null
+++ b/src/router/listing.rs
@@ -0,0 +1,60 @@
+//! What callers may ask about: the models of their team, and which routers to use.
+
+use std::sync::Arc;
+
+use corianderyoke_coord::entry::entry as choose;
+use corianderyoke_coord::entry::Caller as EntryCaller;
+use corianderyoke_coord::entry::EntrySettings;
+use corianderyoke_coord::entry::Router as EntryRouter;
+use corianderyoke_coord::entry::RouterState;
+use corianderyoke_coord::membership::Kind;
+use serde_json::json;
+use serde_json::Value;
+
+use crate::router::http::Answer;
+use crate::router::http::Parts;
+use crate::router::refusal::Result;
+use crate::router::Router;
+
+/// Query parameter by which a caller names its availability zone.
+const ZONE_PARAMETER: &str = "zone=";
+
+/// `GET /v1/models`: models and adapters of the caller's team.
+pub fn models(router: &Router, parts: &Parts) -> Result<Answer> {
+    let caller = router.authenticate(parts)?;
+    let register = router.register()?;
+    let model = |name: &str| json!({"id": name, "object": "model", "owned_by": caller.team});
+    let models: Vec<Value> = register.models_of(&caller.team).map(model).collect();
+    Ok(Answer::json(&json!({"object": "list", "data": models})))
+}
+
+/// `GET /v1/entry`: the routers that the caller should use, best first.
+pub async fn entry(router: &Arc<Router>, parts: &Parts) -> Result<Answer> {
+    let register = router.register()?;
+    // A key is welcome but not needed: without one the addresses are the same for all.
+    let team = router.authenticate(parts).map(|caller| caller.team).unwrap_or_default();
+    let zones = &router.homes.names.zones;
+    let rows = router.agent.routers();
+    let home = router.agent.owner(Kind::Bucket, &team);
+    let home = rows.iter().find(|row| home.as_ref().is_some_and(|home| home.name == row.name));
+    let home = home.map(|row| zones.key(&row.zone));
+    let zone = parts.query.split('&').find_map(|pair| pair.strip_prefix(ZONE_PARAMETER));
+    let caller = EntryCaller { team: &team, zone: zone.map(|zone| zones.key(zone)), home };
+    let routers: Vec<EntryRouter> = rows
+        .iter()
+        .map(|row| EntryRouter {
+            name: row.name.clone(),
+            address: row.callers.clone(),
+            zone: zones.key(&row.zone),
+            drained: register.zones.get(&row.zone).is_some_and(|zone| zone.drained),
+            state: match (row.leaving, row.ready) {
+                (true, _) => RouterState::Leaving,
+                (false, true) => RouterState::Ready,
+                (false, false) => RouterState::Unready,
+            },
+        })
+        .collect();
+    let chosen = choose(EntrySettings::default(), &routers, &caller);
+    let keep = chosen.keep.as_secs();
+    Ok(Answer::json(&json!({"addresses": chosen.addresses, "keep_seconds": keep})))
+}
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -3,8 +3,14 @@
 //! Only the fields listed here go on to an upstream, so that no key a caller puts into the body
 //! leaves the router.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 
+use corianderyoke_upstream::generate::Message;
+use corianderyoke_upstream::generate::Prompt;
+use corianderyoke_upstream::generate::SAMPLING_FIELDS;
 use serde::Deserialize;
 use serde_json::Map;
 use serde_json::Value;
@@ -17,19 +23,10 @@
 pub const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Upper bound of a caller's own token limit.
 const MAX_TOKENS: u32 = 131_072;
+/// Bytes of a text prompt that count as its prefix.
+const PREFIX_BYTES: usize = 256;
 /// Longest model name in bytes.
 const MAX_NAME_BYTES: usize = 200;
-/// Sampling fields that go on to the engine as they are.
-const PASSED_FIELDS: [&str; 8] = [
-    "temperature",
-    "top_p",
-    "stop",
-    "seed",
-    "presence_penalty",
-    "frequency_penalty",
-    "logit_bias",
-    "response_format",
-];
 
 /// Which of the two generation calls it is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,8 +44,8 @@
     pub kind: Kind,
     /// Model or adapter name.
     pub model: String,
-    /// The prompt as one text; a chat's messages are joined in order.
-    pub prompt: String,
+    /// What the model continues.
+    pub prompt: Prompt,
     /// Whether the caller wants server-sent events.
     pub stream: bool,
     /// Most tokens to generate.
@@ -60,11 +57,35 @@
 }
 
 #[derive(Deserialize)]
-struct Message {
+struct Sent {
     role: String,
     content: Value,
 }
 
+impl Generation {
+    /// Bytes of the prompt, the roles of a chat included.
+    pub fn prompt_bytes(&self) -> u64 {
+        let bytes = match &self.prompt {
+            Prompt::Text(text) => text.len(),
+            Prompt::Chat(messages) => messages.iter().map(|m| m.role.len() + m.content.len()).sum(),
+        };
+        bytes as u64
+    }
+
+    /// Hash of the model and the beginning of the prompt, for cache affinity; never 0.
+    pub fn prefix(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.model.hash(&mut hasher);
+        match &self.prompt {
+            Prompt::Text(text) => {
+                text.bytes().take(PREFIX_BYTES).collect::<Vec<_>>().hash(&mut hasher)
+            }
+            Prompt::Chat(messages) => messages.first().map(|m| &m.content).hash(&mut hasher),
+        }
+        hasher.finish().max(1)
+    }
+}
+
 /// Parses the `body` of a call of `kind`.
 ///
 /// # Errors
@@ -105,23 +126,19 @@
     }
 }
 
-fn chat_prompt(fields: &Map<String, Value>) -> Result<String> {
-    let messages = fields.get("messages").cloned().unwrap_or(Value::Null);
-    let messages: Vec<Message> = serde_json::from_value(messages).map_err(|e| {
+fn chat_prompt(fields: &Map<String, Value>) -> Result<Prompt> {
+    let sent = fields.get("messages").cloned().unwrap_or(Value::Null);
+    let sent: Vec<Sent> = serde_json::from_value(sent).map_err(|e| {
         bad(format!("`messages` must be a list of objects with role and content: {e}"))
     })?;
-    if messages.is_empty() {
+    if sent.is_empty() {
         return Err(bad("`messages` must not be empty"));
     }
-    let mut prompt = String::new();
-    for message in &messages {
-        let text = content(&message.content)?;
-        prompt.push_str(&message.role);
-        prompt.push_str(": ");
-        prompt.push_str(&text);
-        prompt.push('\n');
-    }
-    Ok(prompt)
+    let messages = sent.into_iter().map(|sent| {
+        let content = content(&sent.content)?;
+        Ok(Message { role: sent.role, content })
+    });
+    messages.collect::<Result<_>>().map(Prompt::Chat)
 }
 
 fn content(content: &Value) -> Result<String> {
@@ -136,9 +153,9 @@
     }
 }
 
-fn text_prompt(fields: &Map<String, Value>) -> Result<String> {
+fn text_prompt(fields: &Map<String, Value>) -> Result<Prompt> {
     match fields.get("prompt") {
-        Some(Value::String(prompt)) => Ok(prompt.clone()),
+        Some(Value::String(prompt)) => Ok(Prompt::Text(prompt.clone())),
         _ => Err(bad("`prompt` must be a string")),
     }
 }
@@ -173,6 +190,6 @@
 }
 
 fn sampling(fields: &Map<String, Value>) -> Map<String, Value> {
-    let passed = fields.iter().filter(|(field, _)| PASSED_FIELDS.contains(&field.as_str()));
+    let passed = fields.iter().filter(|(field, _)| SAMPLING_FIELDS.contains(&field.as_str()));
     passed.map(|(field, value)| (field.clone(), value.clone())).collect()
 }
--- /dev/null
+++ b/src/router/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of a router.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of a router, as its settings file has them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Instance name, unique among the instances.
+    pub name: String,
+    /// Availability zone of the instance.
+    pub zone: String,
+    /// Address of the platform's services.
+    pub platform: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// UDP address for the other members.
+    pub peers: SocketAddr,
+    /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
+    pub log: String,
+    /// Most requests in work at once.
+    pub open_requests: usize,
+    /// Most upstreams tried for one request.
+    pub attempts: u32,
+    /// Longest time to an upstream's first token, in milliseconds.
+    pub first_ms: u64,
+    /// Longest time between two tokens of an upstream, in milliseconds.
+    pub next_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Settings {
+            name: "router-1".to_owned(),
+            zone: String::new(),
+            platform: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
+            callers: any,
+            operators: any,
+            peers: any,
+            log: "info".to_owned(),
+            open_requests: 10_000,
+            attempts: 4,
+            first_ms: 10_000,
+            next_ms: 2_000,
+        }
+    }
+}
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -3,7 +3,9 @@
 pub mod clock;
 pub mod events;
 pub mod exit;
+pub mod lifecycle;
 pub mod observe;
 pub mod settings;
+pub mod start;
 pub mod table;
 pub mod utc;
