Let an entry that can't be read grant nothing

Cause: a daemon that followed the audit trail passed over a change that it could not read, so the entry before it stayed in force; a key revoked by a newer program stayed live. A daemon that read the whole table failed instead and had no configuration. Ruled out: failing in both cases, since one odd row would stop every later revocation. Before: failed, the key was still accepted. Conclusion: such an entry counts as absent and is logged as E303; operators' changes name it and stop.

--- a/crates/coord/src/register/diff.rs
+++ b/crates/coord/src/register/diff.rs
@@ -22,15 +22,20 @@
 
 impl Change {
     /// Carries the change out on `entries`.
+    ///
+    /// An entry that can't be read is removed: what stood there before is no longer in force.
     pub fn apply(&self, entries: &mut Entries) -> Result<()> {
         let address: Address = self.address.parse()?;
-        match &self.after {
-            Some(value) => {
-                let entry = Entry::from_value(&address, value.clone())?;
-                entries.insert(address, entry);
-            }
-            None => {
+        let entry = match &self.after {
+            Some(value) => Entry::from_value(&address, value.clone()).map(Some),
+            None => Ok(None),
+        };
+        match entry {
+            Ok(Some(entry)) => drop(entries.insert(address, entry)),
+            Ok(None) => drop(entries.shift_remove(&address)),
+            Err(error) => {
                 entries.shift_remove(&address);
+                return Err(error);
             }
         }
         Ok(())
--- a/crates/coord/src/register/mod.rs
+++ b/crates/coord/src/register/mod.rs
@@ -75,7 +75,7 @@
     #[error("`{0}` is no kind of entry; update this program where a newer one wrote it")]
     Kind(String),
     /// An entry that can't be read.
-    #[error("entry {address} can't be read: {cause}; apply it again")]
+    #[error("entry {address} can't be read: {cause}; use the newer program that wrote it")]
     Entry {
         /// Where it is.
         address: String,
--- a/src/ops/config/commands.rs
+++ b/src/ops/config/commands.rs
@@ -68,7 +68,7 @@
     base: Option<Revision>,
     author: &Author,
 ) -> Result<Applied> {
-    let present = queries::snapshot(platform).await?;
+    let present = queries::snapshot(platform).await?.whole()?;
     if base.is_some_and(|base| base != present.revision) {
         return Err(raced(platform, base.unwrap_or_default()).await?);
     }
@@ -163,7 +163,7 @@
 ) -> Result<Applied> {
     let mut tries = 0;
     loop {
-        let present = queries::snapshot(platform).await?;
+        let present = queries::snapshot(platform).await?.whole()?;
         let mut wanted = present.entries.clone();
         edit(&mut wanted)?;
         tries += 1;
--- a/src/ops/config/queries.rs
+++ b/src/ops/config/queries.rs
@@ -20,7 +20,7 @@
 use super::DECISIONS_TABLE;
 use super::HEAD_KEY;
 
-/// The whole configuration as of one moment.
+/// The configuration as of one moment, with what can't be read of it.
 pub async fn snapshot(platform: &dyn Platform) -> Result<Snapshot> {
     let rows = platform.scan(CONFIG_TABLE, "", "").await?;
     Snapshot::from_rows(&rows)
@@ -36,7 +36,7 @@
 
 /// What applying a document would change, or what is wrong with the outcome.
 pub async fn changes(platform: &dyn Platform, document: &Document) -> Result<Vec<Change>> {
-    let present = snapshot(platform).await?;
+    let present = snapshot(platform).await?.whole()?;
     let wanted = document.over(&present.entries);
     let problems = document.check_entries(&wanted);
     if !problems.is_empty() {
--- a/src/ops/config/reader.rs
+++ b/src/ops/config/reader.rs
@@ -11,12 +11,17 @@
 use super::AuditRecord;
 use super::Result;
 use super::Snapshot;
+use crate::util::events;
+use crate::util::events::Event;
 
 /// Revisions behind from which a whole scan is read in place of the changes.
 const SCAN_BEHIND: u64 = 256;
 
 /// Follows the configuration.
 ///
+/// An entry that can't be read counts as absent, which is the safe direction: an absent key, team
+/// or grant gives nothing, and an absent zone gets no work.
+///
 /// A daemon polls it each second and at once when a peer has told of a newer revision. What it
 /// holds only ever gets newer, whatever order its reads are answered in.
 #[derive(Debug, Default)]
@@ -38,7 +43,8 @@
 
     /// What is held, for a peer that starts while the store is down.
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot { revision: self.revision, head: None, entries: self.entries.clone() }
+        let entries = self.entries.clone();
+        Snapshot { revision: self.revision, entries, ..Snapshot::default() }
     }
 
     /// Reads what is newer than what is held. One read when nothing is.
@@ -63,6 +69,10 @@
         if snapshot.revision <= self.revision {
             return None;
         }
+        for error in &snapshot.unread {
+            let revision = snapshot.revision;
+            events::log(Event::EntrySkipped, format_args!("revision={revision} cause={error}"));
+        }
         self.revision = snapshot.revision;
         self.entries = snapshot.entries;
         Some(self.compile())
@@ -75,20 +85,19 @@
 
     /// Applies the records, if they follow on what is held without a gap.
     fn follow(&mut self, records: &[AuditRecord]) -> Option<Arc<Register>> {
-        let mut revision = self.revision;
-        let mut entries = self.entries.clone();
+        let mut next = self.snapshot();
         for record in records {
-            if record.revision != revision.next() {
+            if record.revision != next.revision.next() {
                 return None;
             }
-            revision = record.revision;
+            next.revision = record.revision;
             for change in &record.changes {
-                if let Err(error) = change.apply(&mut entries) {
-                    log::warn!("passed over a change of revision {revision}: {error}");
+                if let Err(error) = change.apply(&mut next.entries) {
+                    next.unread.push(error);
                 }
             }
         }
-        self.adopt(Snapshot { revision, head: None, entries })
+        self.adopt(next)
     }
 
     fn compile(&self) -> Arc<Register> {
--- a/src/ops/config/record.rs
+++ b/src/ops/config/record.rs
@@ -1,5 +1,6 @@
 //! What the tables hold.
 
+use corianderyoke_coord::register;
 use corianderyoke_coord::register::Address;
 use corianderyoke_coord::register::Change;
 use corianderyoke_coord::register::Entries;
@@ -62,10 +63,12 @@
     pub head: Option<u64>,
     /// Its entries.
     pub entries: Entries,
+    /// Rows that this program can't read; they aren't among the entries.
+    pub unread: Vec<register::Error>,
 }
 
 impl Snapshot {
-    /// Reads the rows of a whole scan of the table. Kinds of newer programs are passed over.
+    /// Reads the rows of a whole scan of the table.
     pub fn from_rows(rows: &[Row]) -> Result<Snapshot> {
         let mut snapshot = Snapshot::default();
         for row in rows {
@@ -75,17 +78,34 @@
                 snapshot.head = Some(row.version);
                 continue;
             }
-            let Ok(address) = row.key.parse::<Address>() else {
-                log::warn!("passed over row `{}` of a kind that this program lacks", row.key);
-                continue;
-            };
             let stored: StoredEntry = decode(CONFIG_TABLE, &row.key, &row.value)?;
-            let entry = Entry::from_value(&address, stored.entry)?;
-            snapshot.entries.insert(address, entry);
+            snapshot.insert(&row.key, stored.entry);
         }
         Ok(snapshot)
     }
 
+    /// The snapshot, or an error where an entry of a known kind can't be read.
+    ///
+    /// Entries of unknown kinds are a newer program's, and a change here leaves them alone.
+    pub fn whole(self) -> Result<Snapshot> {
+        let entry = |error: &&register::Error| matches!(error, register::Error::Entry { .. });
+        match self.unread.iter().find(entry) {
+            Some(error) => Err(error.clone().into()),
+            None => Ok(self),
+        }
+    }
+
+    fn insert(&mut self, address: &str, value: Value) {
+        let read = address.parse::<Address>().and_then(|address| {
+            let entry = Entry::from_value(&address, value)?;
+            Ok((address, entry))
+        });
+        match read {
+            Ok((address, entry)) => drop(self.entries.insert(address, entry)),
+            Err(error) => self.unread.push(error),
+        }
+    }
+
     /// Writes the revision and the entries as JSON, for a peer.
     pub fn to_json(&self) -> String {
         let entries = self.entries.iter();
@@ -98,9 +118,7 @@
         let portable: Portable = decode(CONFIG_TABLE, HEAD_KEY, text)?;
         let mut snapshot = Snapshot { revision: portable.revision, ..Snapshot::default() };
         for (address, value) in portable.entries {
-            let Ok(address) = address.parse::<Address>() else { continue };
-            let entry = Entry::from_value(&address, value)?;
-            snapshot.entries.insert(address, entry);
+            snapshot.insert(&address, value);
         }
         Ok(snapshot)
     }
--- a/src/util/events.rs
+++ b/src/util/events.rs
@@ -51,6 +51,7 @@
     RevisionInForce = 300, Info, "a configuration revision is in force here";
     RevisionStale = 301, Warn, "the revision could not be confirmed in time, requests are refused";
     KeyRevoked = 302, Info, "a key was revoked and its open requests were cut";
+    EntrySkipped = 303, Warn, "an entry of the configuration cannot be read and counts as absent";
     Answered = 400, Info, "a request was answered";
     Refused = 401, Info, "a request was refused";
     Cancelled = 402, Info, "a caller went away and its work was cancelled";
--- a/tests/testsuite/operators/failures.rs
+++ b/tests/testsuite/operators/failures.rs
@@ -7,6 +7,7 @@
 use corianderyoke::ops::config::Author;
 use corianderyoke::ops::config::ConfigReader;
 use corianderyoke::ops::config::Snapshot;
+use corianderyoke_coord::register::Resource;
 use corianderyoke_coord::register::Revision;
 use corianderyoke_platform::faults::Fault;
 use corianderyoke_platform::faults::Order;
@@ -190,3 +191,33 @@
     let next = reader.poll(&fixture.platform()).await.unwrap().unwrap();
     assert_eq!(next.revision, Revision(2));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_cannot_be_read_grants_nothing() {
+    let fixture = Fixture::configured().await;
+    let platform = fixture.platform();
+    let mut reader = ConfigReader::new();
+    reader.poll(&platform).await.unwrap();
+
+    // A newer program writes a key of a form that this one can't read, and a kind it lacks.
+    let unreadable = json!({ "team": "depots", "digest": ["sha512", "00"], "revoked": true });
+    let change = json!({ "address": "key/depots-1", "before": null, "after": unreadable });
+    let other = json!({ "address": "quota/depots", "before": null, "after": {} });
+    let record = json!({
+        "revision": 2, "apply": "a", "operator": "tester", "time": 0, "action": "apply",
+        "changes": [change, other],
+    });
+    fixture.put("config", "key/depots-1", json!({ "revision": 2, "entry": unreadable })).await;
+    fixture.put("config", "quota/depots", json!({ "revision": 2, "entry": {} })).await;
+    fixture.put("audit", "00000000000000000002", record).await;
+    fixture.put("config", "!head", json!({ "revision": 2 })).await;
+
+    let followed = reader.poll(&platform).await.unwrap().unwrap();
+    assert_eq!(followed.authenticate("open sesame"), None);
+    assert!(followed.may_use("depots", Resource::Model("summary")));
+    let scanned = ConfigReader::new().poll(&platform).await.unwrap().unwrap();
+    assert_eq!(scanned, followed);
+
+    // An operator's change names the entry and leaves it alone.
+    insta::assert_snapshot!("unreadable", fixture.show(&["drain", "south"]).await);
+}
