--- a/src/bin/corianderyoke/commands/audit.rs
+++ b/src/bin/corianderyoke/commands/audit.rs
@@ -1,5 +1,7 @@
 //! `corianderyoke audit`: who changed what, and what the controllers decided.
 
+use std::time::Duration;
+
 use clap::ArgMatches;
 use clap::Command;
 use clap::CommandFactory;
@@ -12,11 +14,15 @@
 use corianderyoke::util::utc;
 use corianderyoke_coord::register::Revision;
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::shared;
 use crate::context::Context;
 use crate::outcome::Outcome;
 
+/// Pause between two looks for new records.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+
 /// Show every change: operator, time, revision, before and after
 #[derive(Debug, Parser)]
 #[command(name = "audit")]
@@ -30,6 +36,12 @@
     /// Show the controllers' decisions too
     #[arg(long)]
     decisions: bool,
+    /// Go on with new records as they come, through outages of the platform
+    #[arg(long, conflicts_with = "decisions")]
+    follow: bool,
+    /// Seconds after which --follow ends; it goes on until interrupted when left out
+    #[arg(long, requires = "follow", value_name = "SECONDS")]
+    seconds: Option<u64>,
 }
 
 /// The subcommand's command line.
@@ -38,8 +50,11 @@
 }
 
 /// Runs the subcommand.
-pub async fn exec(context: &Context, matches: &ArgMatches) -> anyhow::Result<Outcome> {
+pub async fn exec(context: &Context, json: bool, matches: &ArgMatches) -> anyhow::Result<Outcome> {
     let options = Options::from_arg_matches(matches)?;
+    if options.follow {
+        return follow(context, json, &options).await;
+    }
     let to = options.to.map(Revision);
     let records = queries::audit(&context.platform, Revision(options.from), to).await?;
     let mut text: String = records.iter().map(record).collect();
@@ -52,6 +67,30 @@
     Ok(Outcome::of(text, &value))
 }
 
+/// Prints records as they come, up to the last one asked for or to the end of the time.
+async fn follow(context: &Context, json: bool, options: &Options) -> anyhow::Result<Outcome> {
+    let end = options.seconds.map(|seconds| Instant::now() + Duration::from_secs(seconds));
+    let mut next = Revision(options.from);
+    loop {
+        let to = options.to.map(Revision);
+        match queries::audit(&context.platform, next, to).await {
+            Ok(records) => {
+                for found in &records {
+                    Outcome::of(record(found), found).print(json);
+                    next = found.revision.next();
+                }
+            }
+            Err(error) => eprintln!("warning: {error}; trying again"),
+        }
+        let is_last = to.is_some_and(|to| next > to);
+        if is_last || end.is_some_and(|end| Instant::now() >= end) {
+            let value = json!({ "next": next });
+            return Ok(Outcome::of("", &value));
+        }
+        tokio::time::sleep(FOLLOW_PAUSE).await;
+    }
+}
+
 fn record(record: &AuditRecord) -> String {
     format!(
         "revision {} by {} at {} ({}), apply id {}\n{}\n",
--- a/src/bin/corianderyoke/commands/mod.rs
+++ b/src/bin/corianderyoke/commands/mod.rs
@@ -37,7 +37,12 @@
 }
 
 /// Runs the subcommand `name`.
-pub async fn exec(context: &Context, name: &str, matches: &ArgMatches) -> anyhow::Result<Outcome> {
+pub async fn exec(
+    context: &Context,
+    name: &str,
+    json: bool,
+    matches: &ArgMatches,
+) -> anyhow::Result<Outcome> {
     match name {
         "check" => check::exec(matches),
         "diff" => diff::exec(context, matches).await,
@@ -48,7 +53,7 @@
         "restore" => restore::exec(context, matches).await,
         "revoke" => revoke::exec(context, matches).await,
         "issue-key" => issue_key::exec(context, matches).await,
-        "audit" => audit::exec(context, matches).await,
+        "audit" => audit::exec(context, json, matches).await,
         "explain" => explain::exec(context, matches).await,
         other => anyhow::bail!("no subcommand `{other}`; see --help"),
     }
--- a/src/bin/corianderyoke/main.rs
+++ b/src/bin/corianderyoke/main.rs
@@ -35,12 +35,13 @@
 
 async fn run(global: Global, matches: &clap::ArgMatches) -> anyhow::Result<Outcome> {
     let check = global.check;
+    let json = global.json;
     let context = Context::new(global)?;
     if check {
         return Ok(Outcome::text("the settings are good\n"));
     }
     match matches.subcommand() {
-        Some((name, matches)) => commands::exec(&context, name, matches).await,
+        Some((name, matches)) => commands::exec(&context, name, json, matches).await,
         None => Ok(Outcome { exit: Exit::Usage, ..Outcome::text(cli::cli().render_help()) }),
     }
 }
--- a/tests/testsuite/operators/failures.rs
+++ b/tests/testsuite/operators/failures.rs
@@ -221,3 +221,23 @@
     // An operator's change names the entry and leaves it alone.
     insta::assert_snapshot!("unreadable", fixture.show(&["drain", "south"]).await);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_trail_is_followed_live_and_through_an_outage() {
+    let fixture = Fixture::configured().await;
+    let changes = async {
+        fixture.run(&["drain", "south"]).await;
+        fixture.order(Fault::Down);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        fixture.clear();
+        fixture.run(&["revoke", "depots-1"]).await;
+    };
+    let args = ["audit", "--follow", "--from", "1", "--to", "3"];
+    let (output, ()) = futures::future::join(fixture.run(&args), changes).await;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let heads: Vec<&str> = text.lines().filter(|line| line.starts_with("revision")).collect();
+    assert_eq!(heads.len(), 3, "{}", show(&output));
+    for (head, action) in heads.iter().zip(["(apply)", "(drain south)", "(revoke depots-1)"]) {
+        assert!(head.contains(action), "{head}");
+    }
+}
