--- a/tests/testsuite/operators/failures.rs
+++ b/tests/testsuite/operators/failures.rs
@@ -18,6 +18,7 @@
 use corianderyoke_platform::Result as StoreResult;
 use corianderyoke_platform::Row;
 use corianderyoke_platform::Transaction;
+use corianderyoke_platform::Write;
 use corianderyoke_standin::platform::Server;
 use serde_json::json;
 
@@ -241,3 +242,19 @@
         assert!(head.contains(action), "{head}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gap_in_the_trail_is_passed_by_a_whole_scan() {
+    let fixture = Fixture::configured().await;
+    let platform = fixture.platform();
+    let mut reader = ConfigReader::new();
+    reader.poll(&platform).await.unwrap();
+    fixture.run(&["drain", "south"]).await;
+    fixture.run(&["revoke", "depots-1"]).await;
+    let delete = Write::Delete { table: "audit".into(), key: "00000000000000000002".into() };
+    let pruned = Transaction { writes: vec![delete], ..Transaction::default() };
+    platform.transact(&pruned).await.unwrap();
+    let register = reader.poll(&platform).await.unwrap().unwrap();
+    assert_eq!(register.revision, Revision(3));
+    assert!(register.is_drained("south"));
+}
