--- a/crates/coord/src/register/check.rs
+++ b/crates/coord/src/register/check.rs
@@ -59,16 +59,19 @@
         }
     }
 
-    fn reference<'b>(
+    /// Reports `name` unless it's a key of `known` whose value `fits`.
+    fn reference<T>(
         &mut self,
         field: &str,
         name: &str,
-        known: impl Iterator<Item = &'b str> + Clone,
+        known: &IndexMap<String, T>,
+        fits: impl Fn(&T) -> bool,
     ) {
-        if known.clone().any(|candidate| candidate == name) {
+        if known.get(name).is_some_and(&fits) {
             return;
         }
-        let hint = strict::unknown(String::new(), name, known);
+        let fitting = known.iter().filter(|(_, value)| fits(value));
+        let hint = strict::unknown(String::new(), name, fitting.map(|(name, _)| name.as_str()));
         self.report(field, format!("`{name}`"), hint.allowed);
     }
 
@@ -96,7 +99,7 @@
     }
 
     fn upstream(&mut self, upstream: &Upstream) {
-        self.reference("zone", &upstream.zone, self.register.zones.keys().map(String::as_str));
+        self.reference("zone", &upstream.zone, &self.register.zones, |_| true);
         if upstream.address.parse::<SocketAddr>().is_err() {
             self.report("address", format!("`{}`", upstream.address), "ip:port");
         }
@@ -140,7 +143,7 @@
 
     fn adapter(&mut self, name: &str, adapter: &Adapter) {
         let models = &self.register.models;
-        self.reference("model", &adapter.model, models.keys().map(String::as_str));
+        self.reference("model", &adapter.model, models, |_| true);
         if adapter.bytes == 0 {
             self.report("bytes", 0, "more than 0");
         }
@@ -170,7 +173,7 @@
     fn key(&mut self, key: &ApiKey) {
         // Keys are never removed, so a revoked one may outlive its team.
         if !key.revoked {
-            self.reference("team", &key.team, self.register.teams.keys().map(String::as_str));
+            self.reference("team", &key.team, &self.register.teams, |_| true);
         }
         if digest_bytes(&key.digest).is_none() {
             self.report("digest", format!("`{}`", key.digest), "64 hexadecimal digits");
@@ -178,10 +181,9 @@
     }
 
     fn service(&mut self, service: &Service) {
-        let known = self.register.upstreams.iter();
-        let known = known.filter(|(_, upstream)| upstream.kind == UpstreamKind::Service);
+        let serves = |upstream: &Upstream| upstream.kind == UpstreamKind::Service;
         for name in &service.upstreams {
-            self.reference("upstreams", name, known.clone().map(|(name, _)| name.as_str()));
+            self.reference("upstreams", name, &self.register.upstreams, serves);
         }
         if service.upstreams.is_empty() {
             self.report("upstreams", "[]", "one or more upstreams of kind service");
@@ -205,7 +207,7 @@
 
     fn names<T>(&mut self, field: &str, names: &IndexSet<String>, known: &IndexMap<String, T>) {
         for name in names.iter().filter(|name| *name != ALL) {
-            self.reference(field, name, known.keys().map(String::as_str));
+            self.reference(field, name, known, |_| true);
         }
     }
 
