--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,12 @@
 
 #![forbid(unsafe_code)]
 
+pub mod dispatch;
+pub mod entry;
+pub mod idempotency;
 pub mod keys;
 pub mod membership;
+pub mod placement;
+pub mod pools;
+pub mod register;
 pub mod time;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,5 @@
-//! Integration tests.
+//! Integration tests: a module a command or feature.
+
+mod events;
+mod operators;
+mod parsing;
