--- /dev/null
+++ b/src/agent/store.rs
@@ -0,0 +1,94 @@
+//! Carries the membership's accesses to the platform's tables out.
+
+use std::sync::Arc;
+
+use corianderyoke_coord::membership::Answer;
+use corianderyoke_coord::membership::MemberRow;
+use corianderyoke_coord::membership::Op;
+use corianderyoke_coord::membership::Stored;
+use corianderyoke_coord::membership::View;
+use corianderyoke_platform::Commit;
+use corianderyoke_platform::Condition;
+use corianderyoke_platform::Error;
+use corianderyoke_platform::Platform;
+use corianderyoke_platform::Row;
+use corianderyoke_platform::Transaction;
+use corianderyoke_platform::Write;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+/// Table of member rows.
+pub const MEMBERS: &str = "members";
+/// Table of view rows.
+pub const VIEW: &str = "view";
+
+/// Carries out `op` of the member called `name` in `cell`.
+pub async fn access(platform: &dyn Platform, cell: &str, name: &str, op: Op) -> Answer {
+    match op {
+        Op::Scan => scan(platform, cell).await,
+        Op::Put { expect, row } => {
+            let put = put(MEMBERS, name, &*row);
+            transact(platform, vec![condition(MEMBERS, name, expect)], vec![put]).await
+        }
+        Op::Change { expect, view, guards, delete } => {
+            let mut conditions = vec![condition(VIEW, cell, expect)];
+            let guards =
+                guards.iter().map(|(key, version)| condition(MEMBERS, key, Some(*version)));
+            conditions.extend(guards);
+            let mut writes = vec![put(VIEW, cell, &*view)];
+            let delete = delete.map(|key| Write::Delete { table: MEMBERS.to_owned(), key });
+            writes.extend(delete);
+            transact(platform, conditions, writes).await
+        }
+    }
+}
+
+fn condition(table: &str, key: &str, expect: Option<u64>) -> Condition {
+    let (table, key) = (table.to_owned(), key.to_owned());
+    match expect {
+        Some(version) => Condition::Version { table, key, version },
+        None => Condition::Absent { table, key },
+    }
+}
+
+fn put(table: &str, key: &str, value: &impl Serialize) -> Write {
+    // Rows hold strings, numbers and lists only, which JSON can hold.
+    let value = serde_json::to_string(value).unwrap_or_default();
+    Write::Put { table: table.to_owned(), key: key.to_owned(), value }
+}
+
+async fn transact(
+    platform: &dyn Platform,
+    conditions: Vec<Condition>,
+    writes: Vec<Write>,
+) -> Answer {
+    match platform.transact(&Transaction { conditions, writes }).await {
+        Ok(Commit::Done { version }) => Answer::Done(version),
+        Ok(Commit::Refused { .. }) => Answer::Refused,
+        Err(Error::Unknown(_)) => Answer::Unknown,
+        Err(Error::Unavailable(_) | Error::Invalid(_)) => Answer::Unavailable,
+    }
+}
+
+/// Member rows first, then the view: a member in the view then has its row among those read, or
+/// has lost it since.
+async fn scan(platform: &dyn Platform, cell: &str) -> Answer {
+    let Ok(rows) = platform.scan(MEMBERS, "", "").await else {
+        return Answer::Unavailable;
+    };
+    let Ok(view) = platform.get(VIEW, cell).await else {
+        return Answer::Unavailable;
+    };
+    let rows: IndexMap<String, Stored> = rows.into_iter().filter_map(member).collect();
+    Answer::Scanned { rows, view: view.and_then(read_view).map(Arc::new) }
+}
+
+fn member(row: Row) -> Option<(String, Stored)> {
+    let value: MemberRow = serde_json::from_str(&row.value).ok()?;
+    Some((row.key, Stored { row: value, version: row.version }))
+}
+
+fn read_view(row: Row) -> Option<View> {
+    let view: View = serde_json::from_str(&row.value).ok()?;
+    Some(View { version: row.version, ..view })
+}
--- a/src/bin/corianderyoke-router/main.rs
+++ b/src/bin/corianderyoke-router/main.rs
@@ -1,2 +1,41 @@
-//! placeholder
-fn main() {}
+//! The router: serves callers.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use corianderyoke::ops::router;
+use corianderyoke::router::settings::Settings;
+use corianderyoke::util::events;
+use corianderyoke::util::lifecycle::told_to_stop;
+use corianderyoke::util::start;
+
+/// Serves callers: authenticates, limits, queues and forwards their requests
+///
+/// Prints `listening callers=IP:PORT operators=IP:PORT` once it listens. SIGTERM makes it leave
+/// after its last open request.
+#[derive(Parser)]
+#[command(name = "corianderyoke-router", version)]
+struct Cli {
+    #[command(flatten)]
+    options: start::Options,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match start::settings(&Cli::parse().options) {
+        Ok(Some(settings)) => start::ended(run(settings).await),
+        Ok(None) => ExitCode::SUCCESS,
+        Err(exit) => exit.into(),
+    }
+}
+
+async fn run(settings: Settings) -> anyhow::Result<()> {
+    events::init(settings.log.parse().unwrap_or(log::LevelFilter::Info));
+    let running = router::start(settings).await?;
+    println!("listening callers={} operators={}", running.callers, running.operators);
+    told_to_stop().await?;
+    running.leave().await;
+    Ok(())
+}
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use corianderyoke_coord::time::Tick;
 use corianderyoke_coord::membership::Kind as HomeKind;
+use corianderyoke_coord::time::Tick;
 use corianderyoke_upstream::generate::Event as Coming;
 use corianderyoke_upstream::generate::Request;
 use corianderyoke_upstream::Outcome as Sent;
@@ -232,7 +232,8 @@
 
     async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
         // Dropped early (a cut, a caller gone), the reservation returns what wasn't used.
-        let mut reserved = limit::reserve(&self.router, &self.team, u64::from(cost), self.deadline).await?;
+        let mut reserved =
+            limit::reserve(&self.router, &self.team, u64::from(cost), self.deadline).await?;
         let mut progress = Progress::default();
         loop {
             let slot = start::obtain(&self.router, self.start_wish(&progress)).await;
@@ -253,8 +254,9 @@
                     self.may_resume(&progress, outcome, &cause)?;
                     let tokens = progress.tokens;
                     let id = &self.id;
-                    let detail =
-                        format_args!("request={id} upstream={upstream} tokens={tokens} cause={cause}");
+                    let detail = format_args!(
+                        "request={id} upstream={upstream} tokens={tokens} cause={cause}"
+                    );
                     events::log(Event::Resumed, detail);
                     self.router.metrics.resumed();
                 }
@@ -397,7 +399,9 @@
     let refusal = match cut {
         Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
         Cut::CallerGone | Cut::No => Refusal::not_run(Code::UpstreamFailed, "the caller went away"),
-        Cut::Stale => Refusal::not_run(Code::Unavailable, "the router lost touch with the platform"),
+        Cut::Stale => {
+            Refusal::not_run(Code::Unavailable, "the router lost touch with the platform")
+        }
     };
     refusal.with_outcome(Outcome::Unknown)
 }
--- a/src/router/home/dispatch.rs
+++ b/src/router/home/dispatch.rs
@@ -80,12 +80,7 @@
     }
 
     /// Starts a dispatcher at `epoch` from the parts of all members.
-    pub fn start(
-        &self,
-        router: &Router,
-        epoch: u64,
-        parts: &[(MemberId, peer::TakeoverResponse)],
-    ) {
+    pub fn start(&self, router: &Router, epoch: u64, parts: &[(MemberId, peer::TakeoverResponse)]) {
         let now = clock::now();
         let names = &router.homes.names;
         let members: Vec<MemberKey> = parts.iter().map(|(id, _)| names.member(id)).collect();
@@ -162,9 +157,7 @@
         for effect in effects {
             let (request, outcome) = match effect {
                 Effect::Start(start) => (start.request, started(router, start)),
-                Effect::Refuse(refusal) => {
-                    (refusal.request, late(refusal.wait, refusal.reason))
-                }
+                Effect::Refuse(refusal) => (refusal.request, late(refusal.wait, refusal.reason)),
             };
             // A start that nobody hears of is handed out when the router asks again, and freed
             // when the router doesn't report it as held.
--- a/src/router/service.rs
+++ b/src/router/service.rs
@@ -204,8 +204,8 @@
             Err(e) if e.outcome == Sent::NotRun => {}
             Err(e) => {
                 let message = format!("service `{name}` gave no whole answer: {e}");
-                refusal = Refusal::not_run(Code::UpstreamFailed, message)
-                    .with_outcome(Outcome::Unknown);
+                refusal =
+                    Refusal::not_run(Code::UpstreamFailed, message).with_outcome(Outcome::Unknown);
             }
         }
     }
