--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,5 +7,11 @@
 
 #![forbid(unsafe_code)]
 
+pub mod dispatch;
+pub mod entry;
+pub mod idempotency;
 pub mod keys;
+pub mod placement;
+pub mod pools;
+pub mod register;
 pub mod time;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,5 +7,6 @@
 
 pub mod engine;
 mod http;
+pub mod platform;
 pub mod relay;
 pub mod service;
--- /dev/null
+++ b/src/router/generate.rs
@@ -0,0 +1,403 @@
+//! One generation request, from its parsed body to its last token.
+//!
+//! The work runs in a task of its own, which sends [`Piece`]s. What comes first decides the
+//! answer's status: a refusal before the first token is an HTTP error, one after it an explicit
+//! error event in the stream. An answer that breaks off at an upstream goes on at another from the
+//! last token that came, so the caller sees one whole answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_coord::membership::Kind as HomeKind;
+use corianderyoke_upstream::generate::Event as Coming;
+use corianderyoke_upstream::generate::Request;
+use corianderyoke_upstream::Outcome as Sent;
+use corianderyoke_wire::peer;
+use corianderyoke_wire::peer::request::Body as Call;
+use corianderyoke_wire::peer::response::Body as Reply;
+use futures::StreamExt;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::router::format::Format;
+use crate::router::http::Answer;
+use crate::router::http::Parts;
+use crate::router::limit;
+use crate::router::limit::Reservation;
+use crate::router::open::Cut;
+use crate::router::open::Grant;
+use crate::router::open::Ticket;
+use crate::router::refusal::Code;
+use crate::router::refusal::Outcome;
+use crate::router::refusal::Refusal;
+use crate::router::refusal::Result;
+use crate::router::request;
+use crate::router::request::Generation;
+use crate::router::request::Kind;
+use crate::router::start;
+use crate::router::start::Slot;
+use crate::router::start::Wish;
+use crate::router::start::DISPATCH;
+use crate::router::Router;
+use crate::router::Target;
+use crate::util::clock;
+use crate::util::events;
+use crate::util::events::Event;
+
+/// Pieces of an answer held for a caller that reads slowly.
+const PIECES_HELD: usize = 256;
+/// Longest time for which a caller may leave a full buffer unread.
+const READ_WITHIN: Duration = Duration::from_secs(30);
+
+/// Longest wait for an adapter to be loaded.
+const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
+
+/// A part of an answer.
+#[derive(Clone, Debug, PartialEq)]
+enum Piece {
+    Token(String),
+    Done { reason: String, prompt_tokens: u32, tokens: u32 },
+    Failed(Refusal),
+}
+
+/// Serves a call of `kind`.
+pub async fn serve(router: &Arc<Router>, kind: Kind, parts: Parts) -> Result<Answer> {
+    let arrived = clock::now();
+    let caller = router.authenticate(&parts)?;
+    let wish = request::parse(kind, &parts.body)?;
+    let target = router.target(&caller, &wish.model)?;
+    let deadline = arrived + wish.deadline.unwrap_or(target.deadline).min(target.longest);
+    let prompt_tokens = prompt_tokens(&target, &wish)?;
+    let (key, team) = (caller.key.clone(), caller.team.clone());
+    let grant = Grant { key, team, target: wish.model.clone() };
+    let ticket = router.enter(grant)?;
+    let watched = parts.caller.map(|caller| router.hangups.watch(caller, ticket.cutter()));
+    let format = Format::new(kind, &parts.id, &wish.model);
+    let stream = wish.stream;
+    let job = Job {
+        router: Arc::clone(router),
+        id: parts.id,
+        team: caller.team,
+        wish,
+        prompt_tokens,
+        model: target.model,
+        adapter: target.adapter,
+        deadline,
+        ticket,
+    };
+    let (pieces, mut coming) = mpsc::channel(PIECES_HELD);
+    tokio::spawn(job.run(pieces));
+    let first = coming.recv().await.unwrap_or_else(|| Piece::Failed(lost()));
+    if let Piece::Failed(refusal) = first {
+        return Err(refusal);
+    }
+    if stream {
+        drop(watched);
+        return Ok(Answer::Events(events_of(format, first, coming)));
+    }
+    let answer = collect(format, first, coming).await;
+    drop(watched);
+    answer
+}
+
+/// Tokens that the prompt takes at most.
+fn prompt_tokens(target: &Target, wish: &Generation) -> Result<u32> {
+    let tokens = target.base.prompt_bound(wish.prompt_bytes());
+    let all = tokens + u64::from(wish.max_tokens);
+    if all > target.base.context_tokens {
+        let most = target.base.context_tokens;
+        let message = format!("prompt and output may take {all} tokens, the model takes {most}");
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    Ok(tokens as u32)
+}
+
+/// The refusal for a task that ended without a last piece.
+fn lost() -> Refusal {
+    Refusal::not_run(Code::UpstreamFailed, "the answer was lost inside the router")
+        .with_outcome(Outcome::Unknown)
+}
+
+async fn collect(
+    format: Format,
+    first: Piece,
+    mut coming: mpsc::Receiver<Piece>,
+) -> Result<Answer> {
+    let mut text = String::new();
+    let mut piece = first;
+    loop {
+        match piece {
+            Piece::Token(token) => text.push_str(&token),
+            Piece::Done { reason, prompt_tokens, tokens } => {
+                let body = format.whole(&text, &reason, prompt_tokens, tokens);
+                return Ok(Answer::json(&body));
+            }
+            Piece::Failed(refusal) => return Err(refusal),
+        }
+        piece = coming.recv().await.unwrap_or_else(|| Piece::Failed(lost()));
+    }
+}
+
+fn events_of(
+    format: Format,
+    first: Piece,
+    mut coming: mpsc::Receiver<Piece>,
+) -> mpsc::Receiver<Bytes> {
+    let (events, outgoing) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let mut piece = first;
+        loop {
+            let (event, last) = event_of(&format, piece);
+            let sent = timeout(READ_WITHIN, events.send(event)).await;
+            if last || !matches!(sent, Ok(Ok(()))) {
+                return;
+            }
+            piece = tokio::select! {
+                piece = coming.recv() => piece.unwrap_or_else(|| Piece::Failed(lost())),
+                // The caller went away: dropping `coming` cancels the work.
+                () = events.closed() => return,
+            };
+        }
+    });
+    outgoing
+}
+
+fn event_of(format: &Format, piece: Piece) -> (Bytes, bool) {
+    match piece {
+        Piece::Token(token) => (format.token(&token), false),
+        Piece::Done { reason, prompt_tokens, tokens } => {
+            (format.last(&reason, prompt_tokens, tokens), true)
+        }
+        Piece::Failed(refusal) => (format.error(&refusal), true),
+    }
+}
+
+/// Everything that one generation needs.
+struct Job {
+    router: Arc<Router>,
+    id: String,
+    team: String,
+    wish: Generation,
+    prompt_tokens: u32,
+    model: String,
+    adapter: Option<String>,
+    deadline: Tick,
+    ticket: Ticket,
+}
+
+/// How far an answer has come over all attempts.
+#[derive(Default)]
+struct Progress {
+    tokens: u32,
+    avoid: Vec<String>,
+    attempts: u32,
+}
+
+/// How one attempt at an upstream ended.
+enum Attempt {
+    Done { reason: String },
+    Broken { outcome: Outcome, cause: String },
+    CallerGone,
+}
+
+impl Job {
+    async fn run(self, pieces: mpsc::Sender<Piece>) {
+        let cost = self.prompt_tokens + self.wish.max_tokens;
+        let ended = tokio::select! {
+            ended = self.work(cost, &pieces) => ended,
+            () = pieces.closed() => Err(gone()),
+            cut = self.ticket.cut() => Err(cut_refusal(cut)),
+        };
+        match ended {
+            Ok(tokens) => {
+                self.router.metrics.answered(&self.team, tokens);
+                let (id, team, model) = (&self.id, &self.team, &self.wish.model);
+                let detail = format_args!("request={id} team={team} model={model} tokens={tokens}");
+                events::log(Event::Answered, detail);
+            }
+            Err(refusal) => {
+                let refusal = refusal.with_id(&self.id);
+                if pieces.is_closed() || self.ticket.is_cut() == Cut::CallerGone {
+                    self.router.metrics.cancelled(&self.team);
+                    let detail = format_args!("request={} team={}", self.id, self.team);
+                    events::log(Event::Cancelled, detail);
+                }
+                // A closed channel means that the caller went away; nobody is left to tell.
+                let _ = timeout(READ_WITHIN, pieces.send(Piece::Failed(refusal))).await;
+            }
+        }
+    }
+
+    async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
+        // Dropped early (a cut, a caller gone), the reservation returns what wasn't used.
+        let mut reserved = limit::reserve(&self.router, &self.team, u64::from(cost), self.deadline).await?;
+        let mut progress = Progress::default();
+        loop {
+            let slot = start::obtain(&self.router, self.start_wish(&progress)).await;
+            let slot = slot.map_err(|refusal| after(refusal, &progress))?;
+            progress.attempts += 1;
+            let upstream = slot.upstream.clone();
+            let attempt = self.attempt(slot, &mut progress, &mut reserved, pieces).await;
+            match attempt {
+                Attempt::Done { reason } => {
+                    let prompt_tokens = self.prompt_tokens;
+                    let done = Piece::Done { reason, prompt_tokens, tokens: progress.tokens };
+                    let _ = pieces.send(done).await;
+                    return Ok(reserved.used());
+                }
+                Attempt::CallerGone => return Err(gone()),
+                Attempt::Broken { outcome, cause } => {
+                    progress.avoid.push(upstream.clone());
+                    self.may_resume(&progress, outcome, &cause)?;
+                    let tokens = progress.tokens;
+                    let id = &self.id;
+                    let detail =
+                        format_args!("request={id} upstream={upstream} tokens={tokens} cause={cause}");
+                    events::log(Event::Resumed, detail);
+                    self.router.metrics.resumed();
+                }
+            }
+        }
+    }
+
+    fn start_wish(&self, progress: &Progress) -> Wish {
+        Wish {
+            team: self.team.clone(),
+            model: self.model.clone(),
+            adapter: self.adapter.clone(),
+            cost: u64::from(self.prompt_tokens + self.wish.max_tokens - progress.tokens),
+            deadline: self.deadline,
+            prefix: self.wish.prefix(),
+            avoid: progress.avoid.clone(),
+        }
+    }
+
+    /// Whether the answer goes on elsewhere; the refusal that ends it otherwise.
+    fn may_resume(&self, progress: &Progress, outcome: Outcome, cause: &str) -> Result<()> {
+        let late = clock::now() >= self.deadline;
+        if progress.attempts < self.router.settings.attempts && !late {
+            return Ok(());
+        }
+        events::log(Event::Broken, format_args!("request={} cause={cause}", self.id));
+        let message = format!("no upstream gave a whole answer: {cause}");
+        let outcome = if progress.tokens > 0 { Outcome::Ran } else { outcome };
+        Err(Refusal::not_run(Code::UpstreamFailed, message).with_outcome(outcome))
+    }
+
+    /// Has the adapter loaded at an upstream that doesn't hold it yet.
+    async fn ensure_adapter(&self, upstream: &str) -> std::result::Result<(), String> {
+        let Some(adapter) = &self.adapter else {
+            return Ok(());
+        };
+        let dispatch = &self.router.homes.dispatch;
+        if dispatch.has_adapter(upstream, &self.model, adapter) {
+            return Ok(());
+        }
+        let (model, adapter) = (self.model.clone(), adapter.clone());
+        let ask = peer::AdapterRequest { model, adapter, upstream: upstream.to_owned() };
+        let limit = self.deadline.since(clock::now()).min(ADAPTER_WITHIN);
+        let call = Call::Adapter(ask.clone());
+        let reply = self.router.call_home(HomeKind::Placement, DISPATCH, call, limit).await;
+        match reply {
+            Some(Reply::Adapter(reply)) if reply.loaded => {
+                dispatch.note_adapter(upstream, &ask.model, &ask.adapter);
+                Ok(())
+            }
+            _ => Err(format!("adapter `{}` couldn't be loaded there", ask.adapter)),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        mut slot: Slot,
+        progress: &mut Progress,
+        reserved: &mut Reservation,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> Attempt {
+        if let Err(cause) = self.ensure_adapter(&slot.upstream).await {
+            slot.finish(false, 0);
+            return Attempt::Broken { outcome: Outcome::NotRun, cause };
+        }
+        let Some(address) = self.router.address(&slot.upstream) else {
+            slot.finish(false, 0);
+            let cause = "the upstream left the register".to_owned();
+            return Attempt::Broken { outcome: Outcome::NotRun, cause };
+        };
+        if progress.attempts == 1 {
+            reserved.use_tokens(self.prompt_tokens);
+        }
+        let mut coming = self.router.upstreams.generate(address, self.request(progress));
+        loop {
+            match coming.next().await {
+                Some(Ok(Coming::Token(token))) => {
+                    slot.token(clock::now());
+                    progress.tokens += 1;
+                    reserved.use_tokens(1);
+                    let sent = timeout(READ_WITHIN, pieces.send(Piece::Token(token))).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        return Attempt::CallerGone;
+                    }
+                }
+                Some(Ok(Coming::Done { reason, .. })) => {
+                    slot.finish(true, reserved.used());
+                    return Attempt::Done { reason };
+                }
+                Some(Err(e)) => {
+                    slot.finish(false, reserved.used());
+                    let outcome = match e.outcome {
+                        Sent::NotRun => Outcome::NotRun,
+                        Sent::Unknown => Outcome::Unknown,
+                        Sent::Ran => Outcome::Ran,
+                    };
+                    return Attempt::Broken { outcome, cause: e.kind.to_string() };
+                }
+                None => {
+                    slot.finish(false, reserved.used());
+                    let cause = "the upstream's answer ended early".to_owned();
+                    return Attempt::Broken { outcome: Outcome::Unknown, cause };
+                }
+            }
+        }
+    }
+
+    fn request(&self, progress: &Progress) -> Request {
+        let settings = &self.router.settings;
+        Request {
+            id: self.id.clone(),
+            model: self.model.clone(),
+            adapter: self.adapter.clone(),
+            prompt: self.wish.prompt.clone(),
+            max_tokens: self.wish.max_tokens,
+            resume_from: progress.tokens,
+            sampling: self.wish.sampling.clone(),
+            first_timeout: Duration::from_millis(settings.first_ms),
+            next_timeout: Duration::from_millis(settings.next_ms),
+            ..Request::default()
+        }
+    }
+}
+
+/// A refusal that came after an upstream had already worked on the request.
+fn after(refusal: Refusal, progress: &Progress) -> Refusal {
+    match progress.tokens {
+        0 if progress.attempts == 0 => refusal,
+        0 => refusal.with_outcome(Outcome::Unknown),
+        _ => refusal.with_outcome(Outcome::Ran),
+    }
+}
+
+fn gone() -> Refusal {
+    cut_refusal(Cut::CallerGone)
+}
+
+fn cut_refusal(cut: Cut) -> Refusal {
+    // A cut request may have begun at an upstream, so nothing is said of it that might be wrong.
+    let refusal = match cut {
+        Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
+        Cut::CallerGone | Cut::No => Refusal::not_run(Code::UpstreamFailed, "the caller went away"),
+        Cut::Stale => Refusal::not_run(Code::Unavailable, "the router lost touch with the platform"),
+    };
+    refusal.with_outcome(Outcome::Unknown)
+}
