--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -32,7 +32,7 @@
     Listen(#[from] io::Error),
     /// The HTTP server didn't start.
     #[error(transparent)]
-    Http(#[from] http::Error),
+    Http(#[from] corianderyoke_http::Error),
 }
 
 /// Result of this module.
@@ -75,7 +75,7 @@
 pub struct Running {
     address: SocketAddr,
     engine: Arc<Engine>,
-    server: http::Server,
+    server: corianderyoke_http::Running,
     sampler: tokio::task::JoinHandle<()>,
 }
 
@@ -84,10 +84,11 @@
     let (closed, ended) = mpsc::unbounded_channel();
     let listen = settings.listen;
     let engine = Arc::new(Engine::new(settings));
-    let server = http::start(routes::rocket(Arc::clone(&engine))).await?;
+    let server =
+        corianderyoke_http::launch(routes::rocket(Arc::clone(&engine)), http::local()).await?;
     let relay = tcp::Settings {
         listen,
-        target: server.address(),
+        target: server.address,
         closed: Some(closed),
         ..tcp::Settings::default()
     };
@@ -147,7 +148,7 @@
     /// Stops listening and closes every connection.
     pub fn stop(&self) {
         self.engine.die();
-        self.server.stop();
+        self.server.notify();
     }
 
     /// Waits until it listens no more and every connection is closed, after its end.
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -45,7 +45,7 @@
     Listen(#[from] io::Error),
     /// The HTTP server didn't start.
     #[error(transparent)]
-    Http(#[from] http::Error),
+    Http(#[from] corianderyoke_http::Error),
 }
 
 /// Result of this module.
@@ -153,7 +153,7 @@
 pub struct Running {
     address: SocketAddr,
     service: Arc<Service>,
-    server: http::Server,
+    server: corianderyoke_http::Running,
 }
 
 /// Starts a service.
@@ -170,8 +170,8 @@
         .attach(http::echo())
         .mount("/", rocket::routes![set_fault, report_ledger])
         .mount("/", Effect::routes(&service));
-    let server = http::start(rocket).await?;
-    let target = server.address();
+    let server = corianderyoke_http::launch(rocket, http::local()).await?;
+    let target = server.address;
     let relay = tcp::Relay::start(tcp::Settings { listen, target, ..Default::default() }).await?;
     let address = relay.address();
     let _ = service.relay.set(relay);
@@ -199,7 +199,7 @@
         if let Some(relay) = self.service.relay.get() {
             relay.stop();
         }
-        self.server.stop();
+        self.server.notify();
     }
 
     /// Waits until it listens no more and every connection is closed, after [`Running::stop`].
