--- a/crates/standin/src/engine/weights.rs
+++ b/crates/standin/src/engine/weights.rs
@@ -1,15 +1,20 @@
-//! The weight store, which engines of one process share through a handle.
+//! The weight store, which engines share: within one process through a handle, or over HTTP.
 //!
 //! It carries out what it is asked to, but slower above its limits, and records each time that it
-//! was asked for more than it allows.
+//! was asked for more than it allows. [`WeightStore::serve`] offers a store to engines of other
+//! processes, which reach it with [`WeightStore::at`].
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderyoke_http::Running;
 use parking_lot::Mutex;
+use rocket::serde::json::Json;
 use rocket::tokio::time::sleep;
 use rocket::tokio::time::Instant;
+use rocket::State;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,6 +22,9 @@
 /// paced to the rate exactly aren't counted as too fast when one begins a little late.
 const RATE_SPAN: Duration = Duration::from_millis(900);
 
+/// Pause before a store that didn't answer is asked again.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
+
 /// Limits and times of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -66,12 +74,21 @@
 /// Handle of a store.
 #[derive(Clone, Debug)]
 pub struct WeightStore {
-    settings: Settings,
-    table: Arc<Mutex<Table>>,
+    source: Source,
+}
+
+/// Where a store is.
+#[derive(Clone, Debug)]
+enum Source {
+    /// In this process.
+    Local(Arc<Mutex<Table>>),
+    /// Behind an address.
+    Remote(SocketAddr, reqwest::Client),
 }
 
 #[derive(Debug)]
 struct Table {
+    settings: Settings,
     usage: Usage,
     begun: VecDeque<Instant>,
     loads: usize,
@@ -101,54 +118,120 @@
     /// A store with these limits.
     pub fn new(settings: Settings) -> Self {
         let table = Table {
+            settings,
             usage: Usage::default(),
             begun: VecDeque::new(),
             loads: 0,
             adapters: 0,
             slowdown: 1,
         };
-        WeightStore { settings, table: Arc::new(Mutex::new(table)) }
+        WeightStore { source: Source::Local(Arc::new(Mutex::new(table))) }
+    }
+
+    /// The store that another process serves at `address`.
+    pub fn at(address: SocketAddr) -> Self {
+        WeightStore { source: Source::Remote(address, reqwest::Client::new()) }
     }
 
-    /// Makes every load that begins from now on take `factor` times as long.
+    /// Serves this store to engines of other processes.
+    pub async fn serve(&self, listen: SocketAddr) -> corianderyoke_http::Result<Running> {
+        let rocket = rocket::custom(corianderyoke_http::config(listen))
+            .manage(self.clone())
+            .mount("/", rocket::routes![serve_load, serve_adapter, serve_fault, serve_usage]);
+        corianderyoke_http::launch(rocket, listen).await
+    }
+
+    /// Makes every load that begins from now on take `factor` times as long; only for a store of
+    /// this process.
     pub fn slow_down(&self, factor: u32) {
-        self.table.lock().slowdown = factor.max(1);
+        if let Source::Local(table) = &self.source {
+            table.lock().slowdown = factor.max(1);
+        }
     }
 
     /// Reads a model's checkpoint; returns when it is read.
     pub async fn load(&self) {
-        let (flight, span) = self.begin(Kind::Load);
-        sleep(span).await;
-        drop(flight);
+        self.read(Kind::Load).await;
     }
 
     /// Reads an adapter; returns when it is read.
     pub async fn load_adapter(&self) {
-        let (flight, span) = self.begin(Kind::Adapter);
-        sleep(span).await;
-        drop(flight);
+        self.read(Kind::Adapter).await;
     }
 
-    /// What the store saw so far.
+    /// What the store saw so far; nothing where it is of another process.
     pub fn usage(&self) -> Usage {
-        self.table.lock().usage
+        match &self.source {
+            Source::Local(table) => table.lock().usage,
+            Source::Remote(..) => Usage::default(),
+        }
     }
 
-    fn begin(&self, kind: Kind) -> (Flight, Duration) {
-        let mut table = self.table.lock();
-        let crowd = match kind {
-            Kind::Load => table.begin_load(&self.settings),
-            Kind::Adapter => table.begin_adapter(&self.settings),
-        };
-        let span = match kind {
-            Kind::Load => self.settings.load_time,
-            Kind::Adapter => self.settings.adapter_time,
-        };
-        let flight = Flight { table: Arc::clone(&self.table), kind };
-        (flight, span.mul_f64(crowd.max(1.0)) * table.slowdown)
+    async fn read(&self, kind: Kind) {
+        match &self.source {
+            Source::Local(table) => {
+                let (flight, span) = begin(table, kind);
+                sleep(span).await;
+                drop(flight);
+            }
+            Source::Remote(address, client) => fetch(*address, client, kind).await,
+        }
     }
 }
 
+/// Begins a load and returns how long it takes.
+fn begin(table: &Arc<Mutex<Table>>, kind: Kind) -> (Flight, Duration) {
+    let mut locked = table.lock();
+    let settings = locked.settings;
+    let (crowd, span) = match kind {
+        Kind::Load => (locked.begin_load(&settings), settings.load_time),
+        Kind::Adapter => (locked.begin_adapter(&settings), settings.adapter_time),
+    };
+    let flight = Flight { table: Arc::clone(table), kind };
+    (flight, span.mul_f64(crowd.max(1.0)) * locked.slowdown)
+}
+
+/// Reads from a store behind an address, again and again until it answers.
+async fn fetch(address: SocketAddr, client: &reqwest::Client, kind: Kind) {
+    let path = match kind {
+        Kind::Load => "loads",
+        Kind::Adapter => "adapters",
+    };
+    loop {
+        let answer = client.post(format!("http://{address}/{path}")).send().await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return;
+        }
+        sleep(FETCH_PAUSE).await;
+    }
+}
+
+#[rocket::post("/loads")]
+async fn serve_load(store: &State<WeightStore>) {
+    store.load().await;
+}
+
+#[rocket::post("/adapters")]
+async fn serve_adapter(store: &State<WeightStore>) {
+    store.load_adapter().await;
+}
+
+/// Body of `POST /faults`.
+#[derive(Deserialize)]
+struct Slowdown {
+    factor: u32,
+}
+
+#[rocket::post("/faults", data = "<fault>")]
+fn serve_fault(store: &State<WeightStore>, fault: Json<Slowdown>) {
+    store.slow_down(fault.factor);
+}
+
+#[rocket::get("/ledger")]
+fn serve_usage(store: &State<WeightStore>) -> Json<Usage> {
+    Json(store.usage())
+}
+
 impl Table {
     /// Counts a load and returns how many times over the limit the store now is.
     fn begin_load(&mut self, settings: &Settings) -> f64 {
--- a/crates/upstream/tests/generate.rs
+++ b/crates/upstream/tests/generate.rs
@@ -286,3 +286,22 @@
     while let Some(Ok(_)) = events.next().await {}
     assert!(engine.ledger().requests[0].cancelled);
 }
+
+#[tokio::test]
+async fn dropped_stream_cancels_and_silent_connections_are_replaced() {
+    let engine = engine().await;
+    let settings = Settings { control_timeout: SHORT, ..Settings::default() };
+    let client = Arc::new(Client::new(settings).expect("client"));
+    let address = engine.address();
+    let mut events = client.generate(address, request("r1", 100_000));
+    assert!(matches!(events.next().await, Some(Ok(Event::Token(_)))));
+    drop(events);
+    while !engine.ledger().requests[0].cancelled {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    client.state(address).await.expect("state");
+    engine.fault(&Fault::Silent);
+    let error = client.state(address).await.expect_err("silent");
+    assert_eq!((error.kind, error.outcome), (Kind::Timeout(Wait::First), Outcome::Unknown));
+    client.state(address).await.expect("state on a new connection");
+}
