--- a/crates/coord/src/placement/choice.rs
+++ b/crates/coord/src/placement/choice.rs
@@ -144,7 +144,8 @@
 
     fn evictable(&self, pair: Pair, intent: &Intent) -> bool {
         let idle = intent.phase == Phase::Decided && intent.standing == Standing::Loaded;
-        idle && !self.busy(pair.0) && self.freeable(pair, intent)
+        let needed = self.busy(pair.0) && !self.spare(pair.0);
+        idle && !needed && self.freeable(pair, intent)
     }
 
     /// Cold start to be expected from unloading a replica: the longer a model hasn't been used,
--- a/crates/coord/src/placement/demand.rs
+++ b/crates/coord/src/placement/demand.rs
@@ -28,6 +28,8 @@
     pub since: Option<Tick>,
     /// When it was last waited for or running.
     pub used: Option<Tick>,
+    /// Since when its requests would fit on one replica fewer.
+    pub slack: Option<Tick>,
     /// Gaps between its uses.
     pub gaps: Gaps,
 }
--- a/crates/coord/src/placement/queries.rs
+++ b/crates/coord/src/placement/queries.rs
@@ -150,6 +150,18 @@
         self.demand.get(&model).is_some_and(|demand| demand.busy())
     }
 
+    /// Whether a model's requests fit on one replica fewer than are loaded.
+    pub(super) fn spare(&self, model: ModelKey) -> bool {
+        let loaded = self.ledger.of(model).filter(|(up, intent)| {
+            let ready = intent.phase == Phase::Decided && intent.standing == Standing::Loaded;
+            ready && self.usable(*up)
+        });
+        let loaded = loaded.count() as u32;
+        let requests =
+            self.demand.get(&model).map_or(0, |demand| demand.waiting() + demand.running());
+        loaded > 1 && requests <= self.settings.slots * (loaded - 1)
+    }
+
     /// Whether no other controller's load order for the intent can still have an effect.
     pub(super) fn others_ended(&self, intent: &Intent) -> bool {
         let mut others = intent.senders.iter().filter(|sender| **sender != self.me);
--- a/crates/coord/src/placement/steps.rs
+++ b/crates/coord/src/placement/steps.rs
@@ -203,6 +203,7 @@
         let used = demand.used?;
         let retry = now + Duration::from_secs(1);
         if demand.busy() {
+            self.drop_spare(now, model, change);
             return Some(retry);
         }
         let window = self.keep_window(model)?;
@@ -224,6 +225,26 @@
         rest.then_some(retry)
     }
 
+    /// Unloads one replica that a busy model hasn't needed for some time.
+    fn drop_spare(&mut self, now: Tick, model: ModelKey, change: &mut Change) {
+        let spare = self.spare(model);
+        let keep = self.settings.extra_keep;
+        let demand = self.demand.entry(model).or_default();
+        let since = *demand.slack.get_or_insert(now);
+        if !spare {
+            demand.slack = None;
+        } else if now.since(since) >= keep {
+            demand.slack = Some(now);
+            let loaded = self.ledger.of(model);
+            let mut loaded = loaded.filter(|(_, intent)| {
+                intent.standing == Standing::Loaded && intent.phase == Phase::Decided
+            });
+            if let Some((upstream, _)) = loaded.next() {
+                self.unload((model, upstream), "one replica more than needed", change);
+            }
+        }
+    }
+
     /// How long `model` is kept idle, or `None` for as long as memory allows.
     fn keep_window(&self, model: ModelKey) -> Option<Duration> {
         let facts = self.models.get(&model);
@@ -331,8 +352,13 @@
             let moving = self.ledger.of(model).any(|(_, intent)| intent.phase == Phase::Decided);
             return waiting > 0 || moving;
         }
-        // Another replica is worth its load when the work that waits outlasts it.
-        let work = self.settings.service * waiting / (self.settings.slots * replicas).max(1);
+        // Another replica is worth its load when the work that finds no slot outlasts it.
+        let slots = (self.settings.slots * replicas).max(1);
+        let running = self.demand.get(&model).map_or(0, |demand| demand.running());
+        let work = self.settings.service * (waiting + running).saturating_sub(slots) / slots;
+        if work.is_zero() {
+            return false;
+        }
         let ready = self.choose(now, model).map(|choice| choice.ready);
         ready.is_some_and(|ready| work > ready)
     }
@@ -391,6 +417,14 @@
         if self.claims.contains_key(&pair.0) || self.claims.len() >= self.settings.store_inflight {
             return;
         }
+        // What is spare counts the table only, so one spare replica of a model goes at a time.
+        let twice = choice.victims.iter().any(|victim| {
+            let name = self.names.name(*victim);
+            self.busy(*victim) && change.puts.iter().any(|row| row.model == name)
+        });
+        if twice {
+            return;
+        }
         for victim in &choice.victims {
             let why = format!("makes room for {}", self.names.name(pair.0));
             self.unload((*victim, pair.1), &why, change);
--- /dev/null
+++ b/crates/coord/tests/placement/decisions.rs
@@ -0,0 +1,60 @@
+//! The parts of a decision.
+
+use std::time::Duration;
+
+use corianderyoke_coord::keys::AdapterKey;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::placement::adapters::Adapters;
+use corianderyoke_coord::placement::gaps::Gaps;
+use corianderyoke_coord::placement::gaps::KeepRule;
+use corianderyoke_coord::placement::row::TableView;
+use corianderyoke_coord::time::Tick;
+
+fn minutes(count: u64) -> Duration {
+    Duration::from_secs(60 * count)
+}
+
+#[test]
+fn the_window_covers_regular_gaps_and_gives_up_on_long_ones() {
+    let cold = Duration::from_secs(10);
+    let mut regular = Gaps::default();
+    let mut rare = Gaps::default();
+    for _ in 0..20 {
+        regular.record(minutes(1));
+        rare.record(minutes(300));
+    }
+    let window = regular.window(cold, 0.5, 20.0);
+    assert!(window >= minutes(1) && window < minutes(2), "{window:?}");
+    assert_eq!(rare.window(cold, 0.5, 20.0), Duration::ZERO);
+}
+
+#[test]
+fn few_gaps_fall_back_to_a_fixed_window() {
+    let rule = KeepRule::Histogram { worth: 20.0, needed: 5, fallback: minutes(10) };
+    let mut gaps = Gaps::default();
+    gaps.record(minutes(1));
+    assert_eq!(rule.window(&gaps, Duration::from_secs(10), 0.5), Some(minutes(10)));
+    assert_eq!(KeepRule::Always.window(&gaps, Duration::from_secs(10), 0.5), None);
+}
+
+#[test]
+fn adapters_stay_within_their_permits() {
+    let mut adapters = Adapters::new(32, Tick(1_000));
+    for adapter in 0..40 {
+        adapters.want((AdapterKey(adapter), UpstreamKey(0)));
+        adapters.want((AdapterKey(adapter), UpstreamKey(0)));
+    }
+    assert_eq!(adapters.start(Tick(999)), None);
+    let started: Vec<_> = std::iter::from_fn(|| adapters.start(Tick(1_000))).collect();
+    assert_eq!(started.len(), 32);
+    adapters.finish(started[0]);
+    assert!(adapters.start(Tick(1_001)).is_some());
+    assert_eq!(adapters.start(Tick(1_001)), None);
+}
+
+#[test]
+fn a_broken_row_is_named() {
+    let rows = [("m@e", "{}", 3u64)];
+    let error = TableView::parse(rows.into_iter()).expect_err("fields are missing");
+    insta::assert_snapshot!(error, @"row m@e of table intents can't be read, repair or delete it: missing field `model` at line 1 column 2");
+}
