--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -41,7 +41,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            address: "127.0.0.1:7800".to_owned(),
+            address: "127.0.0.1:7400".to_owned(),
             timeout: Duration::from_secs(2),
             connect_timeout: Duration::from_secs(1),
         }
--- a/src/agent/config.rs
+++ b/src/agent/config.rs
@@ -165,7 +165,7 @@
             return;
         };
         let revision = Revision(told.revision);
-        self.state.lock().take(Snapshot { revision, head: None, entries });
+        self.state.lock().take(Snapshot { revision, entries, ..Snapshot::default() });
     }
 
     /// What a peer that starts during an outage takes over.
--- a/tests/testsuite/samples.rs
+++ b/tests/testsuite/samples.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use corianderyoke::router::settings::Settings as RouterSettings;
+use corianderyoke::util::settings;
 use corianderyoke_coord::register::document::Document;
 use corianderyoke_coord::register::Register;
 use corianderyoke_coord::register::Revision;
@@ -18,8 +20,12 @@
     teams: usize,
 }
 
+fn dir(deployment: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("samples").join(deployment)
+}
+
 fn register(deployment: &str) -> Register {
-    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("samples").join(deployment);
+    let dir = dir(deployment);
     let mut document = Document::default();
     for file in ["register.toml", "rules.toml"] {
         let text = std::fs::read_to_string(dir.join(file)).unwrap();
@@ -71,3 +77,13 @@
         assert_eq!(largest, Some(used), "{deployment}");
     }
 }
+
+#[test]
+fn settings_are_right_and_name_zones_of_their_register() {
+    for deployment in ["kumlama", "speglagler"] {
+        let register = register(deployment);
+        let file = dir(deployment).join("router.toml");
+        let settings: RouterSettings = settings::load(&file).unwrap();
+        assert!(register.zones.contains_key(&settings.zone), "{deployment}");
+    }
+}
