Place models by a controller and serve the whole path

A request goes from a caller through a router to an engine that a controller had load the model, under configuration in the platform's tables; the demo and a test of the real binaries show it.

--- a/crates/support/src/builder.rs
+++ b/crates/support/src/builder.rs
@@ -77,7 +77,7 @@
 
     /// Settings of an engine.
     pub(crate) fn engine(&self, number: usize) -> String {
-        let fencing = self.fencing || number % 2 == 0;
+        let fencing = self.fencing || number.is_multiple_of(2);
         let mut text = format!("memory_bytes = {ENGINE_BYTES}\nfencing = {fencing}\n");
         text.push_str(&self.engine_lines);
         text.push_str("[checkpoints]\n");
@@ -127,7 +127,7 @@
         let zone = self.zone(number);
         let _ = writeln!(text, "[upstreams.{name}]\nzone = \"{zone}\"\naddress = \"{address}\"");
         if name.starts_with("engine-") {
-            let fencing = self.fencing || number % 2 == 0;
+            let fencing = self.fencing || number.is_multiple_of(2);
             let _ = writeln!(text, "memory_bytes = {ENGINE_BYTES}\nfencing = {fencing}");
         } else {
             let _ = writeln!(text, "kind = \"service\"");
--- a/src/agent/config.rs
+++ b/src/agent/config.rs
@@ -20,6 +20,8 @@
 use corianderyoke_coord::register::Register;
 use corianderyoke_coord::register::Revision;
 use corianderyoke_coord::time::Tick;
+use corianderyoke_history::Event as Recorded;
+use corianderyoke_history::Recorder;
 use corianderyoke_platform::Platform;
 use corianderyoke_wire::peer;
 use indexmap::IndexMap;
@@ -48,6 +50,7 @@
 
 #[derive(Default)]
 struct State {
+    history: Recorder,
     reader: ConfigReader,
     register: Option<Arc<Register>>,
     confirmed: Option<Tick>,
@@ -65,6 +68,11 @@
 }
 
 impl Config {
+    /// No configuration yet; revisions that come into force are recorded in `history`.
+    pub fn new(history: Recorder) -> Self {
+        Config { state: Mutex::new(State { history, ..State::default() }) }
+    }
+
     /// The register in force.
     pub fn register(&self) -> Option<Arc<Register>> {
         self.state.lock().register.clone()
@@ -192,6 +200,7 @@
             self.confirmed = None;
             self.outage = None;
             events::log(Event::RevisionInForce, format_args!("revision={revision}"));
+            self.history.record(|| Recorded::RevisionInForce { revision: revision.0 });
         }
     }
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -28,6 +28,7 @@
 use corianderyoke_coord::membership::RowState;
 use corianderyoke_coord::membership::View;
 use corianderyoke_coord::register::Register;
+use corianderyoke_history::Recorder;
 use corianderyoke_platform::Platform;
 use corianderyoke_wire::peer;
 use corianderyoke_wire::peer::request::Body as Call;
@@ -117,16 +118,16 @@
     /// # Errors
     ///
     /// The peers' address can't be used.
-    pub fn bind(mut settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Agent>> {
+    pub fn bind(settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Agent>> {
         let row = Agent::row(&settings, &Fingerprint([0; 32]));
         let machine = Machine::new(settings.membership, &settings.name, row, clock::now());
-        let asked = settings.peers;
-        settings.peers = asked;
+        let address = settings.peers;
+        let history = settings.history.clone();
         let agent = Arc::new(Agent {
             settings,
             platform,
             machine: Mutex::new(machine),
-            config: Config::default(),
+            config: Config::new(history),
             trust: Trust::default(),
             transport: RwLock::new(None),
             service: OnceLock::new(),
@@ -134,7 +135,7 @@
             ended: Notify::new(),
             fetch: Notify::new(),
         });
-        agent.listen(asked)?;
+        agent.listen(address)?;
         Ok(agent)
     }
 
@@ -171,6 +172,23 @@
         }
     }
 
+    /// Name of the cell.
+    pub fn cell(&self) -> &str {
+        &self.settings.cell
+    }
+
+    /// The incarnation that the member table has under a name.
+    pub fn incarnation_of(&self, name: &str) -> Option<u64> {
+        let machine = self.machine.lock();
+        let mut rows = machine.rows();
+        rows.find(|(found, _)| *found == name).map(|(_, stored)| stored.row.incarnation)
+    }
+
+    /// Where events of the run are recorded.
+    pub fn history(&self) -> &Recorder {
+        &self.settings.history
+    }
+
     /// This process's member identity.
     pub fn id(&self) -> MemberId {
         self.machine.lock().id().clone()
--- a/src/agent/settings.rs
+++ b/src/agent/settings.rs
@@ -6,6 +6,7 @@
 
 use corianderyoke_coord::membership;
 use corianderyoke_coord::membership::Role;
+use corianderyoke_history::Recorder;
 
 /// Settings of an agent.
 #[derive(Clone, Debug)]
@@ -26,6 +27,8 @@
     pub cell: String,
     /// Spans of the membership.
     pub membership: membership::Settings,
+    /// Where events of the run are recorded.
+    pub history: Recorder,
     /// Time between two looks at the head of the configuration.
     pub poll_every: Duration,
 }
@@ -41,6 +44,7 @@
             operators: String::new(),
             cell: "cell-1".to_owned(),
             membership: membership::Settings::default(),
+            history: Recorder::off(),
             poll_every: Duration::from_secs(1),
         }
     }
--- /dev/null
+++ b/src/bin/corianderyoke-bench/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands, one a file, each with `Cli` and `exec`.
+
+pub mod check;
+pub mod demo;
--- a/src/bin/corianderyoke-bench/main.rs
+++ b/src/bin/corianderyoke-bench/main.rs
@@ -1,2 +1,34 @@
-//! placeholder
-fn main() {}
+//! Demo, load, experiments and history checks.
+
+#![forbid(unsafe_code)]
+
+mod commands;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use clap::Subcommand;
+
+/// Demo, load, experiments and history checks on loopback
+#[derive(Parser)]
+#[command(name = "corianderyoke-bench", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Bring up a small cell in one process, serve one request of each kind and print a table
+    Demo(commands::demo::Cli),
+    /// Check a history against the properties that must always hold
+    Check(commands::check::Cli),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Demo(cli) => commands::demo::exec(cli).await,
+        Command::Check(cli) => commands::check::exec(&cli),
+    }
+}
--- a/src/bin/corianderyoke-controller/main.rs
+++ b/src/bin/corianderyoke-controller/main.rs
@@ -1,2 +1,40 @@
-//! placeholder
-fn main() {}
+//! The controller: has models loaded and unloaded.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use corianderyoke::controller::settings::Settings;
+use corianderyoke::ops::controller;
+use corianderyoke::util::events;
+use corianderyoke::util::lifecycle::told_to_stop;
+use corianderyoke::util::start;
+
+/// Places models: decides which upstream holds which, and orders it
+///
+/// Prints `listening operators=IP:PORT` once it listens. SIGTERM makes it leave.
+#[derive(Parser)]
+#[command(name = "corianderyoke-controller", version)]
+struct Cli {
+    #[command(flatten)]
+    options: start::Options,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match start::settings(&Cli::parse().options) {
+        Ok(Some(settings)) => start::ended(run(settings).await),
+        Ok(None) => ExitCode::SUCCESS,
+        Err(exit) => exit.into(),
+    }
+}
+
+async fn run(settings: Settings) -> anyhow::Result<()> {
+    events::init(settings.log.parse().unwrap_or(log::LevelFilter::Info));
+    let running = controller::start(settings).await?;
+    println!("listening operators={}", running.operators);
+    told_to_stop().await?;
+    running.leave().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/controller/facts.rs
@@ -0,0 +1,69 @@
+//! What the planner has to know of the register, and where checkpoints lie.
+
+use std::time::Duration;
+
+use corianderyoke_coord::placement::Facts;
+use corianderyoke_coord::placement::Model;
+use corianderyoke_coord::placement::Tier;
+use corianderyoke_coord::placement::Upstream;
+use corianderyoke_coord::register::Register;
+use corianderyoke_coord::register::UpstreamKind;
+use indexmap::IndexMap;
+
+use crate::agent::Agent;
+
+/// Adapters for which room is set aside beside each replica.
+const ADAPTERS_BESIDE: u64 = 8;
+
+/// The facts of a register, with what the platform's list says of the upstreams.
+pub fn facts(register: &Register, agent: &Agent) -> Facts {
+    let engines = register.upstreams.iter().filter(|(_, u)| u.kind == UpstreamKind::Engine);
+    let upstreams = engines.map(|(name, upstream)| Upstream {
+        name: name.clone(),
+        zone: upstream.zone.clone(),
+        memory: upstream.memory_bytes,
+        fenced: upstream.fencing,
+        drained: register.is_drained(&upstream.zone),
+        leaving: agent.is_leaving(name),
+    });
+    let models = register.models.iter().map(|(name, model)| Model {
+        name: name.clone(),
+        bytes: model.bytes,
+        adapter_bytes: adapter_bytes(register, name),
+        from_memory: Duration::from_millis(model.start_ms.memory),
+        from_disk: Duration::from_millis(model.start_ms.disk),
+        from_remote: Duration::from_millis(model.start_ms.remote),
+    });
+    Facts { upstreams: upstreams.collect(), models: models.collect() }
+}
+
+/// Bytes set aside beside each replica of `model`: its largest adapters, a few of them.
+fn adapter_bytes(register: &Register, model: &str) -> u64 {
+    let mut sizes: Vec<u64> = register
+        .adapters
+        .values()
+        .filter(|adapter| adapter.model == model)
+        .map(|adapter| adapter.bytes)
+        .collect();
+    sizes.sort_unstable_by(|a, b| b.cmp(a));
+    sizes.into_iter().take(ADAPTERS_BESIDE as usize).sum()
+}
+
+/// The fastest tier of each model's checkpoint over all upstreams, as last seen.
+#[derive(Clone, Debug, Default)]
+pub struct Tiers {
+    best: IndexMap<String, Tier>,
+}
+
+impl Tiers {
+    /// Notes that an upstream has a checkpoint in `tier`.
+    pub fn note(&mut self, model: &str, tier: Tier) {
+        let best = self.best.entry(model.to_owned()).or_insert(tier);
+        *best = (*best).min(tier);
+    }
+
+    /// The fastest tier of a model's checkpoint.
+    pub fn best(&self, model: &str) -> Tier {
+        self.best.get(model).copied().unwrap_or(Tier::Remote)
+    }
+}
--- /dev/null
+++ b/src/controller/settings.rs
@@ -0,0 +1,42 @@
+//! Settings of a controller.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of a controller, as its settings file has them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Instance name, unique among the instances.
+    pub name: String,
+    /// Availability zone of the instance.
+    pub zone: String,
+    /// Address of the platform's services.
+    pub platform: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// UDP address for the other members.
+    pub peers: SocketAddr,
+    /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
+    pub log: String,
+    /// File to which events of the run are appended; empty for none.
+    pub history: String,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Settings {
+            name: "controller-1".to_owned(),
+            zone: String::new(),
+            platform: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
+            operators: any,
+            peers: any,
+            log: "info".to_owned(),
+            history: String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/table.rs
@@ -0,0 +1,114 @@
+//! Reads and writes table `intents`, with the decisions' audit rows.
+
+use corianderyoke_coord::membership::View;
+use corianderyoke_coord::placement::row::SEQUENCE_KEY;
+use corianderyoke_coord::placement::Change;
+use corianderyoke_coord::placement::Outcome;
+use corianderyoke_coord::placement::Sequence;
+use corianderyoke_coord::placement::TableView;
+use corianderyoke_platform::Commit;
+use corianderyoke_platform::Condition;
+use corianderyoke_platform::Error;
+use corianderyoke_platform::Platform;
+use corianderyoke_platform::Row;
+use corianderyoke_platform::Transaction;
+use corianderyoke_platform::Write;
+use serde::Serialize;
+
+use crate::agent::store::VIEW;
+use crate::ops::config::DECISIONS_TABLE;
+use crate::util::events;
+use crate::util::events::Event;
+use crate::util::utc;
+
+/// Table of intents.
+const INTENTS: &str = "intents";
+/// Digits of a fencing token in a decision's key, so that keys sort as numbers.
+const FENCE_DIGITS: usize = 20;
+
+/// The audit row of a decision.
+#[derive(Serialize)]
+struct Decision<'a> {
+    controller: &'a str,
+    time: u64,
+    fence: u64,
+    grounds: &'a [String],
+    puts: Vec<String>,
+    deletes: Vec<String>,
+}
+
+/// Reads the whole table; `None` where the store didn't answer or a row can't be read.
+pub async fn scan(platform: &dyn Platform) -> Option<TableView> {
+    let rows = platform.scan(INTENTS, "", "").await.ok()?;
+    let parts = rows.iter().map(|row: &Row| (row.key.as_str(), row.value.as_str(), row.version));
+    match TableView::parse(parts) {
+        Ok(view) => Some(view),
+        Err(e) => {
+            events::log(Event::PlatformFailed, format_args!("reading=intents cause={e}"));
+            None
+        }
+    }
+}
+
+/// Commits a change, on condition that the view row and the sequence row stand as expected.
+pub async fn commit(
+    platform: &dyn Platform,
+    cell: &str,
+    view: &View,
+    me: &str,
+    change: &Change,
+) -> Outcome {
+    let conditions = vec![
+        Condition::Version { table: VIEW.to_owned(), key: cell.to_owned(), version: view.version },
+        sequence_condition(change.expected),
+    ];
+    let transaction = Transaction { conditions, writes: writes(me, change) };
+    match platform.transact(&transaction).await {
+        Ok(Commit::Done { version }) => {
+            for grounds in &change.grounds {
+                events::log(Event::Decided, format_args!("fence={} {grounds}", change.fence));
+            }
+            Outcome::Done(version)
+        }
+        Ok(Commit::Refused { .. }) => Outcome::Refused,
+        Err(Error::Unknown(_)) => Outcome::Unknown,
+        Err(Error::Unavailable(_) | Error::Invalid(_)) => Outcome::Unsent,
+    }
+}
+
+fn sequence_condition(expected: Option<u64>) -> Condition {
+    let (table, key) = (INTENTS.to_owned(), SEQUENCE_KEY.to_owned());
+    match expected {
+        Some(version) => Condition::Version { table, key, version },
+        None => Condition::Absent { table, key },
+    }
+}
+
+fn writes(me: &str, change: &Change) -> Vec<Write> {
+    let sequence = Sequence { fence: change.fence, controller: me.to_owned() };
+    let mut writes = vec![put(INTENTS, SEQUENCE_KEY.to_owned(), &sequence)];
+    writes.extend(change.puts.iter().map(|row| put(INTENTS, row.key().to_string(), row)));
+    writes.extend(
+        change
+            .deletes
+            .iter()
+            .map(|key| Write::Delete { table: INTENTS.to_owned(), key: key.to_string() }),
+    );
+    let decision = Decision {
+        controller: me,
+        time: utc::now(),
+        fence: change.fence,
+        grounds: &change.grounds,
+        puts: change.puts.iter().map(|row| format!("{} {:?}", row.key(), row.phase)).collect(),
+        deletes: change.deletes.iter().map(ToString::to_string).collect(),
+    };
+    let fence = change.fence;
+    writes.push(put(DECISIONS_TABLE, format!("{fence:0FENCE_DIGITS$}"), &decision));
+    writes
+}
+
+fn put(table: &str, key: String, value: &impl Serialize) -> Write {
+    // Rows hold strings, numbers and lists only, which JSON can hold.
+    let value = serde_json::to_string(value).unwrap_or_default();
+    Write::Put { table: table.to_owned(), key, value }
+}
--- /dev/null
+++ b/src/ops/bench/cell.rs
@@ -0,0 +1,232 @@
+//! A whole cell in one process, on loopback: stand-ins, routers and controllers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::bail;
+use anyhow::Context;
+use anyhow::Result;
+use corianderyoke_coord::register::document::Document;
+use corianderyoke_platform::http::HttpPlatform;
+use corianderyoke_platform::Platform;
+use corianderyoke_standin::engine;
+use corianderyoke_standin::platform;
+use corianderyoke_standin::service;
+use indexmap::IndexMap;
+use tokio::time::sleep;
+use tokio::time::Instant;
+
+use crate::controller::settings::Settings as ControllerSettings;
+use crate::ops::config::commands;
+use crate::ops::config::Author;
+use crate::ops::controller;
+use crate::ops::router;
+use crate::router::settings::Settings as RouterSettings;
+
+/// Longest time until all routers serve.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+/// Time between two looks at whether they do.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Zones of the instances, in turn.
+const ZONES: [&str; 4] = ["z1", "z2", "z3", "z4"];
+
+/// What a cell consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Number of routers.
+    pub routers: usize,
+    /// Number of controllers.
+    pub controllers: usize,
+    /// Settings of each engine; they are called `engine-1` and on.
+    pub engines: Vec<engine::Settings>,
+    /// Number of instances of service `orders`; they are called `orders-1` and on.
+    pub services: usize,
+    /// Register and rules without the upstreams and zones, which follow from the rest.
+    pub register: String,
+    /// Slots of a warm engine.
+    pub slots: u32,
+    /// Settings of the routers beside their names and addresses.
+    pub router: RouterSettings,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            routers: 3,
+            controllers: 2,
+            engines: vec![engine::Settings::default(), engine::Settings::default()],
+            services: 1,
+            register: String::new(),
+            slots: 32,
+            router: RouterSettings::default(),
+        }
+    }
+}
+
+/// A running cell.
+pub struct Cell {
+    /// The platform's stand-in.
+    pub platform: platform::Server,
+    /// Client of the platform, as operators have one.
+    pub store: Arc<HttpPlatform>,
+    /// The engines, in order.
+    pub engines: Vec<engine::Running>,
+    /// The service's instances, in order.
+    pub services: Vec<service::Running>,
+    /// The routers, in order.
+    pub routers: Vec<router::Running>,
+    /// The controllers, in order.
+    pub controllers: Vec<controller::Running>,
+}
+
+impl Cell {
+    /// Starts a cell; returns once every router serves.
+    pub async fn start(plan: Plan) -> Result<Cell> {
+        let platform = platform::serve(platform::Settings::default()).await?;
+        let address = platform.running.address;
+        let store = Arc::new(HttpPlatform::new(corianderyoke_platform::http::Settings {
+            address: address.to_string(),
+            ..Default::default()
+        })?);
+        let mut engines = Vec::new();
+        for settings in &plan.engines {
+            engines.push(engine::serve(settings.clone()).await?);
+        }
+        let mut services = Vec::new();
+        for _ in 0..plan.services {
+            services.push(service::serve(service::Settings::default()).await?);
+        }
+        let register = register(&plan, &engines, &services);
+        apply(&*store, &register).await?;
+        let mut cell = Cell {
+            platform,
+            store,
+            engines,
+            services,
+            routers: Vec::new(),
+            controllers: Vec::new(),
+        };
+        for number in 1..=plan.controllers {
+            let settings = ControllerSettings {
+                name: format!("controller-{number}"),
+                zone: zone(number),
+                platform: address,
+                ..ControllerSettings::default()
+            };
+            cell.controllers.push(controller::start(settings).await?);
+        }
+        for number in 1..=plan.routers {
+            let settings = RouterSettings {
+                name: format!("router-{number}"),
+                zone: zone(number),
+                platform: address,
+                ..plan.router.clone()
+            };
+            cell.routers.push(router::start(settings).await?);
+        }
+        cell.ready().await?;
+        Ok(cell)
+    }
+
+    async fn ready(&self) -> Result<()> {
+        let start = Instant::now();
+        while start.elapsed() < READY_WITHIN {
+            let settled = |running: &router::Running| {
+                let members = running.router.agent.view().members.len();
+                running.router.ready() && members == self.routers.len() + self.controllers.len()
+            };
+            if self.routers.iter().all(settled) {
+                return Ok(());
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        bail!("the routers weren't ready in time; see the log")
+    }
+
+    /// Callers' address of router `number`, counted from 0.
+    pub fn callers(&self, number: usize) -> SocketAddr {
+        self.routers[number % self.routers.len()].callers
+    }
+
+    /// Issues a key for a team and returns its secret.
+    pub async fn issue_key(&self, team: &str) -> Result<String> {
+        let issued = commands::issue_key(&*self.store, team, None, &author("issue-key")).await?;
+        self.in_force(issued.revision.0).await?;
+        Ok(issued.secret)
+    }
+
+    /// Waits until every router decides by `revision` or a later one.
+    pub async fn in_force(&self, revision: u64) -> Result<Duration> {
+        let start = Instant::now();
+        while start.elapsed() < READY_WITHIN {
+            let held = |running: &router::Running| {
+                running.router.agent.config().is_some_and(|held| held.revision.0 >= revision)
+            };
+            if self.routers.iter().all(held) {
+                return Ok(start.elapsed());
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        bail!("revision {revision} wasn't in force in time")
+    }
+
+    /// Ends everything, without waiting for anyone.
+    pub async fn stop(self) {
+        for engine in &self.engines {
+            engine.stop();
+        }
+        for service in &self.services {
+            service.stop();
+        }
+        self.platform.running.stop().await;
+    }
+}
+
+/// The author of the bench's own changes.
+pub fn author(action: &str) -> Author {
+    Author { operator: "bench".to_owned(), action: action.to_owned() }
+}
+
+async fn apply(platform: &dyn Platform, register: &str) -> Result<()> {
+    let mut document = Document::default();
+    let mut problems = document.read("the bench's register", register);
+    problems.extend(document.check());
+    if !problems.is_empty() {
+        let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        bail!("the bench's register is wrong:\n{}", lines.join("\n"));
+    }
+    let applied = commands::apply(platform, &document, None, &author("apply")).await;
+    applied.context("failed to apply the bench's register")?;
+    Ok(())
+}
+
+fn zone(number: usize) -> String {
+    ZONES[(number - 1) % ZONES.len()].to_owned()
+}
+
+fn register(plan: &Plan, engines: &[engine::Running], services: &[service::Running]) -> String {
+    let mut text = plan.register.clone();
+    for zone in ZONES {
+        text.push_str(&format!("[zones.{zone}]\n"));
+    }
+    let mut names = IndexMap::new();
+    for (number, engine) in (1..).zip(engines) {
+        let settings = &plan.engines[number - 1];
+        let lines = format!(
+            "memory_bytes = {}\nfencing = {}\nmax_running = {}\n",
+            settings.memory_bytes, settings.fencing, plan.slots
+        );
+        names.insert(format!("engine-{number}"), (engine.address(), zone(number), lines));
+    }
+    for (number, service) in (1..).zip(services) {
+        let lines = "kind = \"service\"\n".to_owned();
+        names.insert(format!("orders-{number}"), (service.address(), zone(number), lines));
+    }
+    for (name, (address, zone, lines)) in names {
+        text.push_str(&format!(
+            "[upstreams.{name}]\nzone = \"{zone}\"\naddress = \"{address}\"\n{lines}"
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/src/ops/bench/mod.rs
@@ -0,0 +1,4 @@
+//! Demo, load, experiments and checks of histories.
+
+pub mod cell;
+pub mod demo;
--- /dev/null
+++ b/src/ops/controller.rs
@@ -0,0 +1,112 @@
+//! Runs a controller: joins the cell, places models while it is their home, and leaves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use corianderyoke_coord::membership::Role;
+use corianderyoke_coord::membership::RowState;
+use corianderyoke_history::Event as Recorded;
+use corianderyoke_http::Running as Server;
+use corianderyoke_platform::http::HttpPlatform;
+use corianderyoke_platform::Platform;
+use prometheus_client::registry::Registry;
+use rocket::serde::json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::agent;
+use crate::agent::Agent;
+use crate::controller::run;
+use crate::controller::settings::Settings;
+use crate::controller::Controller;
+use crate::controller::Peers;
+use crate::ops::daemon;
+use crate::util::events;
+use crate::util::events::Event;
+use crate::util::observe;
+use crate::util::observe::Observed;
+
+/// A running controller.
+pub struct Running {
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// The controller.
+    pub controller: Arc<Controller>,
+    server: Server,
+    tasks: JoinSet<()>,
+}
+
+/// Starts a controller; it acts once its agent has joined and it is the home of placement.
+pub async fn start(settings: Settings) -> anyhow::Result<Running> {
+    let platform: Arc<dyn Platform> = Arc::new(
+        HttpPlatform::new(corianderyoke_platform::http::Settings {
+            address: settings.platform.to_string(),
+            ..Default::default()
+        })
+        .context("failed to set up the platform's client")?,
+    );
+    let operators = daemon::reserve(settings.operators)?;
+    let agent = Agent::bind(
+        agent::Settings {
+            name: settings.name.clone(),
+            role: Role::Controller,
+            zone: settings.zone.clone(),
+            peers: settings.peers,
+            operators: operators.to_string(),
+            history: daemon::recorder(&settings.name, &settings.history)?,
+            ..agent::Settings::default()
+        },
+        Arc::clone(&platform),
+    )?;
+    let upstreams = Arc::new(corianderyoke_upstream::Client::new(Default::default())?);
+    let controller = Controller::new(settings, Arc::clone(&agent), platform, upstreams);
+    agent.serve(Arc::new(Peers { controller: Arc::clone(&controller) }));
+    let registry = Registry::with_prefix("corianderyoke");
+    let subject = Arc::new(Subject { controller: Arc::clone(&controller) });
+    let server = observe::serve(operators, subject, Arc::new(registry)).await?;
+    agent.set_state(RowState::Ready);
+    agent.run();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(run::run(Arc::clone(&controller)));
+    agent.history().record(|| Recorded::ProcessStart { role: "controller".to_owned() });
+    events::log(Event::Started, format_args!("name={}", controller.settings.name));
+    Ok(Running { operators, controller, server, tasks })
+}
+
+impl Running {
+    /// Leaves the view and ends.
+    pub async fn leave(mut self) {
+        events::log(Event::Stopping, format_args!("name={}", self.controller.settings.name));
+        self.controller.agent.depart().await;
+        self.tasks.abort_all();
+        self.server.stop().await;
+        events::log(Event::Stopped, format_args!("name={}", self.controller.settings.name));
+    }
+}
+
+struct Subject {
+    controller: Arc<Controller>,
+}
+
+impl Observed for Subject {
+    fn ready(&self) -> bool {
+        self.controller.agent.may_act() && self.controller.agent.config_fresh()
+    }
+
+    fn status(&self) -> Value {
+        let agent = &self.controller.agent;
+        let revision = agent.config().map_or(0, |register| register.revision.0);
+        json!({
+            "name": self.controller.settings.name,
+            "revision": revision,
+            "epoch": agent.view().epoch,
+            "ready": self.ready(),
+            "active": self.controller.is_active() && self.controller.serves(),
+        })
+    }
+
+    fn explain(&self, _: &str, _: &str) -> Value {
+        json!({"decision": "unknown", "why": "ask a router"})
+    }
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,5 +1,8 @@
 //! What the binaries do, apart from their command lines.
 
+pub mod bench;
 pub mod config;
+pub mod controller;
+pub mod daemon;
 pub mod router;
 pub mod standin;
--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -9,6 +9,7 @@
 use corianderyoke_coord::membership::MemberId;
 use corianderyoke_coord::membership::Role;
 use corianderyoke_coord::membership::RowState;
+use corianderyoke_history::Event as Recorded;
 use corianderyoke_http::Running as Server;
 use corianderyoke_platform::http::HttpPlatform;
 use corianderyoke_platform::Platform;
@@ -23,6 +24,7 @@
 use crate::agent;
 use crate::agent::Agent;
 use crate::agent::Service;
+use crate::ops::daemon;
 use crate::router::home;
 use crate::router::home::dispatch;
 use crate::router::home::takeover;
@@ -64,9 +66,8 @@
         })
         .context("failed to set up the platform's client")?,
     );
-    let reserved = |address: SocketAddr| std::net::TcpListener::bind(address);
-    let callers = reserve(settings.callers, reserved(settings.callers))?;
-    let operators = reserve(settings.operators, reserved(settings.operators))?;
+    let callers = daemon::reserve(settings.callers)?;
+    let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
         agent::Settings {
             name: settings.name.clone(),
@@ -75,6 +76,7 @@
             peers: settings.peers,
             callers: callers.to_string(),
             operators: operators.to_string(),
+            history: daemon::recorder(&settings.name, &settings.history)?,
             ..agent::Settings::default()
         },
         Arc::clone(&platform),
@@ -97,19 +99,11 @@
     tasks.spawn(watch::run(Arc::clone(&router)));
     tasks.spawn(service::run(Arc::clone(&router)));
     tasks.spawn(readiness(Arc::clone(&router)));
+    agent.history().record(|| Recorded::ProcessStart { role: "router".to_owned() });
     events::log(Event::Started, format_args!("name={} callers={callers}", router.settings.name));
     Ok(Running { callers, operators, router, servers, tasks })
 }
 
-/// The address that a listener got; it is free again when this returns, for the real server.
-fn reserve(
-    asked: SocketAddr,
-    bound: std::io::Result<std::net::TcpListener>,
-) -> anyhow::Result<SocketAddr> {
-    let listener = bound.with_context(|| format!("failed to listen on {asked}; choose another"))?;
-    Ok(listener.local_addr()?)
-}
-
 async fn readiness(router: Arc<Router>) {
     let mut said = false;
     loop {
@@ -127,6 +121,7 @@
     /// Leaves the entry list, finishes every open request, leaves the view and ends.
     pub async fn leave(mut self) {
         let router = &self.router;
+        router.agent.history().record(|| Recorded::ShutdownBegin);
         events::log(Event::Stopping, format_args!("open={}", router.open.len()));
         router.agent.set_state(RowState::Leaving);
         // Callers that keep an entry a little longer are still served until the list shows it.
@@ -140,6 +135,7 @@
         for server in self.servers.drain(..) {
             server.stop().await;
         }
+        self.router.agent.history().record(|| Recorded::ShutdownEnd);
         events::log(Event::Stopped, format_args!("name={}", self.router.settings.name));
     }
 }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -11,9 +11,9 @@
 use bytes::Bytes;
 use corianderyoke_coord::membership::Kind as HomeKind;
 use corianderyoke_coord::time::Tick;
+use corianderyoke_history::Event as Recorded;
 use corianderyoke_upstream::generate::Event as Coming;
 use corianderyoke_upstream::generate::Request;
-use corianderyoke_upstream::Outcome as Sent;
 use corianderyoke_wire::peer;
 use corianderyoke_wire::peer::request::Body as Call;
 use corianderyoke_wire::peer::response::Body as Reply;
@@ -73,6 +73,12 @@
     let (key, team) = (caller.key.clone(), caller.team.clone());
     let grant = Grant { key, team, target: wish.model.clone() };
     let ticket = router.enter(grant)?;
+    router.record(|| Recorded::Call {
+        request: parts.id.clone(),
+        key: Some(caller.key.clone()),
+        open: false,
+        deadline_us: deadline.since(arrived).as_micros() as u64,
+    });
     let watched = parts.caller.map(|caller| router.hangups.watch(caller, ticket.cutter()));
     let format = Format::new(kind, &parts.id, &wish.model);
     let stream = wish.stream;
@@ -233,7 +239,8 @@
     async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
         // Dropped early (a cut, a caller gone), the reservation returns what wasn't used.
         let mut reserved =
-            limit::reserve(&self.router, &self.team, u64::from(cost), self.deadline).await?;
+            limit::reserve(&self.router, &self.id, &self.team, u64::from(cost), self.deadline)
+                .await?;
         let mut progress = Progress::default();
         loop {
             let slot = start::obtain(&self.router, self.start_wish(&progress)).await;
@@ -330,7 +337,11 @@
         if progress.attempts == 1 {
             reserved.use_tokens(self.prompt_tokens);
         }
-        let mut coming = self.router.upstreams.generate(address, self.request(progress));
+        let request = self.request(progress);
+        let attempt = request.id.clone();
+        self.router.sending(&self.id, &attempt, &self.team, &slot.upstream);
+        let mut finish = Finish::new(&self.router, &attempt, &slot.upstream);
+        let mut coming = self.router.upstreams.generate(address, request);
         loop {
             match coming.next().await {
                 Some(Ok(Coming::Token(token))) => {
@@ -343,16 +354,14 @@
                     }
                 }
                 Some(Ok(Coming::Done { reason, .. })) => {
+                    finish.outcome = Outcome::Ran;
                     slot.finish(true, reserved.used());
                     return Attempt::Done { reason };
                 }
                 Some(Err(e)) => {
                     slot.finish(false, reserved.used());
-                    let outcome = match e.outcome {
-                        Sent::NotRun => Outcome::NotRun,
-                        Sent::Unknown => Outcome::Unknown,
-                        Sent::Ran => Outcome::Ran,
-                    };
+                    finish.outcome = e.outcome.into();
+                    let outcome = finish.outcome;
                     return Attempt::Broken { outcome, cause: e.kind.to_string() };
                 }
                 None => {
@@ -367,7 +376,8 @@
     fn request(&self, progress: &Progress) -> Request {
         let settings = &self.router.settings;
         Request {
-            id: self.id.clone(),
+            // Each attempt has an id of its own, so that an answer to another one is told apart.
+            id: format!("{}.{}", self.id, progress.attempts),
             model: self.model.clone(),
             adapter: self.adapter.clone(),
             prompt: self.wish.prompt.clone(),
@@ -381,6 +391,31 @@
     }
 }
 
+/// Records the end of an attempt when it is dropped, however it ends.
+struct Finish<'a> {
+    router: &'a Router,
+    attempt: &'a str,
+    upstream: String,
+    outcome: Outcome,
+}
+
+impl<'a> Finish<'a> {
+    fn new(router: &'a Router, attempt: &'a str, upstream: &str) -> Self {
+        let (upstream, outcome) = (upstream.to_owned(), Outcome::Unknown);
+        Finish { router, attempt, upstream, outcome }
+    }
+}
+
+impl Drop for Finish<'_> {
+    fn drop(&mut self) {
+        self.router.record(|| Recorded::UpstreamFinish {
+            attempt: self.attempt.to_owned(),
+            upstream: self.upstream.clone(),
+            outcome: self.outcome.into(),
+        });
+    }
+}
+
 /// A refusal that came after an upstream had already worked on the request.
 fn after(refusal: Refusal, progress: &Progress) -> Refusal {
     match progress.tokens {
--- a/src/router/home/dispatch.rs
+++ b/src/router/home/dispatch.rs
@@ -26,6 +26,7 @@
 use corianderyoke_wire::peer;
 use corianderyoke_wire::peer::enqueue_response::Outcome as Enqueued;
 use corianderyoke_wire::peer::request::Body as Call;
+use corianderyoke_wire::peer::response::Body as Answer;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use parking_lot::Mutex;
@@ -58,6 +59,8 @@
     replicas: Mutex<Replicas>,
     /// Told when a request has to wait.
     wanted: Notify,
+    /// Placement's estimates of wakes, by model.
+    wakes: Mutex<IndexMap<String, Duration>>,
 }
 
 struct State {
@@ -227,7 +230,13 @@
         let key = request.key;
         match state.dispatcher.enqueue(request, clock::now()) {
             Decision::Start(start) => return Some(started(router, start)),
-            Decision::Refuse(refusal) => return Some(late(refusal.wait, refusal.reason)),
+            Decision::Refuse(refusal) => {
+                if refusal.reason == Reason::Waking {
+                    // The model is loaded all the same, for the caller's next try.
+                    tell_placement(router, wish.model, 1, 0);
+                }
+                return Some(late(refusal.wait, refusal.reason));
+            }
             Decision::Queued => {
                 let (tell, told) = oneshot::channel();
                 state.waiting.insert(key, tell);
@@ -325,6 +334,11 @@
     for (zone, entry) in &register.zones {
         effects.extend(dispatcher.set_zone(names.zones.key(zone), entry.drained, now));
     }
+    for (model, entry) in &register.models {
+        let estimate = router.homes.dispatch.wakes.lock().get(model).copied();
+        let remote = Duration::from_millis(entry.start_ms.remote);
+        dispatcher.set_wake(names.models.key(model), estimate.unwrap_or(remote));
+    }
     for (name, status) in statuses(router, &register, replicas) {
         effects.extend(dispatcher.set_upstream(names.upstreams.key(&name), status, now));
     }
@@ -400,15 +414,23 @@
             let demand = state.dispatcher.demand(key, now);
             let idle = demand.waiting == 0 && demand.in_use == 0;
             if !idle && (!urgent || wakes.contains(&key)) {
-                let (waiting, running) = (demand.waiting as u32, demand.in_use);
-                demands.push(peer::WakeRequest { model: model.clone(), waiting, running });
+                demands.push((model.clone(), demand.waiting as u32, demand.in_use));
             }
         }
     }
-    for demand in demands {
-        let router = Arc::clone(router);
-        tokio::spawn(async move {
-            router.call_home(Kind::Placement, DISPATCH, Call::Wake(demand), WAKE_WITHIN).await;
-        });
+    for (model, waiting, running) in demands {
+        tell_placement(router, model, waiting, running);
     }
 }
+
+fn tell_placement(router: &Arc<Router>, model: String, waiting: u32, running: u32) {
+    let router = Arc::clone(router);
+    tokio::spawn(async move {
+        let call = Call::Wake(peer::WakeRequest { model: model.clone(), waiting, running });
+        let answer = router.call_home(Kind::Placement, DISPATCH, call, WAKE_WITHIN).await;
+        if let Some(Answer::Wake(peer::WakeResponse { ready_ms: ms @ 1.., .. })) = answer {
+            let estimate = Duration::from_millis(ms);
+            router.homes.dispatch.wakes.lock().insert(model, estimate);
+        }
+    });
+}
--- a/src/router/limit.rs
+++ b/src/router/limit.rs
@@ -18,6 +18,7 @@
 use corianderyoke_coord::pools::SliceSettings;
 use corianderyoke_coord::pools::Verdict;
 use corianderyoke_coord::time::Tick;
+use corianderyoke_history::Event as Recorded;
 use corianderyoke_wire::peer;
 use corianderyoke_wire::peer::request::Body as Call;
 use corianderyoke_wire::peer::response::Body as Answer;
@@ -68,6 +69,8 @@
 
 /// Tokens reserved for one request. What wasn't used goes back when it is dropped.
 pub struct Reservation {
+    router: Arc<Router>,
+    request: String,
     team: Arc<TeamSlice>,
     held: Option<pools::Reservation>,
     reserved: u64,
@@ -89,7 +92,13 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         if let Some(held) = self.held.take() {
+            let rest = self.reserved - self.used;
             self.team.state.lock().slice.settle(held, self.used, clock::now());
+            self.router.record(|| Recorded::Returned {
+                request: self.request.clone(),
+                team: self.team.team.clone(),
+                tokens: rest as f64,
+            });
         }
     }
 }
@@ -147,6 +156,7 @@
 /// burst, or the home can't be reached.
 pub async fn reserve(
     router: &Arc<Router>,
+    request: &str,
     team: &str,
     tokens: u64,
     deadline: Tick,
@@ -161,9 +171,17 @@
     match told {
         Ok(Ok(held)) => {
             let held = Some(held);
-            let reservation = Reservation { team: slice, held, reserved: tokens, used: 0 };
+            let (router, request) = (Arc::clone(router), request.to_owned());
+            let reservation =
+                Reservation { router, request, team: slice, held, reserved: tokens, used: 0 };
             // A member whose term lapsed counts as lost with all it held, so it must not spend.
-            router.may_act().map(|()| reservation)
+            reservation.router.may_act()?;
+            reservation.router.record(|| Recorded::Admission {
+                request: reservation.request.clone(),
+                team: team.to_owned(),
+                tokens: tokens as f64,
+            });
+            Ok(reservation)
         }
         Ok(Err(refused)) => Err(refusal(team, refused)),
         Err(_) => Err(Refusal::not_run(Code::Unavailable, "the router rejoined; ask again")),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -36,6 +36,7 @@
 use corianderyoke_coord::membership::MemberId;
 use corianderyoke_coord::pools::Limits as Rate;
 use corianderyoke_coord::register::Register;
+use corianderyoke_history::Event as Recorded;
 use corianderyoke_platform::Platform;
 use corianderyoke_wire::peer::request::Body as Call;
 use corianderyoke_wire::peer::response::Body as Answer;
@@ -291,9 +292,36 @@
         self.agent.call(member, call, limit).await.ok()
     }
 
+    /// Records that an attempt is sent to an upstream.
+    pub fn sending(&self, request: &str, attempt: &str, team: &str, upstream: &str) {
+        self.record(|| Recorded::UpstreamSend {
+            request: request.to_owned(),
+            attempt: attempt.to_owned(),
+            team: team.to_owned(),
+            upstream: upstream.to_owned(),
+            zone: self.zone_of(upstream),
+        });
+    }
+
+    fn zone_of(&self, upstream: &str) -> String {
+        let register = self.agent.config();
+        let found = register.as_ref().and_then(|register| register.upstreams.get(upstream));
+        found.map(|upstream| upstream.zone.clone()).unwrap_or_default()
+    }
+
+    /// Records an event of the run.
+    pub fn record(&self, event: impl FnOnce() -> Recorded) {
+        self.agent.history().record(event);
+    }
+
     /// Counts and logs a refusal.
     pub fn refused(&self, refusal: &Refusal) {
         self.metrics.refused(refusal.code);
+        self.record(|| Recorded::Refusal {
+            request: refusal.id.clone(),
+            outcome: refusal.outcome.into(),
+            code: refusal.code.label(),
+        });
         let detail = format_args!(
             "request={} code={} outcome={:?} message={:?}",
             refusal.id,
--- a/src/router/refusal.rs
+++ b/src/router/refusal.rs
@@ -3,6 +3,8 @@
 use std::io::Cursor;
 use std::time::Duration;
 
+use corianderyoke_history::CallOutcome;
+use corianderyoke_upstream::Outcome as Sent;
 use rocket::http::ContentType;
 use rocket::http::Header;
 use rocket::http::Status;
@@ -24,6 +26,26 @@
     Ran,
 }
 
+impl From<Outcome> for CallOutcome {
+    fn from(outcome: Outcome) -> CallOutcome {
+        match outcome {
+            Outcome::NotRun => CallOutcome::NotRun,
+            Outcome::Unknown => CallOutcome::Unknown,
+            Outcome::Ran => CallOutcome::Ran,
+        }
+    }
+}
+
+impl From<Sent> for Outcome {
+    fn from(outcome: Sent) -> Outcome {
+        match outcome {
+            Sent::NotRun => Outcome::NotRun,
+            Sent::Unknown => Outcome::Unknown,
+            Sent::Ran => Outcome::Ran,
+        }
+    }
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/router/settings.rs
+++ b/src/router/settings.rs
@@ -24,6 +24,8 @@
     pub peers: SocketAddr,
     /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
     pub log: String,
+    /// File to which events of the run are appended; empty for none.
+    pub history: String,
     /// Most requests in work at once.
     pub open_requests: usize,
     /// Most upstreams tried for one request.
@@ -45,6 +47,7 @@
             operators: any,
             peers: any,
             log: "info".to_owned(),
+            history: String::new(),
             open_requests: 10_000,
             attempts: 4,
             first_ms: 10_000,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 mod events;
 mod operators;
 mod parsing;
+mod whole_path;
