Hold back requests that carry the caller's key, and paths with `..`

Cause: a key can come in a query, a body or an id as well as in a header, and a path such as `/orders/../admin` is put in normal form by the HTTP library below, after the caller was let through for `/orders`. Both are refused before a byte leaves, with the outcome "not run".

The service stand-in counts effects by request id too, for the check of refusals. The streamed answer gets a module apart from its request.

--- a/crates/history/src/event.rs
+++ b/crates/history/src/event.rs
@@ -189,7 +189,7 @@
         /// The upstream's availability zone.
         zone: String,
     },
-    /// A router is done with an attempt.
+    /// A router is done with an attempt; recorded before its slot is given back.
     UpstreamFinish {
         /// Id of the attempt.
         attempt: String,
@@ -209,7 +209,7 @@
     ServiceRun {
         /// Service.
         service: String,
-        /// Idempotency key as the service saw it.
+        /// Idempotency key as the service saw it, which no two teams of a run share.
         key: String,
     },
     /// By its ledger, what an upstream saw of its requests.
@@ -272,7 +272,7 @@
         /// Fencing token.
         fence: u64,
     },
-    /// A controller's end of such a decision was committed.
+    /// A controller ends such a decision; recorded before it is committed.
     ReplicaReleased {
         /// Model.
         model: String,
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -112,6 +112,8 @@
 pub struct Ledger {
     /// Effects by idempotency key; calls without one aren't in it.
     pub keys: IndexMap<String, u32>,
+    /// Effects by the request id in `x-request-id`.
+    pub requests: IndexMap<String, u32>,
     /// Effects by body.
     pub bodies: IndexMap<String, u32>,
     /// All effects.
@@ -244,6 +246,9 @@
         if let Some(key) = meta.header("idempotency-key") {
             *ledger.keys.entry(key.to_owned()).or_default() += 1;
         }
+        if let Some(id) = meta.header("x-request-id") {
+            *ledger.requests.entry(id.to_owned()).or_default() += 1;
+        }
         *ledger.bodies.entry(body.to_owned()).or_default() += 1;
         ledger.effects
     }
--- a/crates/upstream/src/generate.rs
+++ b/crates/upstream/src/generate/answer.rs
@@ -1,26 +1,22 @@
-//! Streamed answers of engines.
-//!
-//! An answer is whole only with its terminal marker, and only if every chunk carries the id of the
-//! request. Anything else ends the stream with an error that says how many tokens came, so that the
-//! caller can resume elsewhere; the connection isn't used again.
+//! One answer while it comes: its head, its chunks and its end.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::stream;
-use futures::stream::BoxStream;
-use futures::StreamExt;
+use reqwest::header::CONTENT_TYPE;
 use reqwest::Response;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::Map;
-use serde_json::Value;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
 
+use super::echo;
+use super::Event;
+use super::Prompt;
+use super::Request;
+use super::Usage;
+use super::REQUEST_ID;
 use crate::chunk::Chunk;
 use crate::chunk::Refusal;
 use crate::chunk::TERMINAL;
@@ -32,163 +28,14 @@
 use crate::error::Result;
 use crate::error::Wait;
 use crate::headers;
-use crate::headers::Headers;
 use crate::sse;
 use crate::Client;
 
-/// Name of the header that carries the request's id.
-pub const REQUEST_ID: &str = "x-request-id";
-/// Sampling fields of a caller's body that pass on to an engine.
-pub const SAMPLING_FIELDS: [&str; 9] = [
-    "frequency_penalty",
-    "logit_bias",
-    "min_p",
-    "presence_penalty",
-    "response_format",
-    "seed",
-    "stop",
-    "temperature",
-    "top_p",
-];
 /// Longest time for the end of a body after its terminal marker.
 const END_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// One message of a chat.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Message {
-    /// Who speaks.
-    pub role: String,
-    /// What is said.
-    pub content: String,
-}
-
-/// What the engine continues.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Prompt {
-    /// A text, for `/v1/completions`.
-    Text(String),
-    /// A chat, for `/v1/chat/completions`.
-    Chat(Vec<Message>),
-}
-
-impl Default for Prompt {
-    fn default() -> Self {
-        Prompt::Text(String::new())
-    }
-}
-
-/// A request to an engine.
-#[derive(Clone, Debug)]
-pub struct Request {
-    /// Id that every chunk must echo.
-    pub id: String,
-    /// Model.
-    pub model: String,
-    /// Adapter.
-    pub adapter: Option<String>,
-    /// What to continue.
-    pub prompt: Prompt,
-    /// Most tokens of the whole answer, those before `resume_from` included.
-    pub max_tokens: u32,
-    /// Priority; higher goes first.
-    pub priority: i32,
-    /// Tokens of the answer that the caller holds already.
-    pub resume_from: u32,
-    /// Other fields of the caller's body; only [`SAMPLING_FIELDS`] pass.
-    pub sampling: Map<String, Value>,
-    /// The caller's headers; only the listed ones pass.
-    pub headers: Headers,
-    /// Longest time to the first token.
-    pub first_timeout: Duration,
-    /// Longest time between two tokens.
-    pub next_timeout: Duration,
-}
-
-impl Default for Request {
-    fn default() -> Self {
-        Request {
-            id: String::new(),
-            model: String::new(),
-            adapter: None,
-            prompt: Prompt::default(),
-            max_tokens: 16,
-            priority: 0,
-            resume_from: 0,
-            sampling: Map::new(),
-            headers: Headers::new(),
-            first_timeout: Duration::from_secs(10),
-            next_timeout: Duration::from_secs(2),
-        }
-    }
-}
-
-/// Body of a request, in the engine's format.
-#[derive(Serialize)]
-struct Body<'a> {
-    model: &'a str,
-    stream: bool,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    adapter: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    prompt: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    messages: Option<&'a [Message]>,
-    max_tokens: u32,
-    priority: i32,
-    resume_from: u32,
-    #[serde(flatten)]
-    sampling: Map<String, Value>,
-}
-
-/// Tokens that an answer took.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Usage {
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens of the whole answer, those before `resume_from` included.
-    pub completion_tokens: u32,
-}
-
-/// One event of an answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Event {
-    /// A token.
-    Token(String),
-    /// The end of a whole answer.
-    Done {
-        /// Tokens that it took.
-        usage: Usage,
-        /// Why it ended, such as `stop` or `length`.
-        reason: String,
-    },
-}
-
-/// Events of one answer: tokens, then either [`Event::Done`] or an error, then nothing. Dropping it
-/// closes the connection, which cancels the request.
-pub type Events = BoxStream<'static, Result<Event>>;
-
-impl Client {
-    /// Sends a request to the engine at `address` once it is polled.
-    pub fn generate(self: &Arc<Self>, address: SocketAddr, request: Request) -> Events {
-        let answer = Answer {
-            client: Arc::clone(self),
-            address,
-            deadline: Instant::now() + request.first_timeout,
-            decoder: sse::Decoder::new(self.settings.line_bytes),
-            ready: VecDeque::new(),
-            fault: None,
-            request,
-            response: None,
-            tokens: 0,
-            end: None,
-            over: false,
-        };
-        stream::unfold(answer, Answer::step).boxed()
-    }
-}
-
 /// An answer while it comes.
-struct Answer {
+pub(super) struct Answer {
     client: Arc<Client>,
     address: SocketAddr,
     request: Request,
@@ -207,7 +54,24 @@
 }
 
 impl Answer {
-    async fn step(mut self) -> Option<(Result<Event>, Self)> {
+    pub fn new(client: Arc<Client>, address: SocketAddr, request: Request) -> Self {
+        Answer {
+            address,
+            deadline: Instant::now() + request.first_timeout,
+            decoder: sse::Decoder::new(client.settings.line_bytes),
+            ready: VecDeque::new(),
+            fault: None,
+            client,
+            request,
+            response: None,
+            tokens: 0,
+            end: None,
+            over: false,
+        }
+    }
+
+    /// The next event; none after the end.
+    pub async fn step(mut self) -> Option<(Result<Event>, Self)> {
         if self.over {
             return None;
         }
@@ -268,34 +132,25 @@
 
     fn send(&self) -> Result<reqwest::RequestBuilder> {
         let request = &self.request;
-        let (path, prompt, messages) = match &request.prompt {
-            Prompt::Text(text) => ("/v1/completions", Some(text.as_str()), None),
-            Prompt::Chat(turns) => ("/v1/chat/completions", None, Some(turns.as_slice())),
-        };
-        let sampling = request.sampling.iter();
-        let body = Body {
-            model: &request.model,
-            stream: true,
-            adapter: request.adapter.as_deref(),
-            prompt,
-            messages,
-            max_tokens: request.max_tokens,
-            priority: request.priority,
-            resume_from: request.resume_from,
-            sampling: sampling
-                .filter(|(name, _)| SAMPLING_FIELDS.contains(&name.as_str()))
-                .map(|(name, value)| (name.clone(), value.clone()))
-                .collect(),
+        let path = match request.prompt {
+            Prompt::Text(_) => "/v1/completions",
+            Prompt::Chat(_) => "/v1/chat/completions",
         };
+        let body = request.body()?;
+        let mut passed = headers::for_upstream(&request.headers);
+        // The body's type is ours to say, whatever the caller's was.
+        passed.retain(|name, _| name != "content-type" && name != "accept");
+        if request.carries_secret(&body, &passed) {
+            let text = "it carries the caller's key, take it out".to_owned();
+            return Err(Error::not_run(Kind::Invalid(text)));
+        }
         let url = format!("http://{}{path}", self.address);
         let mut builder = self.client.pool(self.address)?.post(url);
-        for (name, value) in headers::for_upstream(&request.headers) {
-            // The body's type is ours to say; the two are one only by chance.
-            if name != "content-type" && name != "accept" {
-                builder = builder.header(name, value);
-            }
+        for (name, value) in passed {
+            builder = builder.header(name, value);
         }
-        Ok(builder.header(REQUEST_ID, &request.id).json(&body))
+        let builder = builder.header(REQUEST_ID, &request.id);
+        Ok(builder.header(CONTENT_TYPE, "application/json").body(body))
     }
 
     /// The error of an answer that isn't a stream.
@@ -416,8 +271,3 @@
         Error { kind, tokens: self.tokens, outcome }
     }
 }
-
-/// The request id that an answer echoes.
-pub(crate) fn echo(response: &Response) -> Option<&str> {
-    response.headers().get(REQUEST_ID).and_then(|value| value.to_str().ok())
-}
--- a/crates/upstream/src/headers.rs
+++ b/crates/upstream/src/headers.rs
@@ -45,3 +45,9 @@
     let lower = headers.iter().map(|(name, value)| (name.to_ascii_lowercase(), value.clone()));
     lower.filter(|(name, _)| allowed.contains(&name.as_str())).collect()
 }
+
+/// Whether `text` holds a caller's key; an empty one is none.
+pub(crate) fn holds(text: &[u8], secret: &str) -> bool {
+    let secret = secret.as_bytes();
+    !secret.is_empty() && text.windows(secret.len()).any(|window| window == secret)
+}
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -10,6 +10,7 @@
 use reqwest::header::TRANSFER_ENCODING;
 use reqwest::Method;
 use reqwest::Response;
+use reqwest::Url;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
 
@@ -31,7 +32,7 @@
     pub id: String,
     /// HTTP method.
     pub method: String,
-    /// Path and query, beginning with a slash.
+    /// Path and query, beginning with a slash; the path in normal form.
     pub path: String,
     /// The caller's headers; only the listed ones pass.
     pub headers: Headers,
@@ -104,14 +105,11 @@
         let invalid = |text: &str| Error::not_run(Kind::Invalid(text.to_owned()));
         let method = Method::from_bytes(call.method.as_bytes())
             .map_err(|_| invalid("the method isn't one of http"))?;
-        if !call.path.starts_with('/') {
-            return Err(invalid("the path doesn't begin with a slash"));
-        }
+        let url = url(address, &call.path)?;
         let passed = headers::for_upstream(&call.headers);
         if call.carries_secret(&passed) {
             return Err(invalid("it carries the caller's key, take it out"));
         }
-        let url = format!("http://{address}{}", call.path);
         let mut request = self.once.request(method, url).header(REQUEST_ID, &call.id);
         for (name, value) in passed {
             request = request.header(name, value);
@@ -125,15 +123,26 @@
 
 impl Call {
     fn carries_secret(&self, passed: &Headers) -> bool {
-        let secret = self.secret.as_bytes();
-        if secret.is_empty() {
-            return false;
-        }
-        let holds = |text: &[u8]| text.windows(secret.len()).any(|window| window == secret);
-        holds(self.path.as_bytes())
-            || holds(&self.body)
-            || passed.values().any(|value| holds(value.as_bytes()))
+        let texts = [self.id.as_bytes(), self.path.as_bytes(), &self.body];
+        let values = passed.values().map(String::as_bytes);
+        texts.into_iter().chain(values).any(|text| headers::holds(text, &self.secret))
+    }
+}
+
+/// The address of a call. Its path must be in normal form: one with `..` in it would reach another
+/// place than the one for which the caller was let through.
+fn url(address: SocketAddr, path: &str) -> Result<Url> {
+    let invalid = |text: &str| Error::not_run(Kind::Invalid(text.to_owned()));
+    if !path.starts_with('/') {
+        return Err(invalid("the path doesn't begin with a slash"));
+    }
+    let url = Url::parse(&format!("http://{address}{path}"))
+        .map_err(|_| invalid("the path isn't one of http"))?;
+    let bare = path.split_once('?').map_or(path, |(bare, _)| bare);
+    if url.path() != bare || url.fragment().is_some() {
+        return Err(invalid("the path isn't in normal form"));
     }
+    Ok(url)
 }
 
 /// Whether a cut of the answer's body would show; a body that just ends with its connection can't
--- a/crates/upstream/tests/generate.rs
+++ b/crates/upstream/tests/generate.rs
@@ -252,6 +252,10 @@
     assert_eq!(headers, expected);
     assert!(seen.fields.contains("temperature"));
     assert!(!seen.fields.contains("api_key") && !seen.fields.contains("user"));
+    let leaky = Request { secret: "bin".to_owned(), ..request("r2", 2) };
+    let error = collect(&client(), engine.address(), leaky).await.error.expect("held back");
+    assert!(matches!(error.kind, Kind::Invalid(_)), "{error}");
+    assert_eq!((error.outcome, engine.ledger().requests.len()), (Outcome::NotRun, 1));
 }
 
 #[tokio::test]
