--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,3 +4,4 @@
 mod operators;
 mod parsing;
 mod samples;
+mod whole_path;
--- a/tests/testsuite/samples.rs
+++ b/tests/testsuite/samples.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use corianderyoke::controller::settings::Settings as ControllerSettings;
 use corianderyoke::router::settings::Settings as RouterSettings;
 use corianderyoke::util::settings;
 use corianderyoke_coord::register::document::Document;
@@ -85,5 +86,8 @@
         let file = dir(deployment).join("router.toml");
         let settings: RouterSettings = settings::load(&file).unwrap();
         assert!(register.zones.contains_key(&settings.zone), "{deployment}");
+        let file = dir(deployment).join("controller.toml");
+        let settings: ControllerSettings = settings::load(&file).unwrap();
+        assert!(register.zones.contains_key(&settings.zone), "{deployment}");
     }
 }
