--- a/tests/testsuite/operators.rs
+++ b/tests/testsuite/operators.rs
@@ -2,6 +2,7 @@
 //! operators, lost answers, and what a daemon's reader makes of it.
 
 mod failures;
+mod live;
 mod races;
 mod subcommands;
 
