Look for the largest engine once a check

Cause: each model looked through all upstreams. Conclusion: the work of a check grows with the entries and no longer with models times upstreams.

--- a/crates/coord/src/register/check.rs
+++ b/crates/coord/src/register/check.rs
@@ -31,7 +31,9 @@
 /// Every problem of a set: references, limits, and models that fit nowhere.
 pub fn check(entries: &Entries) -> Vec<Problem> {
     let register = Register::compile(Revision::default(), entries);
-    let mut checker = Checker { register: &register, problems: Vec::new(), prefix: String::new() };
+    let room = largest_engine(&register);
+    let mut checker =
+        Checker { register: &register, room, problems: Vec::new(), prefix: String::new() };
     for (address, entry) in entries {
         checker.prefix = key_of(address);
         checker.name(address);
@@ -43,6 +45,8 @@
 
 struct Checker<'a> {
     register: &'a Register,
+    /// Accelerator memory of the largest engine in bytes.
+    room: u64,
     problems: Vec<Problem>,
     prefix: String,
 }
@@ -113,7 +117,7 @@
     }
 
     fn model(&mut self, model: &Model) {
-        let room = self.largest_engine();
+        let room = self.room;
         if model.bytes == 0 {
             self.report("bytes", 0, "more than 0");
         } else if model.bytes > room {
@@ -151,7 +155,7 @@
             let value = "a model's name";
             self.problems.push(Problem::new(&self.prefix, value, "a name that no model has"));
         }
-        let room = self.largest_engine();
+        let room = self.room;
         let base = models.get(&adapter.model).map_or(0, |model| model.bytes);
         if base <= room && base.saturating_add(adapter.bytes) > room {
             let allowed = format!("at most {} beside its model", room - base);
@@ -242,10 +246,11 @@
             }
         }
     }
+}
 
-    fn largest_engine(&self) -> u64 {
-        let upstreams = self.register.upstreams.values();
-        let engines = upstreams.filter(|upstream| upstream.kind == UpstreamKind::Engine);
-        engines.map(|engine| engine.memory_bytes).max().unwrap_or(0)
-    }
+/// Accelerator memory of the largest engine in bytes.
+fn largest_engine(register: &Register) -> u64 {
+    let upstreams = register.upstreams.values();
+    let engines = upstreams.filter(|upstream| upstream.kind == UpstreamKind::Engine);
+    engines.map(|engine| engine.memory_bytes).max().unwrap_or(0)
 }
