--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 mod events;
 mod operators;
 mod parsing;
+mod samples;
 mod whole_path;
