Prove the agent over loopback, and keep it fresh as an outage starts

Six tests run agents in runtimes of their own on an in-process platform: join, leave, crash, an outage with a crash in the middle, lost answers, all replaced, changes in force everywhere.

They showed one fault: as an outage started, every router refused by its register and cut its streams after 2.49 s, since a member called the store out of reach only when its own confirmation had gone stale. It now says so after 1.5 s, within one ping of the others.

By reading, without a run that shows them: an answer or a promise for an earlier incarnation could reach the next one, whose numbers start anew; a lost answer of the store took 2 s of a term of 3 s; a list without this process left old evidence standing.

--- a/src/agent/config.rs
+++ b/src/agent/config.rs
@@ -38,6 +38,10 @@
 /// A confirmation older than this doesn't count.
 pub const FRESH_FOR: Duration = Duration::from_millis(2500);
 
+/// Without an answer for this long the store counts as out of reach. Every member has told its
+/// peers so before the last confirmation goes stale, so an outage's start stops nobody.
+const STORE_SILENCE: Duration = Duration::from_millis(1500);
+
 /// What a peer said last.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -181,7 +185,7 @@
 
 impl State {
     fn store_ok(&self, now: Tick) -> bool {
-        self.store.is_some_and(|at| now.since(at) < FRESH_FOR)
+        self.store.is_some_and(|at| now.since(at) < STORE_SILENCE)
     }
 
     fn take(&mut self, snapshot: Snapshot) {
--- a/src/agent/drive.rs
+++ b/src/agent/drive.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use corianderyoke_coord::membership;
 use corianderyoke_coord::membership::Effect;
 use corianderyoke_coord::membership::End;
+use corianderyoke_coord::membership::Machine;
 use corianderyoke_coord::membership::MemberId;
 use corianderyoke_coord::membership::Request;
 use corianderyoke_coord::membership::RowState;
@@ -37,6 +39,8 @@
 const POLL_EVERY: Duration = Duration::from_millis(50);
 /// Longest wait for a peer's answer to a membership message.
 const PEER_WITHIN: Duration = Duration::from_millis(1000);
+/// Longest wait for the store's answer to one of the machine's accesses.
+const STORE_WITHIN: Duration = Duration::from_millis(1000);
 /// Time between two reads of the instance list.
 const LIST_EVERY: Duration = Duration::from_secs(1);
 /// Pause before a member that was removed starts over.
@@ -113,16 +117,15 @@
                     let me = self.id();
                     tokio::spawn(async move {
                         let (platform, cell) = (&*agent.platform, &agent.settings.cell);
-                        let answer = store::access(platform, cell, &me.name, op).await;
-                        // An answer to an earlier incarnation's access isn't this one's.
-                        if agent.id() == me {
-                            let effects = agent.machine.lock().answer(clock::now(), id, answer);
-                            agent.carry_out(effects);
-                        }
+                        let access = store::access(platform, cell, &me.name, op);
+                        // A lost answer has to leave time for another renewal within the term.
+                        let answer = timeout(STORE_WITHIN, access).await;
+                        let answer = answer.unwrap_or(membership::Answer::Unknown);
+                        agent.input(&me, |machine| machine.answer(clock::now(), id, answer));
                     });
                 }
                 Effect::Send { address, request } => {
-                    tokio::spawn(Arc::clone(self).send(address, request));
+                    tokio::spawn(Arc::clone(self).send(self.id(), address, request));
                 }
                 Effect::Adopted(view) => {
                     let members = view.members.len();
@@ -135,6 +138,19 @@
         }
     }
 
+    /// Hands an answer or reply to the machine that asked; an earlier incarnation's isn't the
+    /// present one's, whose numbers start anew.
+    fn input(self: &Arc<Self>, me: &MemberId, input: impl FnOnce(&mut Machine) -> Vec<Effect>) {
+        let effects = {
+            let mut machine = self.machine.lock();
+            if machine.id() != me {
+                return;
+            }
+            input(&mut machine)
+        };
+        self.carry_out(effects);
+    }
+
     fn end(self: &Arc<Self>, end: End) {
         self.ended.notify_waiters();
         if end == End::Left {
@@ -156,7 +172,7 @@
         });
     }
 
-    async fn send(self: Arc<Self>, address: String, request: Request) {
+    async fn send(self: Arc<Self>, me: MemberId, address: String, request: Request) {
         let Some(peer) = self.peer_at(&address) else {
             return;
         };
@@ -168,13 +184,16 @@
         let Some(reply) = convert::reply(&answer) else {
             return;
         };
-        if let Answer::Ping(peer::PingResponse { config: Some(told), .. }) = &answer {
-            if self.config.heard(&reply.ack.id, asked, told) {
-                self.pull(&peer).await;
+        let newer = match &answer {
+            Answer::Ping(peer::PingResponse { config: Some(told), .. }) => {
+                self.config.heard(&reply.ack.id, asked, told)
             }
+            _ => false,
+        };
+        self.input(&me, |machine| machine.reply(clock::now(), &address, reply));
+        if newer {
+            self.pull(&peer).await;
         }
-        let effects = self.machine.lock().reply(clock::now(), &address, reply);
-        self.carry_out(effects);
     }
 
     /// Fetches a newer configuration: from the store, or from the peer that told of it.
@@ -209,11 +228,7 @@
                 let gone: IndexSet<String> = gone.map(|i| i.name.clone()).collect();
                 *self.leaving.write() = gone;
                 let names: IndexSet<String> = instances.into_iter().map(|i| i.name).collect();
-                // A list without this instance doesn't list the daemons' instances, or lags; either
-                // way its silence on another one says nothing.
-                if names.contains(&self.settings.name) {
-                    self.machine.lock().instances(clock::now(), &names);
-                }
+                self.machine.lock().instances(clock::now(), &names);
             }
             sleep(LIST_EVERY).await;
         }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -117,11 +117,10 @@
     /// # Errors
     ///
     /// The peers' address can't be used.
-    pub fn bind(mut settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Agent>> {
+    pub fn bind(settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Agent>> {
         let row = Agent::row(&settings, &Fingerprint([0; 32]));
         let machine = Machine::new(settings.membership, &settings.name, row, clock::now());
         let asked = settings.peers;
-        settings.peers = asked;
         let agent = Arc::new(Agent {
             settings,
             platform,
--- a/src/agent/store.rs
+++ b/src/agent/store.rs
@@ -70,8 +70,7 @@
     }
 }
 
-/// Member rows first, then the view: a member in the view then has its row among those read, or
-/// has lost it since.
+/// Member rows, then the view, which may know members that joined between the two reads.
 async fn scan(platform: &dyn Platform, cell: &str) -> Answer {
     let Ok(rows) = platform.scan(MEMBERS, "", "").await else {
         return Answer::Unavailable;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests: a module a command or feature.
 
 mod events;
+mod membership;
 mod operators;
 mod parsing;
