--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests: a module a command or feature.
 
 mod events;
+mod membership;
 mod operators;
 mod parsing;
 mod samples;
