Prove team limits exact under faults, and number the asks

Property runs over four routers with loss, doubling, delays, pauses, 1% drift, moved homes and rate changes. Asks now carry a number, and only the answer to the last one ends it.

Guards taken out once each: without the cap on credits both window properties fail; without the epoch check a late grant of the home before is spent; without returning on a lower burst the slice keeps 100 tokens above it; without counting unseen grants a doubled ask is granted twice.

--- a/crates/coord/src/pools/bucket/commands.rs
+++ b/crates/coord/src/pools/bucket/commands.rs
@@ -50,6 +50,7 @@
             filled: stopped,
             accounts: IndexMap::new(),
             holdings: 0,
+            credited: 0,
             waiting: Default::default(),
             missing: members.iter().copied().collect(),
             lapsed: IndexSet::new(),
@@ -121,13 +122,13 @@
         self.admit(router, ask)?;
         if !self.missing.is_empty() {
             let granted = self.granted(router).max(ask.counters.granted);
-            return Ok(self.answer(granted, Verdict::Wait(INVENTORY_WAIT)));
+            return Ok(self.answer(ask, granted, Verdict::Wait(INVENTORY_WAIT)));
         }
         self.accrue(now);
         self.absorb(router, ask.counters);
         self.expire(now);
         let verdict = self.decide(router, ask, now);
-        Ok(self.answer(self.granted(router), verdict))
+        Ok(self.answer(ask, self.granted(router), verdict))
     }
 
     /// Checks that the message is for this home and from a router with an account; a router that
@@ -211,13 +212,16 @@
         };
         account.counters = after;
         self.holdings = self.holdings - before.held() + after.held();
-        let back = (after.returned - before.returned) + (after.refunded - before.refunded);
-        self.credit(back.saturating_mul(MICRO));
+        self.credit((after.returned - before.returned).saturating_mul(MICRO));
+        let refunded = (after.refunded - before.refunded).saturating_mul(MICRO);
+        self.credited += self.credit(refunded);
     }
 
-    /// Adds to the level, never above what the invariant leaves.
-    fn credit(&mut self, micros: u64) {
-        self.level += micros.min(self.room());
+    /// Adds to the level, never above what the invariant leaves, and tells how much it was.
+    fn credit(&mut self, micros: u64) -> u64 {
+        let credit = micros.min(self.room());
+        self.level += credit;
+        credit
     }
 
     fn accrue(&mut self, now: Tick) {
@@ -239,7 +243,7 @@
         self.accrue(now);
     }
 
-    fn answer(&self, granted: u64, verdict: Verdict) -> Grant {
-        Grant { home: self.home, granted, verdict }
+    fn answer(&self, ask: &Ask, granted: u64, verdict: Verdict) -> Grant {
+        Grant { home: self.home, number: ask.number, granted, verdict }
     }
 }
--- a/crates/coord/src/pools/bucket/mod.rs
+++ b/crates/coord/src/pools/bucket/mod.rs
@@ -54,6 +54,8 @@
     accounts: IndexMap<MemberKey, Account>,
     /// Σ of the accounts' holdings in tokens.
     holdings: u64,
+    /// Microtokens of refunds that were credited.
+    credited: u64,
     waiting: VecDeque<Waiter>,
     missing: IndexSet<MemberKey>,
     lapsed: IndexSet<MemberKey>,
--- a/crates/coord/src/pools/mod.rs
+++ b/crates/coord/src/pools/mod.rs
@@ -81,6 +81,8 @@
 pub struct Ask {
     /// The home that is meant; homes are numbered by the view epoch in which they started.
     pub home: u64,
+    /// The router's number for this ask; the answer carries it.
+    pub number: u64,
     /// The router's account.
     pub counters: Counters,
     /// Tokens wanted, `need` included.
@@ -94,6 +96,8 @@
 pub struct Grant {
     /// The home that answers.
     pub home: u64,
+    /// Number of the ask.
+    pub number: u64,
     /// Total granted to this router, earlier grants included.
     pub granted: u64,
     /// What became of the need.
--- a/crates/coord/src/pools/slice/commands.rs
+++ b/crates/coord/src/pools/slice/commands.rs
@@ -34,10 +34,10 @@
             limits,
             counters: Counters::default(),
             snapshot: Counters::default(),
-            reported: Counters::default(),
             report_at: None,
             waiting: Default::default(),
             queued: 0,
+            number: 0,
             asked: None,
             retry: now,
             answered: false,
@@ -113,9 +113,13 @@
         if grant.home != self.home {
             return Vec::new();
         }
+        self.counters.granted = self.counters.granted.max(grant.granted);
+        // A doubled or late answer tells what was granted, and nothing of the last ask.
+        if self.asked.is_none() || grant.number != self.number {
+            return self.advance(now);
+        }
         self.asked = None;
         self.answered = true;
-        self.counters.granted = self.counters.granted.max(grant.granted);
         let mut effects = Vec::new();
         match grant.verdict {
             Verdict::Granted => self.retry = now,
@@ -185,9 +189,15 @@
         let aim = self.queued + self.target(now);
         let want = aim.saturating_sub(held).max(need);
         self.asked = Some(now);
-        self.reported = self.counters;
+        self.number += 1;
         self.report_at = None;
-        Some(Effect::Ask(Ask { home: self.home, counters: self.counters, want, need }))
+        Some(Effect::Ask(Ask {
+            home: self.home,
+            number: self.number,
+            counters: self.counters,
+            want,
+            need,
+        }))
     }
 
     /// Refuses who is past the deadline.
--- a/crates/coord/src/pools/slice/mod.rs
+++ b/crates/coord/src/pools/slice/mod.rs
@@ -37,7 +37,7 @@
             target: Duration::from_millis(200),
             idle: Duration::from_secs(1),
             timeout: Duration::from_millis(100),
-            report: Duration::from_millis(100),
+            report: Duration::from_millis(200),
             waiting: 1024,
         }
     }
@@ -103,13 +103,12 @@
     counters: Counters,
     /// Counters at the moment the slice last changed its home.
     snapshot: Counters,
-    /// Counters in the last ask.
-    reported: Counters,
     report_at: Option<Tick>,
     waiting: VecDeque<Waiter>,
     /// Σ of the waiting requests' tokens.
     queued: u64,
-    /// When the ask in flight was sent.
+    /// Number of the last ask, and when it was sent unless it was answered.
+    number: u64,
     asked: Option<Tick>,
     /// The home said that the need isn't met before this.
     retry: Tick,
--- a/crates/coord/src/pools/slice/queries.rs
+++ b/crates/coord/src/pools/slice/queries.rs
@@ -1,10 +1,21 @@
 //! Queries of the slice.
 
+use super::Reservation;
 use super::Slice;
 use crate::pools::Counters;
 use crate::pools::Limits;
 use crate::time::Tick;
 
+/// A slice asks for more when it holds less than this part of its target.
+const LOW_WATER: u64 = 4;
+
+impl Reservation {
+    /// Tokens reserved.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+}
+
 impl Slice {
     /// Epoch of the home that the slice asks.
     pub fn home(&self) -> u64 {
@@ -59,6 +70,6 @@
         if !self.waiting.is_empty() {
             return now >= self.retry;
         }
-        now >= self.retry && self.held() < self.target(now) / 2
+        now >= self.retry && self.held() < self.target(now) / LOW_WATER
     }
 }
--- /dev/null
+++ b/crates/coord/tests/pools/main.rs
@@ -0,0 +1,6 @@
+//! Team limits: exact under faults, and without refusing what is inside the rate.
+
+mod limits;
+mod permits;
+mod refusals;
+mod world;
