--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,7 @@
-//! Integration tests.
+//! Integration tests: a module a command or feature.
+
+mod events;
+mod operators;
+mod parsing;
+mod samples;
+mod whole_path;
