--- a/crates/history/src/checks/configuration.rs
+++ b/crates/history/src/checks/configuration.rs
@@ -63,7 +63,9 @@
             }
             Event::RevisionAccepted { revision } => {
                 let due = Due { revision: *revision, at: record.at + bound, record };
-                followers.values_mut().for_each(|follower| follower.pending.push_back(due));
+                // One that is in force before the operator hears of it is in force in time.
+                let lacking = followers.values_mut().filter(|f| f.in_force < *revision);
+                lacking.for_each(|follower| follower.pending.push_back(due));
                 if newest.is_none_or(|newest| newest.revision < *revision) {
                     newest = Some(due);
                 }
--- a/crates/history/src/event.rs
+++ b/crates/history/src/event.rs
@@ -354,6 +354,24 @@
         /// Member.
         member: String,
     },
+    /// An operation began of which only [`Event::Ended`] says that its outcome was recorded. Where
+    /// that is missing, its process died and `operation` stands, which leaves the outcome open.
+    Begun {
+        /// What kind of operation; numbers are unique within a process and scope.
+        scope: String,
+        /// Number of the operation.
+        number: u64,
+        /// The operation with an unknown outcome.
+        operation: Box<Event>,
+    },
+    /// The outcome of an operation was recorded.
+    Ended {
+        /// What kind of operation.
+        scope: String,
+        /// Number of the operation.
+        number: u64,
+    },
+
     /// An operation on the view row, recorded at its return.
     View {
         /// The cell whose view it is.
--- a/crates/history/src/history.rs
+++ b/crates/history/src/history.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::event::Event;
 use crate::event::Record;
@@ -106,6 +107,7 @@
             }
             *seq += 1;
         }
+        open_unfinished(&mut records);
         Ok(History { bounds, records })
     }
 
@@ -134,6 +136,24 @@
     }
 }
 
+/// Puts operations whose process died before their outcome was known in place of their beginning.
+fn open_unfinished(records: &mut [Record]) {
+    let mut ended = IndexSet::new();
+    for record in records.iter() {
+        if let Event::Ended { scope, number } = &record.event {
+            ended.insert((record.process.clone(), scope.clone(), *number));
+        }
+    }
+    for record in records {
+        let Event::Begun { scope, number, operation } = &record.event else {
+            continue;
+        };
+        if !ended.contains(&(record.process.clone(), scope.clone(), *number)) {
+            record.event = Event::clone(operation);
+        }
+    }
+}
+
 fn files(path: &Path) -> Result<Vec<PathBuf>> {
     let read = |source| Error::Read { path: path.to_owned(), source };
     if !path.is_dir() {
--- a/src/agent/drive.rs
+++ b/src/agent/drive.rs
@@ -113,7 +113,8 @@
                     let me = self.id();
                     tokio::spawn(async move {
                         let (platform, cell) = (&*agent.platform, &agent.settings.cell);
-                        let answer = store::access(platform, cell, &me.name, op).await;
+                        let history = &agent.settings.history;
+                        let answer = store::access(platform, history, cell, &me.name, op).await;
                         // An answer to an earlier incarnation's access isn't this one's.
                         if agent.id() == me {
                             let effects = agent.machine.lock().answer(clock::now(), id, answer);
--- a/src/agent/store.rs
+++ b/src/agent/store.rs
@@ -7,6 +7,10 @@
 use corianderyoke_coord::membership::Op;
 use corianderyoke_coord::membership::Stored;
 use corianderyoke_coord::membership::View;
+use corianderyoke_history::linear::view::ChangeOutcome;
+use corianderyoke_history::linear::view::ViewOp;
+use corianderyoke_history::Event as Recorded;
+use corianderyoke_history::Recorder;
 use corianderyoke_platform::Commit;
 use corianderyoke_platform::Condition;
 use corianderyoke_platform::Error;
@@ -23,12 +27,19 @@
 pub const VIEW: &str = "view";
 
 /// Carries out `op` of the member called `name` in `cell`.
-pub async fn access(platform: &dyn Platform, cell: &str, name: &str, op: Op) -> Answer {
+pub async fn access(
+    platform: &dyn Platform,
+    history: &Recorder,
+    cell: &str,
+    name: &str,
+    op: Op,
+) -> Answer {
     match op {
-        Op::Scan => scan(platform, cell).await,
+        Op::Scan => scan(platform, history, cell).await,
         Op::Put { expect, row } => {
             let put = put(MEMBERS, name, &*row);
-            transact(platform, vec![condition(MEMBERS, name, expect)], vec![put]).await
+            let conditions = vec![condition(MEMBERS, name, expect)];
+            answer(transact(platform, conditions, vec![put]).await)
         }
         Op::Change { expect, view, guards, delete } => {
             let mut conditions = vec![condition(VIEW, cell, expect)];
@@ -38,11 +49,54 @@
             let mut writes = vec![put(VIEW, cell, &*view)];
             let delete = delete.map(|key| Write::Delete { table: MEMBERS.to_owned(), key });
             writes.extend(delete);
-            transact(platform, conditions, writes).await
+            let change = Traced { history, cell, began_us: Recorder::now_us(), to: view.epoch };
+            change.begin();
+            let result = transact(platform, conditions, writes).await;
+            change.end(&result);
+            answer(result)
         }
     }
 }
 
+/// A change of the view row that is recorded, begun and ended.
+struct Traced<'a> {
+    history: &'a Recorder,
+    cell: &'a str,
+    began_us: u64,
+    to: u64,
+}
+
+impl Traced<'_> {
+    fn begin(&self) {
+        let operation = Box::new(self.event(ChangeOutcome::Unknown));
+        self.history.record(|| Recorded::Begun {
+            scope: "view".to_owned(),
+            number: self.began_us,
+            operation,
+        });
+    }
+
+    fn end(&self, result: &Result<Commit, Error>) {
+        let outcome = match result {
+            Ok(Commit::Done { .. }) => Some(ChangeOutcome::Done),
+            Ok(Commit::Refused { condition: 0, .. }) => Some(ChangeOutcome::Refused),
+            Err(Error::Unknown(_)) => Some(ChangeOutcome::Unknown),
+            // A guard refused it, which says nothing of the view row, or nothing took effect.
+            Ok(Commit::Refused { .. }) | Err(_) => None,
+        };
+        if let Some(outcome) = outcome {
+            self.history.record(|| self.event(outcome));
+        }
+        let number = self.began_us;
+        self.history.record(|| Recorded::Ended { scope: "view".to_owned(), number });
+    }
+
+    fn event(&self, outcome: ChangeOutcome) -> Recorded {
+        let op = ViewOp::Change { from: self.to - 1, to: self.to, outcome };
+        Recorded::View { cell: self.cell.to_owned(), began_us: self.began_us, op }
+    }
+}
+
 fn condition(table: &str, key: &str, expect: Option<u64>) -> Condition {
     let (table, key) = (table.to_owned(), key.to_owned());
     match expect {
@@ -61,8 +115,12 @@
     platform: &dyn Platform,
     conditions: Vec<Condition>,
     writes: Vec<Write>,
-) -> Answer {
-    match platform.transact(&Transaction { conditions, writes }).await {
+) -> Result<Commit, Error> {
+    platform.transact(&Transaction { conditions, writes }).await
+}
+
+fn answer(result: Result<Commit, Error>) -> Answer {
+    match result {
         Ok(Commit::Done { version }) => Answer::Done(version),
         Ok(Commit::Refused { .. }) => Answer::Refused,
         Err(Error::Unknown(_)) => Answer::Unknown,
@@ -72,15 +130,21 @@
 
 /// Member rows first, then the view: a member in the view then has its row among those read, or
 /// has lost it since.
-async fn scan(platform: &dyn Platform, cell: &str) -> Answer {
+async fn scan(platform: &dyn Platform, history: &Recorder, cell: &str) -> Answer {
     let Ok(rows) = platform.scan(MEMBERS, "", "").await else {
         return Answer::Unavailable;
     };
+    let began_us = Recorder::now_us();
     let Ok(view) = platform.get(VIEW, cell).await else {
         return Answer::Unavailable;
     };
+    let view = view.and_then(read_view);
+    history.record(|| {
+        let op = ViewOp::Read { epoch: view.as_ref().map_or(0, |view| view.epoch) };
+        Recorded::View { cell: cell.to_owned(), began_us, op }
+    });
     let rows: IndexMap<String, Stored> = rows.into_iter().filter_map(member).collect();
-    Answer::Scanned { rows, view: view.and_then(read_view).map(Arc::new) }
+    Answer::Scanned { rows, view: view.map(Arc::new) }
 }
 
 fn member(row: Row) -> Option<(String, Stored)> {
--- a/src/controller/run.rs
+++ b/src/controller/run.rs
@@ -5,12 +5,14 @@
 
 use corianderyoke_coord::placement::Change;
 use corianderyoke_coord::placement::Effect;
+use corianderyoke_coord::placement::IntentRow;
 use corianderyoke_coord::placement::Outcome;
 use corianderyoke_coord::placement::Phase;
 use corianderyoke_coord::placement::Planner;
 use corianderyoke_coord::register::Revision;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_history::Event as Recorded;
+use corianderyoke_history::Replica;
 use corianderyoke_wire::peer;
 use indexmap::IndexMap;
 use tokio::time::timeout;
@@ -160,6 +162,8 @@
         }
         let view = self.agent.view();
         let me = label(&self.agent.id());
+        // An end is recorded before it can be in force, a beginning after it is.
+        self.record_releases(change);
         table::commit(&*self.platform, self.agent.cell(), &view, &me, change).await
     }
 
@@ -173,6 +177,10 @@
                 fence: row.fence,
             });
         }
+    }
+
+    fn record_releases(&self, change: &Change) {
+        let history = self.agent.history();
         for key in &change.deletes {
             history.record(|| Recorded::ReplicaReleased {
                 model: key.model.clone(),
@@ -181,15 +189,19 @@
         }
     }
 
-    fn record_intents(&self, rows: &[corianderyoke_coord::placement::IntentRow]) {
-        let history = self.agent.history();
+    /// Records all decisions as the table has them, upstream by upstream.
+    fn record_intents(&self, rows: &[IntentRow]) {
+        let register = self.agent.config();
+        let known = register.iter().flat_map(|register| register.upstreams.keys());
+        let mut replicas: IndexMap<&str, Vec<Replica>> =
+            known.map(|upstream| (upstream.as_str(), Vec::new())).collect();
         for row in rows {
-            history.record(|| Recorded::ReplicaDecided {
-                model: row.model.clone(),
-                upstream: row.upstream.clone(),
-                bytes: row.bytes,
-                fence: row.fence,
-            });
+            let replica = Replica { model: row.model.clone(), bytes: row.bytes };
+            replicas.entry(&row.upstream).or_default().push(replica);
+        }
+        for (upstream, replicas) in replicas {
+            let upstream = upstream.to_owned();
+            self.agent.history().record(|| Recorded::IntentsRead { upstream, replicas });
         }
     }
 
--- a/src/ops/controller.rs
+++ b/src/ops/controller.rs
@@ -3,13 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use anyhow::Context;
 use corianderyoke_coord::membership::Role;
 use corianderyoke_coord::membership::RowState;
 use corianderyoke_history::Event as Recorded;
 use corianderyoke_http::Running as Server;
-use corianderyoke_platform::http::HttpPlatform;
-use corianderyoke_platform::Platform;
 use prometheus_client::registry::Registry;
 use rocket::serde::json::Value;
 use serde_json::json;
@@ -39,13 +36,8 @@
 
 /// Starts a controller; it acts once its agent has joined and it is the home of placement.
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
-    let platform: Arc<dyn Platform> = Arc::new(
-        HttpPlatform::new(corianderyoke_platform::http::Settings {
-            address: settings.platform.to_string(),
-            ..Default::default()
-        })
-        .context("failed to set up the platform's client")?,
-    );
+    let history = daemon::recorder(&settings.name, &settings.history)?;
+    let platform = daemon::platform(settings.platform, &history)?;
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
         agent::Settings {
@@ -54,7 +46,7 @@
             zone: settings.zone.clone(),
             peers: settings.peers,
             operators: operators.to_string(),
-            history: daemon::recorder(&settings.name, &settings.history)?,
+            history,
             ..agent::Settings::default()
         },
         Arc::clone(&platform),
@@ -66,10 +58,10 @@
     let subject = Arc::new(Subject { controller: Arc::clone(&controller) });
     let server = observe::serve(operators, subject, Arc::new(registry)).await?;
     agent.set_state(RowState::Ready);
+    agent.history().record(|| Recorded::ProcessStart { role: "controller".to_owned() });
     agent.run();
     let mut tasks = JoinSet::new();
     tasks.spawn(run::run(Arc::clone(&controller)));
-    agent.history().record(|| Recorded::ProcessStart { role: "controller".to_owned() });
     events::log(Event::Started, format_args!("name={}", controller.settings.name));
     Ok(Running { operators, controller, server, tasks })
 }
@@ -78,9 +70,11 @@
     /// Leaves the view and ends.
     pub async fn leave(mut self) {
         events::log(Event::Stopping, format_args!("name={}", self.controller.settings.name));
+        self.controller.agent.history().record(|| Recorded::ShutdownBegin);
         self.controller.agent.depart().await;
         self.tasks.abort_all();
         self.server.stop().await;
+        self.controller.agent.history().record(|| Recorded::ShutdownEnd);
         events::log(Event::Stopped, format_args!("name={}", self.controller.settings.name));
     }
 }
--- a/src/ops/daemon.rs
+++ b/src/ops/daemon.rs
@@ -3,9 +3,15 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
+use std::sync::Arc;
 
 use anyhow::Context;
 use corianderyoke_history::Recorder;
+use corianderyoke_platform::http::HttpPlatform;
+use corianderyoke_platform::http::Settings;
+use corianderyoke_platform::Platform;
+
+use crate::agent::traced::Traced;
 
 /// Finds the port that an address with port 0 stands for; it is free again when this returns, for
 /// the real server.
@@ -16,6 +22,13 @@
     Ok(listener.local_addr()?)
 }
 
+/// Client of the platform at `address`, whose accesses to shared rows are recorded in `history`.
+pub fn platform(address: SocketAddr, history: &Recorder) -> anyhow::Result<Arc<dyn Platform>> {
+    let settings = Settings { address: address.to_string(), ..Settings::default() };
+    let client = HttpPlatform::new(settings).context("failed to set up the platform's client")?;
+    Ok(Traced::new(Arc::new(client), history))
+}
+
 /// Where a daemon records the events of a run: the file of its settings, or nowhere.
 pub fn recorder(name: &str, file: &str) -> anyhow::Result<Recorder> {
     if file.is_empty() {
--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -4,15 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
 use async_trait::async_trait;
 use corianderyoke_coord::membership::MemberId;
 use corianderyoke_coord::membership::Role;
 use corianderyoke_coord::membership::RowState;
 use corianderyoke_history::Event as Recorded;
 use corianderyoke_http::Running as Server;
-use corianderyoke_platform::http::HttpPlatform;
-use corianderyoke_platform::Platform;
 use corianderyoke_wire::peer::request::Body as Call;
 use corianderyoke_wire::peer::response::Body as Answer;
 use prometheus_client::registry::Registry;
@@ -59,13 +56,8 @@
 
 /// Starts a router; it serves once its agent has joined and the configuration is in force.
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
-    let platform: Arc<dyn Platform> = Arc::new(
-        HttpPlatform::new(corianderyoke_platform::http::Settings {
-            address: settings.platform.to_string(),
-            ..Default::default()
-        })
-        .context("failed to set up the platform's client")?,
-    );
+    let history = daemon::recorder(&settings.name, &settings.history)?;
+    let platform = daemon::platform(settings.platform, &history)?;
     let callers = daemon::reserve(settings.callers)?;
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
@@ -76,7 +68,7 @@
             peers: settings.peers,
             callers: callers.to_string(),
             operators: operators.to_string(),
-            history: daemon::recorder(&settings.name, &settings.history)?,
+            history,
             ..agent::Settings::default()
         },
         Arc::clone(&platform),
@@ -91,6 +83,7 @@
         http::serve(callers, Arc::clone(&router)).await?,
         observe::serve(operators, subject, Arc::new(registry)).await?,
     ];
+    agent.history().record(|| Recorded::ProcessStart { role: "router".to_owned() });
     agent.run();
     let mut tasks = JoinSet::new();
     tasks.spawn(Arc::clone(&router.hangups).run());
@@ -99,7 +92,6 @@
     tasks.spawn(watch::run(Arc::clone(&router)));
     tasks.spawn(service::run(Arc::clone(&router)));
     tasks.spawn(readiness(Arc::clone(&router)));
-    agent.history().record(|| Recorded::ProcessStart { role: "router".to_owned() });
     events::log(Event::Started, format_args!("name={} callers={callers}", router.settings.name));
     Ok(Running { callers, operators, router, servers, tasks })
 }
--- /dev/null
+++ b/src/router/attempt.rs
@@ -0,0 +1,44 @@
+//! Records the beginning and the end of each attempt at an upstream.
+
+use corianderyoke_history::Event as Recorded;
+
+use crate::router::refusal::Outcome;
+use crate::router::Router;
+
+/// One attempt; its end is recorded when this is dropped, however it ends.
+pub struct Attempt<'a> {
+    router: &'a Router,
+    id: String,
+    upstream: String,
+    outcome: Outcome,
+}
+
+impl<'a> Attempt<'a> {
+    /// Records that attempt `id` of `request` is sent to `upstream` for `team`.
+    pub fn begin(
+        router: &'a Router,
+        request: &str,
+        id: &str,
+        team: &str,
+        upstream: &str,
+    ) -> Attempt<'a> {
+        router.sending(request, id, team, upstream);
+        let (id, upstream) = (id.to_owned(), upstream.to_owned());
+        Attempt { router, id, upstream, outcome: Outcome::Unknown }
+    }
+
+    /// Ends the attempt with what is known of the work.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        self.router.record(|| Recorded::UpstreamFinish {
+            attempt: self.id.clone(),
+            upstream: self.upstream.clone(),
+            outcome: self.outcome.into(),
+        });
+    }
+}
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -21,6 +21,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::router::attempt::Attempt as Sent;
 use crate::router::format::Format;
 use crate::router::http::Answer;
 use crate::router::http::Parts;
@@ -82,6 +83,7 @@
     let watched = parts.caller.map(|caller| router.hangups.watch(caller, ticket.cutter()));
     let format = Format::new(kind, &parts.id, &wish.model);
     let stream = wish.stream;
+    let id = parts.id.clone();
     let job = Job {
         router: Arc::clone(router),
         id: parts.id,
@@ -99,9 +101,11 @@
     if let Piece::Failed(refusal) = first {
         return Err(refusal);
     }
+    router.record(|| Recorded::CallStarted { request: id.clone() });
     if stream {
         drop(watched);
-        return Ok(Answer::Events(events_of(format, first, coming)));
+        let ends = Ends { router: Arc::clone(router), id };
+        return Ok(Answer::Events(events_of(format, first, coming, ends)));
     }
     let answer = collect(format, first, coming).await;
     drop(watched);
@@ -146,24 +150,45 @@
     }
 }
 
+/// Records how a stream ended.
+struct Ends {
+    router: Arc<Router>,
+    id: String,
+}
+
+impl Ends {
+    fn sent(&self, whole: bool) {
+        self.router.record(|| Recorded::Answer { request: self.id.clone(), whole });
+    }
+
+    fn gone(&self) {
+        self.router.record(|| Recorded::CallerGone { request: self.id.clone() });
+    }
+}
+
 fn events_of(
     format: Format,
     first: Piece,
     mut coming: mpsc::Receiver<Piece>,
+    ends: Ends,
 ) -> mpsc::Receiver<Bytes> {
     let (events, outgoing) = mpsc::channel(1);
     tokio::spawn(async move {
         let mut piece = first;
         loop {
+            let whole = matches!(piece, Piece::Done { .. });
             let (event, last) = event_of(&format, piece);
             let sent = timeout(READ_WITHIN, events.send(event)).await;
-            if last || !matches!(sent, Ok(Ok(()))) {
-                return;
+            if !matches!(sent, Ok(Ok(()))) {
+                return ends.gone();
+            }
+            if last {
+                return ends.sent(whole);
             }
             piece = tokio::select! {
                 piece = coming.recv() => piece.unwrap_or_else(|| Piece::Failed(lost())),
                 // The caller went away: dropping `coming` cancels the work.
-                () = events.closed() => return,
+                () = events.closed() => return ends.gone(),
             };
         }
     });
@@ -227,6 +252,7 @@
                 let refusal = refusal.with_id(&self.id);
                 if pieces.is_closed() || self.ticket.is_cut() == Cut::CallerGone {
                     self.router.metrics.cancelled(&self.team);
+                    self.router.record(|| Recorded::CallerGone { request: self.id.clone() });
                     let detail = format_args!("request={} team={}", self.id, self.team);
                     events::log(Event::Cancelled, detail);
                 }
@@ -339,8 +365,7 @@
         }
         let request = self.request(progress);
         let attempt = request.id.clone();
-        self.router.sending(&self.id, &attempt, &self.team, &slot.upstream);
-        let mut finish = Finish::new(&self.router, &attempt, &slot.upstream);
+        let sent = Sent::begin(&self.router, &self.id, &attempt, &self.team, &slot.upstream);
         let mut coming = self.router.upstreams.generate(address, request);
         loop {
             match coming.next().await {
@@ -348,23 +373,25 @@
                     slot.token(clock::now());
                     progress.tokens += 1;
                     reserved.use_tokens(1);
-                    let sent = timeout(READ_WITHIN, pieces.send(Piece::Token(token))).await;
-                    if !matches!(sent, Ok(Ok(()))) {
+                    let read = timeout(READ_WITHIN, pieces.send(Piece::Token(token))).await;
+                    if !matches!(read, Ok(Ok(()))) {
                         return Attempt::CallerGone;
                     }
                 }
                 Some(Ok(Coming::Done { reason, .. })) => {
-                    finish.outcome = Outcome::Ran;
+                    sent.end(Outcome::Ran);
                     slot.finish(true, reserved.used());
                     return Attempt::Done { reason };
                 }
                 Some(Err(e)) => {
+                    let outcome = e.outcome.into();
+                    // The end is recorded before the slot can go to another request.
+                    sent.end(outcome);
                     slot.finish(false, reserved.used());
-                    finish.outcome = e.outcome.into();
-                    let outcome = finish.outcome;
                     return Attempt::Broken { outcome, cause: e.kind.to_string() };
                 }
                 None => {
+                    sent.end(Outcome::Unknown);
                     slot.finish(false, reserved.used());
                     let cause = "the upstream's answer ended early".to_owned();
                     return Attempt::Broken { outcome: Outcome::Unknown, cause };
@@ -391,31 +418,6 @@
     }
 }
 
-/// Records the end of an attempt when it is dropped, however it ends.
-struct Finish<'a> {
-    router: &'a Router,
-    attempt: &'a str,
-    upstream: String,
-    outcome: Outcome,
-}
-
-impl<'a> Finish<'a> {
-    fn new(router: &'a Router, attempt: &'a str, upstream: &str) -> Self {
-        let (upstream, outcome) = (upstream.to_owned(), Outcome::Unknown);
-        Finish { router, attempt, upstream, outcome }
-    }
-}
-
-impl Drop for Finish<'_> {
-    fn drop(&mut self) {
-        self.router.record(|| Recorded::UpstreamFinish {
-            attempt: self.attempt.to_owned(),
-            upstream: self.upstream.clone(),
-            outcome: self.outcome.into(),
-        });
-    }
-}
-
 /// A refusal that came after an upstream had already worked on the request.
 fn after(refusal: Refusal, progress: &Progress) -> Refusal {
     match progress.tokens {
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use corianderyoke_history::Event as Recorded;
 use corianderyoke_http::Running;
 use futures::Stream;
 use futures::StreamExt;
@@ -148,7 +149,13 @@
             Err(refusal) => Err(refusal),
         };
         match answered {
-            Ok(answer) => Outcome::Success(respond(request, answer, &id)),
+            Ok(answer) => {
+                if let Answer::Whole { .. } = answer {
+                    let request = id.clone();
+                    self.router.record(|| Recorded::Answer { request, whole: true });
+                }
+                Outcome::Success(respond(request, answer, &id))
+            }
             Err(refusal) => {
                 let refusal = refusal.with_id(&id);
                 self.router.refused(&refusal);
--- a/src/router/listing.rs
+++ b/src/router/listing.rs
@@ -8,6 +8,7 @@
 use corianderyoke_coord::entry::Router as EntryRouter;
 use corianderyoke_coord::entry::RouterState;
 use corianderyoke_coord::membership::Kind;
+use corianderyoke_history::Event as Recorded;
 use serde_json::json;
 use serde_json::Value;
 
@@ -56,5 +57,9 @@
         .collect();
     let chosen = choose(EntrySettings::default(), &routers, &caller);
     let keep = chosen.keep.as_secs();
+    router.record(|| {
+        let named = rows.iter().filter(|row| chosen.addresses.contains(&row.callers));
+        Recorded::Entry { zones: named.map(|row| row.zone.clone()).collect() }
+    });
     Ok(Answer::json(&json!({"addresses": chosen.addresses, "keep_seconds": keep})))
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -7,6 +7,8 @@
 //! this router is the home of and answers the other routers. [`watch`] cuts what a new revision no
 //! longer allows. Every refusal is a [`refusal::Refusal`].
 
+pub mod attempt;
+pub mod claims;
 pub mod explain;
 pub mod format;
 pub mod generate;
--- a/src/router/service.rs
+++ b/src/router/service.rs
@@ -23,6 +23,7 @@
 use corianderyoke_coord::register::Resource;
 use corianderyoke_coord::register::Service;
 use corianderyoke_coord::time::Tick;
+use corianderyoke_history::Event as Recorded;
 use corianderyoke_platform::Commit;
 use corianderyoke_platform::Condition;
 use corianderyoke_platform::Error as StoreError;
@@ -40,6 +41,8 @@
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
+use crate::router::attempt::Attempt;
+use crate::router::claims::Access;
 use crate::router::http::Answer;
 use crate::router::http::Parts;
 use crate::router::open::Cut;
@@ -78,11 +81,23 @@
 struct Running {
     call: Call,
     service: String,
+    team: String,
     ticket: Ticket,
-    address: Mutex<Option<SocketAddr>>,
+    /// Unique id of the attempt to claim.
+    attempt: String,
+    /// Digest of the call.
+    digest: String,
+    place: Mutex<Option<Place>>,
     tell: Mutex<Option<oneshot::Sender<Told>>>,
 }
 
+/// An upstream that runs a service.
+#[derive(Clone, Debug)]
+struct Place {
+    upstream: String,
+    address: SocketAddr,
+}
+
 impl Calls {
     /// No calls yet.
     pub fn new(ledger: Ledger) -> Self {
@@ -104,10 +119,16 @@
     let grant = Grant { key: caller.key.clone(), team: caller.team.clone(), target };
     let ticket = router.enter(grant)?;
     let deadline = arrived + Duration::from_millis(register.rules.deadline_ms);
+    router.record(|| Recorded::Call {
+        request: parts.id.clone(),
+        key: (!caller.key.is_empty()).then(|| caller.key.clone()),
+        open: service.open,
+        deadline_us: deadline.since(arrived).as_micros() as u64,
+    });
     let call = call(&parts, path, &caller, deadline);
     let safe = matches!(parts.method.as_str(), "GET" | "HEAD" | "OPTIONS");
     let answer = if service.repeatable || safe {
-        repeatable(router, name, &call, &ticket, deadline).await
+        repeatable(router, name, &call, &caller.team, &ticket, deadline).await
     } else {
         let key = idempotency_key(&parts)?;
         once(router, name, call, ticket, &caller, key, &parts).await
@@ -167,8 +188,8 @@
     }
 }
 
-/// Addresses of a service that may be given work now, in an order of this call's own.
-fn addresses(router: &Router, name: &str) -> Vec<SocketAddr> {
+/// Places of a service that may be given work now, in an order of this call's own.
+fn places(router: &Router, name: &str) -> Vec<Place> {
     let Some(register) = router.agent.config() else {
         return Vec::new();
     };
@@ -176,8 +197,11 @@
         return Vec::new();
     };
     let usable = register.upstreams_of(service).filter(|(name, _)| !router.agent.is_leaving(name));
-    let mut found: Vec<SocketAddr> =
-        usable.filter_map(|(_, upstream)| upstream.address.parse().ok()).collect();
+    let places = usable.filter_map(|(name, upstream)| {
+        let address = upstream.address.parse().ok()?;
+        Some(Place { upstream: name.to_owned(), address })
+    });
+    let mut found: Vec<Place> = places.collect();
     found.shuffle(&mut rand::rng());
     found
 }
@@ -187,18 +211,22 @@
     router: &Arc<Router>,
     name: &str,
     call: &Call,
+    team: &str,
     ticket: &Ticket,
     deadline: Tick,
 ) -> Result<Answer> {
     let mut refusal = unreachable(name);
-    for address in addresses(router, name) {
+    for (number, place) in (1..).zip(places(router, name)) {
         router.may_act().map_err(|e| e.with_outcome(refusal.outcome))?;
         let timeout = deadline.since(clock::now());
-        let sent = Call { timeout, ..call.clone() };
+        let id = format!("{}.{number}", call.id);
+        let attempt = Attempt::begin(router, &call.id, &id, team, &place.upstream);
+        let sent = Call { id, timeout, ..call.clone() };
         let answer = tokio::select! {
-            answer = router.upstreams.call_once(address, sent) => answer,
+            answer = router.upstreams.call_once(place.address, sent) => answer,
             cut = ticket.cut() => return Err(cut_refusal(cut)),
         };
+        attempt.end(ended(&answer));
         match answer {
             Ok(answer) => return Ok(whole(answer)),
             Err(e) if e.outcome == Sent::NotRun => {}
@@ -212,6 +240,16 @@
     Err(refusal)
 }
 
+/// What an attempt's result says of the work.
+fn ended(
+    result: &corianderyoke_upstream::Result<corianderyoke_upstream::service::Answer>,
+) -> Outcome {
+    match result {
+        Ok(_) => Outcome::Ran,
+        Err(e) => e.outcome.into(),
+    }
+}
+
 fn unreachable(name: &str) -> Refusal {
     let message = format!("no instance of service `{name}` can be reached");
     Refusal::not_run(Code::Unavailable, message).with_retry(OPEN_RETRY)
@@ -247,8 +285,11 @@
     let running = Arc::new(Running {
         call,
         service: name.to_owned(),
+        team: caller.team.clone(),
         ticket,
-        address: Mutex::default(),
+        attempt: attempt.clone(),
+        digest: digest.clone(),
+        place: Mutex::default(),
         tell: Mutex::new(Some(tell)),
     });
     let (key, effects) = {
@@ -343,6 +384,7 @@
 
 /// Carries one effect out and reports what came of it.
 async fn step(router: &Arc<Router>, effect: Effect) {
+    let access = access(router, &effect);
     let (call, reported) = match effect {
         Effect::Insert { call, key, claim } => {
             let key = row_key(&key);
@@ -363,12 +405,27 @@
         Effect::Send { call } => (call, send(router, call).await),
         Effect::Answer { call, answer } => return tell(router, call, answer),
     };
+    if let Some(access) = access {
+        access.end(router, &reported);
+    }
     let effects = router.ledger.ledger.lock().handle(call, reported, clock::now());
     // An event for a call that is over is dropped, as the ledger asks.
     carry_out(router, effects.unwrap_or_default());
 }
 
-fn row_key(key: &ClaimKey) -> String {
+/// Records the beginning of an access to a claim's row.
+fn access(router: &Router, effect: &Effect) -> Option<Access> {
+    let call = match effect {
+        Effect::Insert { call, .. } | Effect::Replace { call, .. } => call,
+        Effect::Remove { call, .. } | Effect::ReadBack { call, .. } => call,
+        Effect::Answer { .. } | Effect::Prepare { .. } | Effect::Send { .. } => return None,
+    };
+    let running = router.ledger.open.lock().get(call).cloned()?;
+    Access::begin(router, effect, &running.attempt, &running.digest)
+}
+
+/// Key of a claim's row.
+pub(super) fn row_key(key: &ClaimKey) -> String {
     format!("{}/{}", key.team, key.key)
 }
 
@@ -410,9 +467,9 @@
         return Reported::Withdrawn;
     };
     let stopped = running.ticket.is_cut() != Cut::No || router.may_act().is_err();
-    let address = addresses(router, &running.service).first().copied();
-    *running.address.lock() = address;
-    match address {
+    let place = places(router, &running.service).into_iter().next();
+    *running.place.lock() = place.clone();
+    match place {
         Some(_) if !stopped => Reported::Ready,
         _ => Reported::Withdrawn,
     }
@@ -423,11 +480,17 @@
     let Some(running) = router.ledger.open.lock().get(&call).cloned() else {
         return Reported::NotSent;
     };
-    let address = *running.address.lock();
-    let Some(address) = address.filter(|_| router.may_act().is_ok()) else {
+    let place = running.place.lock().clone();
+    let Some(place) = place.filter(|_| router.may_act().is_ok()) else {
         return Reported::NotSent;
     };
-    match router.upstreams.call_once(address, running.call.clone()).await {
+    let request = &running.call.id;
+    let id = format!("{request}.1");
+    let attempt = Attempt::begin(router, request, &id, &running.team, &place.upstream);
+    let sent = Call { id, ..running.call.clone() };
+    let result = router.upstreams.call_once(place.address, sent).await;
+    attempt.end(ended(&result));
+    match result {
         Ok(answer) => {
             let headers = answer.headers.into_iter().collect();
             let body = encode(&answer.body);
