Add an open-loop load generator and two experiments on real processes

The peers' transport and the platform's client count their bytes and calls, shown at /metrics, so control cost is read per daemon.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,11 +4,15 @@
 //! the caller knows whether it is idempotent. After a timeout the connection pool is replaced,
 //! because connections that went silent would cost a timeout each.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use parking_lot::RwLock;
+use reqwest::Body;
 use reqwest::Client;
+use reqwest::Request;
 use reqwest::RequestBuilder;
 use reqwest::Response;
 use reqwest::StatusCode;
@@ -65,18 +69,70 @@
     }
 }
 
+/// Accesses to the platform so far. Bytes are those of URLs and bodies, without headers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traffic {
+    /// Reads sent.
+    pub reads: u64,
+    /// Writes sent.
+    pub writes: u64,
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    reads: AtomicU64,
+    writes: AtomicU64,
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
 /// Adapter to a platform that speaks HTTP.
 #[derive(Debug)]
 pub struct HttpPlatform {
     settings: Settings,
     client: RwLock<Client>,
+    counters: Counters,
 }
 
 impl HttpPlatform {
     /// An adapter; connects at the first request.
     pub fn new(settings: Settings) -> Result<Self> {
         let client = RwLock::new(client(&settings)?);
-        Ok(HttpPlatform { settings, client })
+        Ok(HttpPlatform { settings, client, counters: Counters::default() })
+    }
+
+    /// Accesses so far.
+    pub fn traffic(&self) -> Traffic {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Traffic {
+            reads: read(&self.counters.reads),
+            writes: read(&self.counters.writes),
+            sent: read(&self.counters.sent),
+            received: read(&self.counters.received),
+        }
+    }
+
+    /// Counts a request that is about to be sent.
+    fn count(&self, access: Access, request: &Request) {
+        let counter = match access {
+            Access::Read => &self.counters.reads,
+            Access::Write => &self.counters.writes,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let body = request.body().and_then(Body::as_bytes).map_or(0, <[u8]>::len);
+        let sent = (request.url().as_str().len() + body) as u64;
+        self.counters.sent.fetch_add(sent, Ordering::Relaxed);
+    }
+
+    /// The body of an answer.
+    async fn body(&self, access: Access, response: Response) -> Result<Vec<u8>> {
+        let body = response.bytes().await.map_err(|error| self.failure(access, &error))?;
+        self.counters.received.fetch_add(body.len() as u64, Ordering::Relaxed);
+        Ok(body.to_vec())
     }
 
     fn url(&self, path: &str) -> String {
@@ -89,7 +145,10 @@
 
     /// Sends once and returns an answer with status 2xx.
     async fn send(&self, access: Access, request: RequestBuilder) -> Result<Response> {
-        let response = match request.send().await {
+        let client = self.client();
+        let request = request.build().map_err(|error| Error::Invalid(text(&error)))?;
+        self.count(access, &request);
+        let response = match client.execute(request).await {
             Ok(response) => response,
             Err(error) => return Err(self.failure(access, &error)),
         };
@@ -114,7 +173,8 @@
         request: RequestBuilder,
     ) -> Result<T> {
         let response = self.send(access, request).await?;
-        response.json().await.map_err(|error| self.failure(access, &error))
+        let body = self.body(access, response).await?;
+        serde_json::from_slice(&body).map_err(|error| access.unanswered(error.to_string()))
     }
 
     fn failure(&self, access: Access, error: &reqwest::Error) -> Error {
@@ -160,8 +220,7 @@
         if response.status() == StatusCode::NO_CONTENT {
             return Ok(None);
         }
-        let body = response.bytes().await.map_err(|error| self.failure(Access::Read, &error))?;
-        Ok(Some(body.to_vec()))
+        Ok(Some(self.body(Access::Read, response).await?))
     }
 
     async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<()> {
--- a/crates/support/src/fleet.rs
+++ b/crates/support/src/fleet.rs
@@ -112,8 +112,7 @@
         let name = format!("{role}-{number}");
         let platform = self.platform()?;
         let zone = self.builder.zone(number);
-        let settings =
-            format!("name = \"{name}\"\nzone = \"{zone}\"\nplatform = \"{platform}\"\n");
+        let settings = format!("name = \"{name}\"\nzone = \"{zone}\"\nplatform = \"{platform}\"\n");
         let file = format!("{name}.toml");
         self.write(&file, &settings)?;
         let arguments = ["--config".to_owned(), self.path(&file).display().to_string()];
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod frame;
 mod identity;
 mod tls;
+mod traffic;
 mod transport;
 mod trust;
 
@@ -22,6 +23,7 @@
 pub use error::Result;
 pub use identity::Fingerprint;
 pub use identity::Identity;
+pub use traffic::Traffic;
 pub use transport::Handler;
 pub use transport::PeerAddr;
 pub use transport::Transport;
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -29,6 +29,9 @@
 use crate::peer::Request;
 use crate::peer::Response;
 use crate::tls;
+use crate::traffic::Counted;
+use crate::traffic::Counters;
+use crate::traffic::Traffic;
 use crate::Error;
 use crate::Fingerprint;
 use crate::Identity;
@@ -73,7 +76,8 @@
 struct Shared {
     endpoint: Endpoint,
     identity: Identity,
-    connections: Mutex<IndexMap<PeerAddr, Connection>>,
+    connections: Mutex<IndexMap<PeerAddr, Arc<Counted>>>,
+    counters: Arc<Counters>,
 }
 
 impl Transport {
@@ -88,8 +92,9 @@
         let endpoint =
             Endpoint::server(config, addr).map_err(|error| Error::Setup(error.to_string()))?;
         let connections = Mutex::new(IndexMap::new());
-        tokio::spawn(accept(endpoint.clone(), trust, handler));
-        Ok(Transport { shared: Arc::new(Shared { endpoint, identity, connections }) })
+        let counters = Arc::new(Counters::default());
+        tokio::spawn(accept(endpoint.clone(), trust, handler, Arc::clone(&counters)));
+        Ok(Transport { shared: Arc::new(Shared { endpoint, identity, connections, counters }) })
     }
 
     /// The address bound.
@@ -102,6 +107,11 @@
         self.shared.identity.fingerprint()
     }
 
+    /// Bytes and calls of this endpoint so far.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.counters.total()
+    }
+
     /// Sends one request and waits for its answer, `limit` at most in all.
     pub async fn call(
         &self,
@@ -137,6 +147,7 @@
         let (mut send, mut recv) = self.stream(peer).await?;
         // From here on bytes may reach the peer.
         *sent = true;
+        self.shared.counters.call();
         frame::write(&mut send, request).await.map_err(Error::Unknown)?;
         frame::read(&mut recv).await.map_err(Error::Unknown)
     }
@@ -144,27 +155,27 @@
     /// Opens a stream, on a new connection when the cached one is broken.
     async fn stream(&self, peer: &PeerAddr) -> Result<(SendStream, RecvStream)> {
         let cached = self.shared.connections.lock().get(peer).cloned();
-        if let Some(connection) = cached {
-            if connection.close_reason().is_none() {
-                if let Ok(streams) = connection.open_bi().await {
+        if let Some(counted) = cached {
+            if counted.connection.close_reason().is_none() {
+                if let Ok(streams) = counted.connection.open_bi().await {
                     return Ok(streams);
                 }
             }
-            self.forget(peer, &connection);
+            self.forget(peer, &counted);
         }
         let connection = self.connect(peer).await?;
-        connection.open_bi().await.map_err(|error| Error::NotSent(error.to_string()))
+        let streams = connection.connection.open_bi().await;
+        streams.map_err(|error| Error::NotSent(error.to_string()))
     }
 
-    fn forget(&self, peer: &PeerAddr, connection: &Connection) {
+    fn forget(&self, peer: &PeerAddr, counted: &Arc<Counted>) {
         let mut connections = self.shared.connections.lock();
-        let same = connections.get(peer).map(Connection::stable_id);
-        if same == Some(connection.stable_id()) {
+        if connections.get(peer).is_some_and(|cached| Arc::ptr_eq(cached, counted)) {
             connections.swap_remove(peer);
         }
     }
 
-    async fn connect(&self, peer: &PeerAddr) -> Result<Connection> {
+    async fn connect(&self, peer: &PeerAddr) -> Result<Arc<Counted>> {
         let not_sent = |text: String| Error::NotSent(format!("{}: {text}", peer.addr));
         let config = client_config(&self.shared.identity, peer.fingerprint)?;
         let connecting = self
@@ -178,19 +189,28 @@
             .map_err(|error| not_sent(error.to_string()))?;
         // A racing call may have connected too; the later one stays cached and both work.
         let mut connections = self.shared.connections.lock();
-        connections.retain(|_, old| old.close_reason().is_none());
-        connections.insert(*peer, connection.clone());
-        Ok(connection)
+        connections.retain(|_, old| old.connection.close_reason().is_none());
+        let counted = self.shared.counters.count(connection);
+        connections.insert(*peer, Arc::clone(&counted));
+        Ok(counted)
     }
 }
 
-async fn accept(endpoint: Endpoint, trust: Trust, handler: Arc<dyn Handler>) {
+async fn accept(
+    endpoint: Endpoint,
+    trust: Trust,
+    handler: Arc<dyn Handler>,
+    counters: Arc<Counters>,
+) {
     while let Some(incoming) = endpoint.accept().await {
         let trust = trust.clone();
         let handler = handler.clone();
+        let counters = Arc::clone(&counters);
         tokio::spawn(async move {
             match incoming.await {
-                Ok(connection) => serve(connection, trust, handler).await,
+                Ok(connection) => {
+                    serve(&counters.count(connection).connection, trust, handler).await
+                }
                 Err(error) => log::debug!("a peer's handshake failed: {error}"),
             }
         });
@@ -198,8 +218,8 @@
 }
 
 /// Serves one connection; the fingerprint is looked up again at each call.
-async fn serve(connection: Connection, trust: Trust, handler: Arc<dyn Handler>) {
-    let Some(fingerprint) = fingerprint(&connection) else {
+async fn serve(connection: &Connection, trust: Trust, handler: Arc<dyn Handler>) {
+    let Some(fingerprint) = fingerprint(connection) else {
         connection.close(UNTRUSTED, b"no certificate");
         return;
     };
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -12,6 +12,7 @@
 pub mod drive;
 pub mod settings;
 pub mod store;
+pub mod traffic;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/bin/corianderyoke-bench/main.rs
+++ b/src/bin/corianderyoke-bench/main.rs
@@ -23,6 +23,8 @@
     Demo(commands::demo::Cli),
     /// Check a history against the properties that must always hold
     Check(commands::check::Cli),
+    /// Measure the system against a baseline and a bound
+    Experiment(commands::experiment::Cli),
 }
 
 #[tokio::main]
@@ -30,5 +32,6 @@
     match Cli::parse().command {
         Command::Demo(cli) => commands::demo::exec(cli).await,
         Command::Check(cli) => commands::check::exec(&cli),
+        Command::Experiment(cli) => commands::experiment::exec(cli).await,
     }
 }
--- /dev/null
+++ b/src/ops/bench/experiment/control.rs
@@ -0,0 +1,179 @@
+//! What control costs a daemon: processor time, resident memory and bytes a second.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use corianderyoke_support::Fleet;
+use indexmap::IndexMap;
+use tokio::time::sleep;
+use tokio::time::Instant;
+
+use super::processes;
+use super::processes::Usage;
+use super::Finding;
+use super::Options;
+use crate::ops::bench::load::drive;
+use crate::ops::bench::load::Profile;
+use crate::ops::bench::load::Stream;
+use crate::ops::bench::measure::Measure;
+use crate::ops::bench::measure::Summary;
+
+/// Requests a second over all routers.
+const RATE: f64 = 500.0;
+/// Most of one core that a daemon may use, in percent.
+const CPU_BOUND: f64 = 5.0;
+/// Most memory that a daemon may use, in megabytes.
+const MEMORY_BOUND: f64 = 64.0;
+/// Most control bytes a second of a daemon, in kilobytes.
+const BYTES_BOUND: f64 = 18.0;
+/// Time for which the fleet settles before it is watched.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// What one daemon used in one phase, per second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rates {
+    /// Percent of a core.
+    cpu: f64,
+    /// Resident megabytes at the end.
+    memory: f64,
+    /// Peers' kilobytes.
+    peers: f64,
+    /// Platform's kilobytes.
+    platform: f64,
+    calls: f64,
+    reads: f64,
+    writes: f64,
+}
+
+impl Rates {
+    fn between(before: &Usage, after: &Usage, span: Duration) -> Rates {
+        let seconds = span.as_secs_f64();
+        let rate = |before: u64, after: u64| after.saturating_sub(before) as f64 / seconds;
+        Rates {
+            cpu: (after.cpu - before.cpu).as_secs_f64() / seconds * 100.0,
+            memory: after.resident as f64 / 1e6,
+            peers: rate(before.peer_bytes, after.peer_bytes) / 1e3,
+            platform: rate(before.platform_bytes, after.platform_bytes) / 1e3,
+            calls: rate(before.calls, after.calls),
+            reads: rate(before.reads, after.reads),
+            writes: rate(before.writes, after.writes),
+        }
+    }
+
+    fn bytes(&self) -> f64 {
+        self.peers + self.platform
+    }
+}
+
+type Table = IndexMap<String, Rates>;
+
+/// Watches the fleet idle and under load, once a seed.
+pub async fn run(options: &Options) -> Result<Finding> {
+    let fleet = processes::start().await?;
+    let routed = Arc::new(processes::routers(&fleet)?);
+    processes::warm(&routed).await?;
+    sleep(SETTLE).await;
+    let mut phases = Vec::new();
+    let mut notes = Vec::new();
+    let before = usages(&fleet).await?;
+    eprintln!("idle for {} s", options.span.as_secs());
+    sleep(options.span).await;
+    phases.push(("idle".to_owned(), rates(&fleet, &before).await?));
+    for seed in &options.seeds {
+        let before = usages(&fleet).await?;
+        let label = format!("loaded, seed {seed}");
+        let arrivals = profile(*seed, options.span).arrivals();
+        let samples = drive(&label, arrivals, Arc::clone(&routed)).await?;
+        phases.push((label, rates(&fleet, &before).await?));
+        notes.push(Summary::of(&samples).line());
+    }
+    for (phase, table) in &phases {
+        notes.extend(table.iter().map(|(name, rates)| line(phase, name, rates)));
+    }
+    Ok(Finding { measure: measure(&phases), charts: Vec::new(), notes })
+}
+
+fn profile(seed: u64, span: Duration) -> Profile {
+    let stream = |team| Stream {
+        team,
+        rate: RATE / processes::TEAMS as f64,
+        begin: Duration::ZERO,
+        end: span,
+    };
+    Profile {
+        span,
+        streams: (0..processes::TEAMS).map(stream).collect(),
+        models: processes::MODELS,
+        routers: processes::ROUTERS,
+        skew: 0.0,
+        seed,
+        ..Profile::default()
+    }
+}
+
+async fn usages(fleet: &Fleet) -> Result<(Instant, IndexMap<String, Usage>)> {
+    let mut found = IndexMap::new();
+    let routers = (1..=processes::ROUTERS).map(|number| format!("router-{number}"));
+    let controllers = (1..=processes::CONTROLLERS).map(|number| format!("controller-{number}"));
+    for name in routers.chain(controllers) {
+        let usage = processes::usage(fleet, &name).await?;
+        found.insert(name, usage);
+    }
+    Ok((Instant::now(), found))
+}
+
+async fn rates(fleet: &Fleet, before: &(Instant, IndexMap<String, Usage>)) -> Result<Table> {
+    let (begun, before) = before;
+    let (ended, after) = usages(fleet).await?;
+    let rate = |(name, after): (String, Usage)| {
+        let rates = Rates::between(&before[&name], &after, ended - *begun);
+        (name, rates)
+    };
+    Ok(after.into_iter().map(rate).collect())
+}
+
+fn line(phase: &str, name: &str, rates: &Rates) -> String {
+    format!(
+        "{phase}: {name}: cpu {:.1} %, memory {:.1} MB, peers {:.1} KB/s in {:.1} calls/s, \
+         platform {:.1} KB/s in {:.1} reads/s and {:.1} writes/s",
+        rates.cpu,
+        rates.memory,
+        rates.peers,
+        rates.calls,
+        rates.platform,
+        rates.reads,
+        rates.writes
+    )
+}
+
+fn measure(phases: &[(String, Table)]) -> Measure {
+    let worst = |idle: bool, of: fn(&Rates) -> f64| {
+        let chosen = phases.iter().filter(|(phase, _)| (phase == "idle") == idle);
+        let daemons = chosen.flat_map(|(_, table)| table.values());
+        daemons.map(of).fold(0.0, f64::max)
+    };
+    let part = |measure: &str, unit: &str, idle: bool, of: fn(&Rates) -> f64, bound: f64| {
+        let (measure, unit) = (measure.to_owned(), unit.to_owned());
+        let ours = worst(idle, of);
+        Measure { measure, unit, ours, bound: Some(bound), ..Measure::default() }.judged()
+    };
+    let cpu: fn(&Rates) -> f64 = |rates| rates.cpu;
+    let memory: fn(&Rates) -> f64 = |rates| rates.memory;
+    let bytes: fn(&Rates) -> f64 = Rates::bytes;
+    let measure = Measure {
+        measure: "control bytes of the busiest daemon under 500 requests/s".to_owned(),
+        unit: "KB/s".to_owned(),
+        ours: worst(false, bytes),
+        bound: Some(BYTES_BOUND),
+        parts: vec![
+            part("control bytes idle", "KB/s", true, bytes, BYTES_BOUND),
+            part("processor, idle", "% of a core", true, cpu, CPU_BOUND),
+            part("processor, loaded, forwarding included", "% of a core", false, cpu, CPU_BOUND),
+            part("resident memory, idle", "MB", true, memory, MEMORY_BOUND),
+            part("resident memory, loaded", "MB", false, memory, MEMORY_BOUND),
+        ],
+        ..Measure::default()
+    };
+    measure.judged()
+}
--- /dev/null
+++ b/src/ops/bench/experiment/mod.rs
@@ -0,0 +1,66 @@
+//! Experiments: each answers one question by figures, against a baseline in the same run.
+//!
+//! [`overhead`] and [`control`] run the real binaries as processes; the others bring up a cell in
+//! this process, at the size of a [`deployment`].
+
+pub mod control;
+pub mod overhead;
+pub mod processes;
+
+use std::time::Duration;
+
+use anyhow::Result;
+use clap::ValueEnum;
+
+use super::measure::Measure;
+use super::report::Chart;
+
+/// The experiments.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum Experiment {
+    /// Added p99 of a warm request through a router over asking the engine directly
+    Overhead,
+    /// Processor time, memory and control bytes of a daemon, idle and under load
+    Control,
+}
+
+/// What an experiment is asked for.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Seeds, one run each.
+    pub seeds: Vec<u64>,
+    /// Length of each phase of a run.
+    pub span: Duration,
+}
+
+/// What an experiment found.
+#[derive(Clone, Debug, Default)]
+pub struct Finding {
+    /// The measure.
+    pub measure: Measure,
+    /// Plots of the runs.
+    pub charts: Vec<Chart>,
+    /// What else a reader should know, one line each.
+    pub notes: Vec<String>,
+}
+
+/// Runs an experiment.
+pub async fn run(experiment: Experiment, options: &Options) -> Result<Finding> {
+    let before = load_average();
+    let mut finding = match experiment {
+        Experiment::Overhead => overhead::run(options).await?,
+        Experiment::Control => control::run(options).await?,
+    };
+    finding.measure.seeds = options.seeds.clone();
+    for part in &mut finding.measure.parts {
+        part.seeds = options.seeds.clone();
+    }
+    finding.notes.push(format!("load average {before} before the run, {} after", load_average()));
+    Ok(finding)
+}
+
+/// The machine's load averages over 1, 5 and 15 minutes.
+fn load_average() -> String {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().take(3).collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/src/ops/bench/experiment/processes.rs
@@ -0,0 +1,158 @@
+//! A fleet of processes that holds warm models, and what its processes use.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::bail;
+use anyhow::Context;
+use anyhow::Result;
+use corianderyoke_support::Builder;
+use corianderyoke_support::Fleet;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::ops::bench::load::target::Side;
+use crate::ops::bench::load::Target;
+
+/// Routers of the fleet.
+pub const ROUTERS: usize = 8;
+/// Controllers of the fleet.
+pub const CONTROLLERS: usize = 2;
+/// Engines of the fleet.
+pub const ENGINES: usize = 4;
+/// Models of the fleet; they fit into the engines' memory all at once.
+pub const MODELS: usize = 8;
+/// Teams of the fleet.
+pub const TEAMS: usize = 4;
+/// Tokens of each answer.
+pub const TOKENS: u32 = 4;
+/// Deadline of each request.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Processor time of one count in `/proc/PID/stat`.
+const CLOCK_TICK: Duration = Duration::from_millis(10);
+/// Fields of `/proc/PID/stat` between the program's name and the user time.
+const FIELDS_BEFORE_TIMES: usize = 11;
+
+/// Starts a fleet of the binaries beside this one.
+pub async fn start() -> Result<Fleet> {
+    let program = std::env::current_exe().context("failed to find this program's folder")?;
+    let binaries = program.parent().map(PathBuf::from).unwrap_or_default();
+    let builder = Builder {
+        binaries,
+        routers: ROUTERS,
+        controllers: CONTROLLERS,
+        engines: ENGINES,
+        models: MODELS,
+        teams: TEAMS,
+        rate: 1_000_000,
+        burst: 2_000_000,
+        engine_lines: "token_us = 1000\nslope_us = 50\n".to_owned(),
+        ..Builder::default()
+    };
+    let fleet = builder.start().await;
+    fleet.context("failed to start the fleet; build all binaries first: cargo build --release")
+}
+
+/// Where the routers answer callers.
+pub fn routers(fleet: &Fleet) -> Result<Target> {
+    let addresses = (1..=ROUTERS).map(|number| {
+        fleet.process(&format!("router-{number}")).and_then(|p| p.address("callers"))
+    });
+    let keys = (1..=TEAMS).map(|team| fleet.secret(&format!("t{team}")).to_owned());
+    let side = Side::Routers(addresses.collect::<Result<_>>()?, keys.collect());
+    Target::new(side, TOKENS, DEADLINE)
+}
+
+/// Where each model is loaded: the engines that a caller without a router would ask.
+pub async fn engines(fleet: &Fleet) -> Result<Target> {
+    let mut addresses: Vec<Option<SocketAddr>> = vec![None; MODELS];
+    for number in 1..=ENGINES {
+        let name = format!("engine-{number}");
+        let state = fleet.client.get(fleet.standin(&name, "/state")?).send().await?;
+        let state: Value = serde_json::from_str(&state.text().await?)?;
+        let models = state["models"].as_array().cloned().unwrap_or_default();
+        for model in models.iter().filter(|model| model["state"] == "loaded") {
+            let rank = model["model"].as_str().and_then(|name| name[1..].parse::<usize>().ok());
+            if let Some(rank) = rank {
+                addresses[rank - 1] = Some(fleet.process(&name)?.address("")?);
+            }
+        }
+    }
+    let found: Option<Vec<SocketAddr>> = addresses.into_iter().collect();
+    let found = found.context("a model isn't loaded; it was unloaded or moved meanwhile")?;
+    Target::new(Side::Engines(found), TOKENS, DEADLINE)
+}
+
+/// Has every model loaded, by a request each.
+pub async fn warm(target: &Arc<Target>) -> Result<()> {
+    use crate::ops::bench::load::Arrival;
+    use crate::ops::bench::load::Outcome;
+    for model in 0..MODELS {
+        let arrival = Arrival { at: Duration::ZERO, team: 0, model, router: model };
+        let (outcome, _) = target.send(&arrival).await;
+        if outcome != Outcome::Served {
+            bail!("the first request of model m{} ended with {outcome:?}", model + 1);
+        }
+    }
+    // Placement's list of replicas reaches every router.
+    sleep(Duration::from_secs(1)).await;
+    Ok(())
+}
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time, user and system.
+    pub cpu: Duration,
+    /// Resident memory in bytes.
+    pub resident: u64,
+    /// Bytes of the peers' protocol, both ways.
+    pub peer_bytes: u64,
+    /// Bytes of URLs and bodies to and from the platform.
+    pub platform_bytes: u64,
+    /// Calls made of peers.
+    pub calls: u64,
+    /// Reads of the platform.
+    pub reads: u64,
+    /// Writes to the platform.
+    pub writes: u64,
+}
+
+/// What a daemon of the fleet has used so far.
+pub async fn usage(fleet: &Fleet, name: &str) -> Result<Usage> {
+    let process = fleet.process(name)?;
+    let url = format!("http://{}/metrics", process.address("operators")?);
+    let text = fleet.client.get(url).send().await?.text().await?;
+    let total = |metric: &str| {
+        let prefix = format!("corianderyoke_{metric}_total ");
+        let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        line.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0)
+    };
+    Ok(Usage {
+        cpu: cpu(process.pid())?,
+        resident: resident(process.pid())?,
+        peer_bytes: total("peer_sent_bytes") + total("peer_received_bytes"),
+        platform_bytes: total("platform_sent_bytes") + total("platform_received_bytes"),
+        calls: total("peer_calls"),
+        reads: total("platform_reads"),
+        writes: total("platform_writes"),
+    })
+}
+
+fn cpu(pid: u32) -> Result<Duration> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The program's name is in parentheses and may hold spaces.
+    let (_, fields) = text.rsplit_once(')').context("/proc/PID/stat has no name")?;
+    let times = fields.split_whitespace().skip(FIELDS_BEFORE_TIMES).take(2);
+    let ticks: u32 = times.filter_map(|field| field.parse::<u32>().ok()).sum();
+    Ok(CLOCK_TICK * ticks)
+}
+
+fn resident(pid: u32) -> Result<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    Ok(kilobytes.context("/proc/PID/status has no VmRSS")? * 1024)
+}
--- a/src/ops/bench/mod.rs
+++ b/src/ops/bench/mod.rs
@@ -2,3 +2,7 @@
 
 pub mod cell;
 pub mod demo;
+pub mod experiment;
+pub mod load;
+pub mod measure;
+pub mod report;
--- a/src/ops/controller.rs
+++ b/src/ops/controller.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinSet;
 
 use crate::agent;
+use crate::agent::traffic::Traffic;
 use crate::agent::Agent;
 use crate::controller::run;
 use crate::controller::settings::Settings;
@@ -39,13 +40,14 @@
 
 /// Starts a controller; it acts once its agent has joined and it is the home of placement.
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
-    let platform: Arc<dyn Platform> = Arc::new(
+    let client = Arc::new(
         HttpPlatform::new(corianderyoke_platform::http::Settings {
             address: settings.platform.to_string(),
             ..Default::default()
         })
         .context("failed to set up the platform's client")?,
     );
+    let platform: Arc<dyn Platform> = Arc::clone(&client) as Arc<dyn Platform>;
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
         agent::Settings {
@@ -62,7 +64,8 @@
     let upstreams = Arc::new(corianderyoke_upstream::Client::new(Default::default())?);
     let controller = Controller::new(settings, Arc::clone(&agent), platform, upstreams);
     agent.serve(Arc::new(Peers { controller: Arc::clone(&controller) }));
-    let registry = Registry::with_prefix("corianderyoke");
+    let mut registry = Registry::with_prefix("corianderyoke");
+    registry.register_collector(Box::new(Traffic::new(Arc::clone(&agent), client)));
     let subject = Arc::new(Subject { controller: Arc::clone(&controller) });
     let server = observe::serve(operators, subject, Arc::new(registry)).await?;
     agent.set_state(RowState::Ready);
--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 
 use crate::agent;
+use crate::agent::traffic::Traffic;
 use crate::agent::Agent;
 use crate::agent::Service;
 use crate::ops::daemon;
@@ -59,13 +60,14 @@
 
 /// Starts a router; it serves once its agent has joined and the configuration is in force.
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
-    let platform: Arc<dyn Platform> = Arc::new(
+    let client = Arc::new(
         HttpPlatform::new(corianderyoke_platform::http::Settings {
             address: settings.platform.to_string(),
             ..Default::default()
         })
         .context("failed to set up the platform's client")?,
     );
+    let platform: Arc<dyn Platform> = Arc::clone(&client) as Arc<dyn Platform>;
     let callers = daemon::reserve(settings.callers)?;
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
@@ -86,6 +88,7 @@
     agent.serve(Arc::new(Peers { router: Arc::clone(&router) }));
     let mut registry = Registry::with_prefix("corianderyoke");
     router.metrics.register(&mut registry);
+    registry.register_collector(Box::new(Traffic::new(Arc::clone(&agent), client)));
     let subject = Arc::new(Subject { router: Arc::clone(&router) });
     let servers = vec![
         http::serve(callers, Arc::clone(&router)).await?,
