--- a/src/ops/controller.rs
+++ b/src/ops/controller.rs
@@ -7,12 +7,15 @@
 use corianderyoke_coord::membership::RowState;
 use corianderyoke_history::Event as Recorded;
 use corianderyoke_http::Running as Server;
+use corianderyoke_platform::Platform;
 use prometheus_client::registry::Registry;
 use rocket::serde::json::Value;
 use serde_json::json;
 use tokio::task::JoinSet;
 
 use crate::agent;
+use crate::agent::traced::Traced;
+use crate::agent::traffic::Traffic;
 use crate::agent::Agent;
 use crate::controller::run;
 use crate::controller::settings::Settings;
@@ -37,7 +40,8 @@
 /// Starts a controller; it acts once its agent has joined and it is the home of placement.
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
     let history = daemon::recorder(&settings.name, &settings.history)?;
-    let platform = daemon::platform(settings.platform, &history)?;
+    let client = daemon::client(settings.platform)?;
+    let platform = Traced::new(Arc::clone(&client) as Arc<dyn Platform>, &history);
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
         agent::Settings {
@@ -54,7 +58,8 @@
     let upstreams = Arc::new(corianderyoke_upstream::Client::new(Default::default())?);
     let controller = Controller::new(settings, Arc::clone(&agent), platform, upstreams);
     agent.serve(Arc::new(Peers { controller: Arc::clone(&controller) }));
-    let registry = Registry::with_prefix("corianderyoke");
+    let mut registry = Registry::with_prefix("corianderyoke");
+    registry.register_collector(Box::new(Traffic::new(Arc::clone(&agent), client)));
     let subject = Arc::new(Subject { controller: Arc::clone(&controller) });
     let server = observe::serve(operators, subject, Arc::new(registry)).await?;
     agent.set_state(RowState::Ready);
