--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -52,6 +52,8 @@
 /// Longest time for which a caller may leave a full buffer unread.
 const READ_WITHIN: Duration = Duration::from_secs(30);
 
+/// Tokens generated at most where the caller names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Longest wait for an adapter to be loaded.
 const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
 
@@ -70,7 +72,7 @@
     let wish = request::parse(kind, &parts.body)?;
     let target = router.target(&caller, &wish.model)?;
     let deadline = arrived + wish.deadline.unwrap_or(target.deadline).min(target.longest);
-    let prompt_tokens = prompt_tokens(&target, &wish)?;
+    let cost = cost(&target, &wish)?;
     let (key, team) = (caller.key.clone(), caller.team.clone());
     let grant = Grant { key, team, target: wish.model.clone() };
     let ticket = router.enter(grant)?;
@@ -89,7 +91,7 @@
         id: parts.id,
         team: caller.team,
         wish,
-        prompt_tokens,
+        cost,
         model: target.model,
         adapter: target.adapter,
         deadline,
@@ -112,16 +114,35 @@
     answer
 }
 
-/// Tokens that the prompt takes at most.
-fn prompt_tokens(target: &Target, wish: &Generation) -> Result<u32> {
-    let tokens = target.base.prompt_bound(wish.prompt_bytes());
-    let all = tokens + u64::from(wish.max_tokens);
-    if all > target.base.context_tokens {
-        let most = target.base.context_tokens;
-        let message = format!("prompt and output may take {all} tokens, the model takes {most}");
+/// Tokens that a request takes at most.
+#[derive(Clone, Copy)]
+struct Cost {
+    prompt: u32,
+    output: u32,
+}
+
+impl Cost {
+    fn total(self) -> u32 {
+        self.prompt + self.output
+    }
+}
+
+fn cost(target: &Target, wish: &Generation) -> Result<Cost> {
+    let base = &target.base;
+    let output = wish
+        .max_tokens
+        .map_or_else(|| u64::from(DEFAULT_MAX_TOKENS).min(base.output_tokens), u64::from);
+    if output > base.output_tokens {
+        let message = format!("`max_tokens` may be {} for this model", base.output_tokens);
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    let prompt = base.prompt_bound(wish.prompt_bytes());
+    let (total, most) = (prompt + output, base.context_tokens);
+    if total > most {
+        let message = format!("prompt and output may take {total} tokens, the model takes {most}");
         return Err(Refusal::not_run(Code::BadRequest, message));
     }
-    Ok(tokens as u32)
+    Ok(Cost { prompt: prompt as u32, output: output as u32 })
 }
 
 /// The refusal for a task that ended without a last piece.
@@ -211,7 +232,7 @@
     id: String,
     team: String,
     wish: Generation,
-    prompt_tokens: u32,
+    cost: Cost,
     model: String,
     adapter: Option<String>,
     deadline: Tick,
@@ -235,7 +256,7 @@
 
 impl Job {
     async fn run(self, pieces: mpsc::Sender<Piece>) {
-        let cost = self.prompt_tokens + self.wish.max_tokens;
+        let cost = self.cost.total();
         let ended = tokio::select! {
             ended = self.work(cost, &pieces) => ended,
             () = pieces.closed() => Err(gone()),
@@ -276,7 +297,7 @@
             let attempt = self.attempt(slot, &mut progress, &mut reserved, pieces).await;
             match attempt {
                 Attempt::Done { reason } => {
-                    let prompt_tokens = self.prompt_tokens;
+                    let prompt_tokens = self.cost.prompt;
                     let done = Piece::Done { reason, prompt_tokens, tokens: progress.tokens };
                     let _ = pieces.send(done).await;
                     return Ok(reserved.used());
@@ -302,7 +323,7 @@
             team: self.team.clone(),
             model: self.model.clone(),
             adapter: self.adapter.clone(),
-            cost: u64::from(self.prompt_tokens + self.wish.max_tokens - progress.tokens),
+            cost: u64::from(self.cost.total() - progress.tokens),
             deadline: self.deadline,
             prefix: self.wish.prefix(),
             avoid: progress.avoid.clone(),
@@ -361,7 +382,7 @@
             return Attempt::Broken { outcome: Outcome::NotRun, cause };
         };
         if progress.attempts == 1 {
-            reserved.use_tokens(self.prompt_tokens);
+            reserved.use_tokens(self.cost.prompt);
         }
         let request = self.request(progress);
         let attempt = request.id.clone();
@@ -408,7 +429,7 @@
             model: self.model.clone(),
             adapter: self.adapter.clone(),
             prompt: self.wish.prompt.clone(),
-            max_tokens: self.wish.max_tokens,
+            max_tokens: self.cost.output,
             resume_from: progress.tokens,
             sampling: self.wish.sampling.clone(),
             first_timeout: Duration::from_millis(settings.first_ms),
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -190,6 +190,7 @@
     let headers = headers(request)?;
     let query = request.uri().query().map_or("", |query| query.as_str()).to_owned();
     refuse_keys_in_query(&query)?;
+    refuse_odd_path(request.uri().path().as_str())?;
     let body = body(request, data).await?;
     Ok(Parts {
         id: id.to_owned(),
@@ -233,6 +234,19 @@
     Ok(())
 }
 
+/// Refuses paths that an HTTP library below would read as another path.
+fn refuse_odd_path(path: &str) -> Result<()> {
+    let odd = |segment: &str| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        matches!(plain.as_str(), "." | "..") || plain.contains("%2f") || plain.contains('\\')
+    };
+    if path.split('/').any(odd) {
+        let message = "the path may not have `.` or `..` segments, or encoded slashes";
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    Ok(())
+}
+
 async fn body(request: &Request<'_>, data: Data<'_>) -> Result<Bytes> {
     let declared = request.headers().get_one("content-length").and_then(|n| n.parse::<u64>().ok());
     let too_large = || {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -19,8 +19,6 @@
 use crate::router::refusal::Refusal;
 use crate::router::refusal::Result;
 
-/// Tokens generated at most where the caller names no limit.
-pub const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Upper bound of a caller's own token limit.
 const MAX_TOKENS: u32 = 131_072;
 /// Bytes of a text prompt that count as its prefix.
@@ -48,8 +46,8 @@
     pub prompt: Prompt,
     /// Whether the caller wants server-sent events.
     pub stream: bool,
-    /// Most tokens to generate.
-    pub max_tokens: u32,
+    /// Most tokens to generate, where the caller says so.
+    pub max_tokens: Option<u32>,
     /// Deadline that the caller set, from its arrival.
     pub deadline: Option<Duration>,
     /// Sampling fields for the engine.
@@ -168,12 +166,12 @@
     }
 }
 
-fn max_tokens(fields: &Map<String, Value>) -> Result<u32> {
+fn max_tokens(fields: &Map<String, Value>) -> Result<Option<u32>> {
     let given = fields.get("max_tokens").or_else(|| fields.get("max_completion_tokens"));
     match given {
-        None | Some(Value::Null) => Ok(DEFAULT_MAX_TOKENS),
+        None | Some(Value::Null) => Ok(None),
         Some(value) => match value.as_u64() {
-            Some(n) if (1..=u64::from(MAX_TOKENS)).contains(&n) => Ok(n as u32),
+            Some(n) if (1..=u64::from(MAX_TOKENS)).contains(&n) => Ok(Some(n as u32)),
             _ => Err(bad(format!("`max_tokens` must be a whole number from 1 to {MAX_TOKENS}"))),
         },
     }
--- /dev/null
+++ b/tests/testsuite/bad_input.rs
@@ -0,0 +1,136 @@
+//! Bad input: each kind gets a clear refusal, is counted, and reaches no upstream.
+
+use std::fmt::Write;
+use std::io::Read;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+
+use corianderyoke::ops::bench::cell::Cell;
+use corianderyoke::ops::bench::cell::Plan;
+use corianderyoke_standin::engine;
+use corianderyoke_standin::engine::settings::Tier;
+
+const REGISTER: &str = r#"
+[models.summary]
+bytes = 16_000_000_000
+bytes_per_token = 2.0
+context_tokens = 2000
+[adapters.winter]
+model = "summary"
+bytes = 1_000
+[teams.depots]
+rate = 50_000
+burst = 100_000
+[grants.depots]
+models = ["summary"]
+services = ["orders"]
+[services.orders]
+upstreams = ["orders-1"]
+[rules]
+deadline_ms = 20_000
+"#;
+
+async fn cell() -> (Cell, String) {
+    let mut engine = engine::Settings::default();
+    engine.checkpoints.insert("summary".to_owned(), Tier::Memory);
+    let register = REGISTER.to_owned();
+    let plan =
+        Plan { routers: 2, controllers: 1, engines: vec![engine], register, ..Plan::default() };
+    let cell = Cell::start(plan).await.expect("the cell starts");
+    let key = cell.issue_key("depots").await.expect("a key is issued");
+    (cell, key)
+}
+
+/// Sends bytes as they are and returns the status line and the refusal's body.
+fn raw(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    let mut answer = String::new();
+    // A server that refuses early may reset the connection after its answer.
+    let _ = stream.read_to_string(&mut answer);
+    let status = answer.lines().next().unwrap_or("no answer").to_owned();
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    format!("{status}\n  {}", without_id(body))
+}
+
+/// A refusal's body without its request id, which differs each time.
+fn without_id(body: &str) -> String {
+    match body.split_once(",\"request_id\"") {
+        Some((start, _)) => format!("{start}}}}}"),
+        None => body.to_owned(),
+    }
+}
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{headers}content-length: \
+         {length}\r\n\r\n{body}"
+    )
+}
+
+fn requests(key: &str) -> Vec<(&'static str, String)> {
+    let auth = format!("authorization: Bearer {key}\r\n");
+    let chat = "/v1/chat/completions";
+    let good = r#"{"model":"summary","messages":[{"role":"user","content":"x"}]}"#;
+    let large = format!("{{\"model\":\"summary\",\"prompt\":\"{}\"}}", "x".repeat(1_100_000));
+    let many: String = (0..80).map(|n| format!("x-h{n}: v\r\n")).collect();
+    let long = format!("x-long: {}\r\n", "v".repeat(20_000));
+    let order = "/services/orders/new";
+    let keyed = format!("{{\"model\":\"summary\",\"prompt\":\"{key}\"}}");
+    let leak = format!("{{\"note\":\"{key}\"}}");
+    let once = format!("{auth}idempotency-key: k1\r\n");
+    let smuggled = format!(
+        "POST {chat} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{auth}content-length: 5\r\n\
+         content-length: 60\r\n\r\n{good}"
+    );
+    let get =
+        |path: &str| format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{auth}\r\n");
+    vec![
+        ("no key", post(chat, "", good)),
+        ("an unknown key", post(chat, "authorization: Bearer ck_no\r\n", good)),
+        ("two keys", post(chat, &format!("{auth}x-api-key: {key}\r\n"), good)),
+        ("a key in the query", post("/v1/chat/completions?api_key=abc", &auth, good)),
+        ("the key in the body", post("/v1/completions", &auth, &keyed)),
+        ("the key in an order", post(order, &once, &leak)),
+        ("malformed json", post(chat, &auth, "{\"model\":")),
+        ("json of another shape", post(chat, &auth, "[1]")),
+        ("an unknown model", post(chat, &auth, &good.replace("summary", "other"))),
+        ("an adapter without a grant", post(chat, &auth, &good.replace("summary", "winter"))),
+        (
+            "more tokens than the model takes",
+            post(chat, &auth, &good.replace("}]", "}],\"max_tokens\":2000")),
+        ),
+        ("an oversized body", post("/v1/completions", &auth, &large)),
+        ("too many headers", post(chat, &format!("{auth}{many}"), good)),
+        ("headers too long", post(chat, &format!("{auth}{long}"), good)),
+        ("two content lengths", smuggled),
+        ("a wrong method", get(chat)),
+        ("an unknown path", get("/v2/anything")),
+        ("an unknown service", post("/services/none/x", &once, "{}")),
+        ("an order without a key of its own", post(order, &auth, "{}")),
+        ("a path out of the service", post("/services/orders/../admin", &once, "{}")),
+        ("no http", "HELLO\r\n\r\n".to_owned()),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_kind_is_refused_clearly_and_reaches_no_upstream() {
+    let (cell, key) = cell().await;
+    let address = cell.callers(0);
+    let mut seen = String::new();
+    for (what, text) in requests(&key) {
+        let told = tokio::task::spawn_blocking(move || raw(address, &text)).await.unwrap();
+        writeln!(seen, "{what}: {told}").unwrap();
+    }
+    insta::assert_snapshot!(seen);
+    assert!(cell.engines[0].ledger().requests.is_empty());
+    assert_eq!(cell.services[0].ledger().effects, 0);
+    let metrics = format!("http://{}/metrics", cell.routers[0].operators);
+    let metrics = reqwest::get(metrics).await.unwrap().text().await.unwrap();
+    let counted: Vec<&str> =
+        metrics.lines().filter(|line| line.starts_with("corianderyoke_refusals_total")).collect();
+    assert!(counted.iter().any(|line| line.contains("bad_request")), "{counted:?}");
+    cell.stop().await;
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests: a module a command or feature.
 
+mod bad_input;
+mod callers;
 mod events;
 mod membership;
 mod operators;
