--- a/crates/coord/src/register/document.rs
+++ b/crates/coord/src/register/document.rs
@@ -10,7 +10,7 @@
 use serde_json::Map;
 use serde_json::Value;
 
-use super::entry::RULES_NAME;
+use super::address::RULES_NAME;
 use super::strict;
 use super::Address;
 use super::Entries;
--- a/crates/coord/src/register/mod.rs
+++ b/crates/coord/src/register/mod.rs
@@ -5,6 +5,7 @@
 //! lists all that is wrong with a set, [`diff`] compares two sets, and [`Register`] is what
 //! daemons use: a snapshot compiled from a set at one [`Revision`].
 
+pub mod address;
 pub mod check;
 pub mod diff;
 pub mod document;
@@ -20,15 +21,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use address::Address;
+pub use address::Kind;
 pub use check::check;
 pub use diff::diff;
 pub use diff::Change;
 pub use entry::Adapter;
-pub use entry::Address;
 pub use entry::ApiKey;
 pub use entry::Entry;
 pub use entry::Grant;
-pub use entry::Kind;
 pub use entry::Model;
 pub use entry::Rules;
 pub use entry::Service;
