Let a reused port answer after connections went silent

Cause: the stand-in held every port it had ever seen as silent, so a new connection on a reused port never got an answer. Ruled out: counting connections as they close, which the server doesn't tell. Conclusion: only connections in use within the idle limit go silent, and their ports are free again after twice that. cargo test -p corianderyoke-platform -p corianderyoke-standin passes; no test waits the limit out.

--- a/crates/platform/src/faults.rs
+++ b/crates/platform/src/faults.rs
@@ -3,13 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Time after which servers close an idle connection, so that its port may be another's.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
 /// One kind of fault.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "fault")]
@@ -53,8 +56,10 @@
 #[derive(Debug, Default)]
 struct State {
     active: Vec<Active>,
-    seen: IndexSet<SocketAddr>,
-    silent: IndexSet<SocketAddr>,
+    /// Connections by the time of their last request.
+    seen: IndexMap<SocketAddr, Instant>,
+    /// Connections that went silent, by the time after which their port counts as another's.
+    silent: IndexMap<SocketAddr, Instant>,
 }
 
 /// The faults in force.
@@ -69,7 +74,7 @@
     pub fn order(&self, order: Order) {
         let mut state = self.state.lock();
         if order.fault == Fault::Silent {
-            state.silent = state.seen.clone();
+            state.silence();
             return;
         }
         let kind = std::mem::discriminant(&order.fault);
@@ -90,8 +95,9 @@
     pub fn is_silent(&self, connection: Option<SocketAddr>) -> bool {
         let Some(connection) = connection else { return false };
         let mut state = self.state.lock();
-        state.seen.insert(connection);
-        state.silent.contains(&connection)
+        let now = Instant::now();
+        state.seen.insert(connection, now);
+        state.silent.get(&connection).is_some_and(|ends| *ends > now)
     }
 
     /// Whether every request is refused now.
@@ -151,6 +157,14 @@
 }
 
 impl State {
+    fn silence(&mut self) {
+        let now = Instant::now();
+        self.seen.retain(|_, used| now.duration_since(*used) < IDLE_LIMIT);
+        self.silent.retain(|_, ends| *ends > now);
+        let ends = now + 2 * IDLE_LIMIT;
+        self.silent.extend(self.seen.keys().map(|connection| (*connection, ends)));
+    }
+
     fn expire(&mut self) {
         let now = Instant::now();
         self.active.retain(|active| active.ends.is_none_or(|ends| ends > now));
