Hand out what an enqueue brings about for others

An enqueue that let time pass refused or started other waiting requests and dropped the effects: the property run showed requests that were neither started nor refused. They now go to an outbox that the next tick returns. The ask's number is filled in where the router calls its homes.

--- a/crates/coord/src/dispatch/commands.rs
+++ b/crates/coord/src/dispatch/commands.rs
@@ -36,8 +36,19 @@
 /// Least wait told with a refusal.
 const WAIT_LEAST: Duration = Duration::from_millis(100);
 
+impl Effect {
+    /// The request that it is about.
+    fn request(&self) -> RequestKey {
+        match self {
+            Effect::Start(start) => start.request,
+            Effect::Refuse(refusal) => refusal.request,
+        }
+    }
+}
+
 impl Dispatcher {
-    /// Takes a request in. The same key again gets the same decision, so a lost answer can be
+    /// Takes a request in. What this brings about for others is returned by the next tick. The
+    /// same key again gets the same decision, so a lost answer can be
     /// asked for again.
     pub fn enqueue(&mut self, request: Request, now: Tick) -> Decision {
         if let Some(start) = self.start_of(request.key) {
@@ -55,9 +66,11 @@
         let key = request.key;
         let model = request.model;
         self.push(request, now);
-        // Only this request can start here: the others had their chance when a slot became free.
+        // Others may start or be refused here too, as time has passed; they're told by the tick.
         let mut effects = Vec::new();
         self.serve(model, now, &mut effects);
+        effects.retain(|effect| effect.request() != key);
+        self.outbox.append(&mut effects);
         match self.start_of(key) {
             Some(start) => Decision::Start(start),
             None => Decision::Queued,
@@ -98,7 +111,7 @@
 
     /// Lets time pass: refuses who can't start in time any more, frees slots that nobody releases.
     pub fn tick(&mut self, now: Tick) -> Vec<Effect> {
-        let mut effects = Vec::new();
+        let mut effects = std::mem::take(&mut self.outbox);
         self.expire(now, &mut effects);
         while let Some((at, slot)) = self.orphans.first().copied() {
             if at > now {
@@ -170,7 +183,8 @@
         };
         let models = Default::default();
         let status = UpstreamStatus { leaving: true, models, ..upstream.status.clone() };
-        self.set_upstream(key, status, now);
+        let effects = self.set_upstream(key, status, now);
+        self.outbox.extend(effects);
         self.upstreams.swap_remove(&key);
     }
 
--- a/crates/coord/src/dispatch/inventory.rs
+++ b/crates/coord/src/dispatch/inventory.rs
@@ -33,6 +33,7 @@
             orphans: Default::default(),
             wanting: Default::default(),
             budget: RetryBudget::new(settings.retries),
+            outbox: Vec::new(),
             next: 0,
         }
     }
--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -134,7 +134,7 @@
 }
 
 /// A request that starts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Start {
     /// The request.
     pub request: RequestKey,
@@ -338,5 +338,7 @@
     orphans: BTreeSet<(Tick, SlotKey)>,
     wanting: IndexSet<ModelKey>,
     budget: RetryBudget,
+    /// Effects of commands that answer otherwise; the next tick returns them.
+    outbox: Vec<Effect>,
     next: u64,
 }
--- /dev/null
+++ b/crates/coord/tests/dispatch/main.rs
@@ -0,0 +1,5 @@
+//! Dispatch in virtual time, against the baseline.
+
+mod policy;
+mod slots;
+mod world;
--- a/src/router/home/tokens.rs
+++ b/src/router/home/tokens.rs
@@ -106,7 +106,8 @@
         return not_home(0);
     };
     let counters = from_wire(ask.counters.unwrap_or_default());
-    let asked = Ask { home: ask.home, counters, want: ask.want, need: ask.need };
+    // The answer goes back on the ask's own stream, so the number needs no place in the message.
+    let asked = Ask { home: ask.home, number: 0, counters, want: ask.want, need: ask.need };
     match bucket.ask(member, &asked, clock::now()) {
         Ok(grant) => {
             let verdict = Some(to_wire(grant.verdict));
--- a/src/router/limit.rs
+++ b/src/router/limit.rs
@@ -298,7 +298,8 @@
     let now = clock::now();
     let effects = match verdict(&answer) {
         Some(verdict) => {
-            let grant = Grant { home: answer.home, granted: answer.granted, verdict };
+            let number = ask.number;
+            let grant = Grant { home: answer.home, number, granted: answer.granted, verdict };
             state.slice.answer(&grant, now)
         }
         None => {
