--- a/crates/coord/src/dispatch/bound.rs
+++ b/crates/coord/src/dispatch/bound.rs
@@ -23,13 +23,15 @@
     slow_start: bool,
     /// Slots started before this can't cut the bound again.
     cut: Tick,
+    /// The upstream warms up until then.
+    warm: Tick,
 }
 
 impl Bound {
     /// The bound of a fresh upstream.
     pub(super) fn new(settings: &DispatchSettings, most: u32, now: Tick) -> Self {
         let slots = f64::from(settings.start.min(most));
-        Bound { slots, most, slow_start: true, cut: now }
+        Bound { slots, most, slow_start: true, cut: now, warm: now + settings.warmup }
     }
 
     /// Whole slots.
@@ -43,9 +45,13 @@
         self.slots = self.slots.min(f64::from(most));
     }
 
-    /// Raises the bound to what a home before had granted.
-    pub(super) fn raise(&mut self, slots: u32) {
+    /// Raises the bound to what a home before had granted; more than a fresh upstream gets shows
+    /// that it's warm.
+    pub(super) fn raise(&mut self, settings: &DispatchSettings, slots: u32, now: Tick) {
         self.slots = self.slots.max(f64::from(slots.min(self.most)));
+        if slots > settings.fresh {
+            self.warm = now;
+        }
     }
 
     /// Takes a release of a slot that started at `started`; `full` tells whether the upstream was
@@ -59,19 +65,24 @@
         now: Tick,
     ) {
         match sign {
-            Sign::Good if full => self.grow(settings),
+            Sign::Good if full => self.grow(settings, now),
             Sign::Good => {}
             Sign::Slow if started >= self.cut => self.cut(settings, self.slots / 2.0, now),
             Sign::Slow => {}
-            Sign::Cold if started >= self.cut => self.cut(settings, 0.0, now),
+            Sign::Cold if started >= self.cut => {
+                self.cut(settings, 0.0, now);
+                self.warm = now + settings.warmup;
+            }
             Sign::Cold => {}
         }
     }
 
-    fn grow(&mut self, settings: &DispatchSettings) {
+    fn grow(&mut self, settings: &DispatchSettings, now: Tick) {
         let step =
             if self.slow_start { settings.growth } else { settings.increase / self.slots.max(1.0) };
-        self.slots = (self.slots + step).min(f64::from(self.most));
+        let most = if now < self.warm { self.most.min(settings.fresh) } else { self.most };
+        // What was borne before isn't taken away: only growth stops while the upstream warms up.
+        self.slots = (self.slots + step).min(f64::from(most)).max(self.slots);
     }
 
     fn cut(&mut self, settings: &DispatchSettings, slots: f64, now: Tick) {
--- a/crates/coord/src/dispatch/estimate.rs
+++ b/crates/coord/src/dispatch/estimate.rs
@@ -19,7 +19,7 @@
 const GAIN: f64 = 0.05;
 
 /// Deviations above the mean that a careful estimate adds.
-const CAREFUL: f64 = 2.0;
+const CAREFUL: f64 = 3.0;
 
 impl Estimate {
     /// Takes a sample.
--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -46,6 +46,10 @@
 pub struct DispatchSettings {
     /// Slots of a fresh or cold upstream.
     pub start: u32,
+    /// Most slots of an upstream while it warms up.
+    pub fresh: u32,
+    /// How long an upstream warms up after it was fresh or turned cold.
+    pub warmup: Duration,
     /// Slots gained per good release of a full upstream, before its first sign of overload.
     pub growth: f64,
     /// Slots gained per round of good releases after it.
@@ -76,6 +80,8 @@
     fn default() -> Self {
         DispatchSettings {
             start: 2,
+            fresh: 4,
+            warmup: Duration::from_secs(15),
             growth: 0.5,
             increase: 1.0,
             tolerance: 2.0,
--- a/crates/coord/tests/dispatch/slots.rs
+++ b/crates/coord/tests/dispatch/slots.rs
@@ -64,7 +64,8 @@
     lapsed: IndexSet<MemberKey>,
     /// What runs, with when it must be over.
     running: IndexMap<Start, Tick>,
-    open: IndexSet<u64>,
+    /// Requests that wait, with their deadlines.
+    open: IndexMap<u64, Tick>,
     next: u64,
 }
 
@@ -78,7 +79,7 @@
             leaving: IndexSet::new(),
             lapsed: IndexSet::new(),
             running: IndexMap::new(),
-            open: IndexSet::new(),
+            open: IndexMap::new(),
             next: 0,
         };
         world.set_upstreams();
@@ -99,19 +100,20 @@
             match effect {
                 Effect::Start(start) => self.start(start, lost),
                 Effect::Refuse(refusal) => {
-                    assert!(self.open.swap_remove(&refusal.request.number), "resolved twice");
+                    let open = self.open.swap_remove(&refusal.request.number);
+                    assert!(open.is_some(), "resolved twice");
                 }
             }
         }
     }
 
     fn start(&mut self, start: Start, lost: bool) {
-        assert!(self.open.swap_remove(&start.request.number), "resolved twice");
+        let until = self.open.swap_remove(&start.request.number).expect("resolved twice");
         assert!(!self.leaving.contains(&start.upstream.0), "started on a leaving upstream");
         let bound = self.home.bound(start.upstream);
         assert!(self.home.in_use(start.upstream) <= bound, "more slots than the bound");
         if !lost {
-            self.running.insert(start, self.now + DEADLINE);
+            self.running.insert(start, until);
         }
         let running = self.running.keys().filter(|other| other.upstream == start.upstream).count();
         assert!(running as u32 <= bound, "{running} run, {bound} may");
@@ -123,7 +125,7 @@
         if self.lapsed.contains(&request.key.router) {
             return;
         }
-        self.open.insert(self.next);
+        self.open.insert(self.next, self.now + DEADLINE);
         match self.home.enqueue(request.clone(), self.now) {
             Decision::Start(start) => {
                 assert_eq!(self.home.enqueue(request, self.now), Decision::Start(start));
@@ -194,7 +196,7 @@
 
     fn lapse(&mut self, router: MemberKey) {
         self.lapsed.insert(router);
-        self.open.retain(|number| *number as u32 % ROUTERS != router.0);
+        self.open.retain(|number, _| *number as u32 % ROUTERS != router.0);
         let effects = self.home.lapse(router, self.now);
         self.take(effects, false);
     }
