Measure decisions, spread the entry list over two zones

The length of a queue ahead is estimated from the lane's span, and late waiters of a slice are looked up by ticket, so neither grows with the requests that wait.

--- /dev/null
+++ b/crates/coord/examples/decision_cost.rs
@@ -0,0 +1,209 @@
+//! Microseconds that each decision takes, by the number of upstreams.
+//!
+//! Run it with `cargo run --release -p corianderyoke-coord --example decision_cost`. Models grow
+//! with the upstreams, teams are a tenth of them. Queues and slots stay in use throughout: most
+//! dispatch decisions find their upstreams full.
+
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use corianderyoke_coord::dispatch::Decision;
+use corianderyoke_coord::dispatch::DispatchSettings;
+use corianderyoke_coord::dispatch::Dispatcher;
+use corianderyoke_coord::dispatch::Effect;
+use corianderyoke_coord::dispatch::Outcome;
+use corianderyoke_coord::dispatch::Release;
+use corianderyoke_coord::dispatch::ReplicaState;
+use corianderyoke_coord::dispatch::Request;
+use corianderyoke_coord::dispatch::RequestKey;
+use corianderyoke_coord::dispatch::SlotKey;
+use corianderyoke_coord::dispatch::UpstreamStatus;
+use corianderyoke_coord::idempotency::ClaimKey;
+use corianderyoke_coord::idempotency::Event;
+use corianderyoke_coord::idempotency::Ledger;
+use corianderyoke_coord::idempotency::LedgerSettings;
+use corianderyoke_coord::idempotency::Outcome as Kept;
+use corianderyoke_coord::keys::MemberKey;
+use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::keys::TeamKey;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::keys::ZoneKey;
+use corianderyoke_coord::pools::Ask;
+use corianderyoke_coord::pools::Bucket;
+use corianderyoke_coord::pools::Counters;
+use corianderyoke_coord::pools::Effect as SliceEffect;
+use corianderyoke_coord::pools::Limits;
+use corianderyoke_coord::pools::Slice;
+use corianderyoke_coord::pools::SliceSettings;
+use corianderyoke_coord::time::Tick;
+
+const SIZES: [u32; 3] = [10, 1_000, 12_000];
+
+/// Decisions per measurement.
+const ROUNDS: u64 = 200_000;
+
+/// Models loaded on each upstream.
+const MODELS_EACH: u32 = 4;
+
+const LIMITS: Limits = Limits { rate: 1_000_000_000, burst: 1_000_000_000 };
+
+fn main() {
+    println!("{:>9}  {:<8}  {:>7}  {:>7}  {:>7}", "upstreams", "decision", "mean", "p50", "p99");
+    for size in SIZES {
+        let (enqueue, release) = dispatch(size);
+        print(size, "enqueue", enqueue);
+        print(size, "release", release);
+        print(size, "ask", ask(size));
+        print(size, "reserve", reserve());
+        print(size, "claim", claim());
+    }
+}
+
+fn print(size: u32, name: &str, mut nanos: Vec<u64>) {
+    nanos.sort_unstable();
+    let micros = |nanos: u64| nanos as f64 / 1000.0;
+    let mean = micros(nanos.iter().sum::<u64>() / nanos.len() as u64);
+    let p50 = micros(nanos[nanos.len() / 2]);
+    let p99 = micros(nanos[nanos.len() * 99 / 100]);
+    println!("{size:>9}  {name:<8}  {mean:>7.2}  {p50:>7.2}  {p99:>7.2}");
+}
+
+fn timed<T>(nanos: &mut Vec<u64>, act: impl FnOnce() -> T) -> T {
+    let start = Instant::now();
+    let result = black_box(act());
+    nanos.push(start.elapsed().as_nanos() as u64);
+    result
+}
+
+/// A home with `size` upstreams and as many models.
+fn home(size: u32) -> Dispatcher {
+    let mut home = Dispatcher::new(DispatchSettings::default(), 1, &[], Tick(0));
+    for upstream in 0..size {
+        let models = (0..MODELS_EACH).map(|nth| ModelKey((upstream + nth * 7) % size));
+        let status = UpstreamStatus {
+            zone: ZoneKey(upstream % 4),
+            leaving: false,
+            incarnation: 1,
+            slots: 32,
+            models: models.map(|model| (model, ReplicaState::Loaded)).collect(),
+            adapters: Default::default(),
+        };
+        home.set_upstream(UpstreamKey(upstream), status, Tick(0));
+    }
+    home
+}
+
+fn request(number: u64, size: u32) -> Request {
+    let teams = u64::from(size / 10).max(2);
+    Request {
+        key: RequestKey { router: MemberKey((number % 8) as u32), number },
+        model: ModelKey((number.wrapping_mul(2_654_435_761) % u64::from(size)) as u32),
+        adapter: None,
+        team: TeamKey((number.wrapping_mul(40_503) % teams) as u32),
+        cost: 500,
+        deadline: Duration::from_secs(60),
+        prefix: Some(number % 1000),
+        avoid: Vec::new(),
+        retry: false,
+    }
+}
+
+/// Enqueues and releases, with about as many requests waiting as there are upstreams.
+fn dispatch(size: u32) -> (Vec<u64>, Vec<u64>) {
+    let mut home = home(size);
+    let (mut enqueue, mut release) = (Vec::new(), Vec::new());
+    let mut slots: Vec<SlotKey> = Vec::new();
+    for number in 0..ROUNDS {
+        let now = Tick(number * 50);
+        let request = request(number, size);
+        if let Decision::Start(start) = timed(&mut enqueue, || home.enqueue(request, now)) {
+            slots.push(start.slot);
+        }
+        if slots.is_empty() || home.waiting() < size as usize {
+            continue;
+        }
+        let slot = slots.swap_remove(number as usize % slots.len());
+        let given = Release {
+            slot,
+            outcome: Outcome::Done,
+            first_token: Some(Duration::from_millis(20)),
+            token_gap: Some(Duration::from_millis(20)),
+            used: 300,
+        };
+        let mut effects = timed(&mut release, || home.release(&given, now));
+        effects.extend(home.tick(now));
+        let starts = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Start(start) => Some(start.slot),
+            Effect::Refuse(_) => None,
+        });
+        slots.extend(starts);
+    }
+    (enqueue, release)
+}
+
+/// Asks of `routers` routers at one home.
+fn ask(routers: u32) -> Vec<u64> {
+    let mut bucket = Bucket::fresh(1, LIMITS, Tick(0));
+    let mut counters = vec![Counters::default(); routers as usize];
+    let mut nanos = Vec::new();
+    for number in 0..ROUNDS {
+        let index = (number % u64::from(routers)) as usize;
+        counters[index].spent = counters[index].granted;
+        let ask = Ask { home: 1, number, counters: counters[index], want: 1000, need: 500 };
+        let router = MemberKey(index as u32);
+        let now = Tick(number * 10);
+        if let Ok(grant) = timed(&mut nanos, || bucket.ask(router, &ask, now)) {
+            counters[index].granted = grant.granted;
+        }
+    }
+    nanos
+}
+
+/// Reservations at one router; most are served from what the slice holds.
+fn reserve() -> Vec<u64> {
+    let mut bucket = Bucket::fresh(1, LIMITS, Tick(0));
+    let mut slice = Slice::new(SliceSettings::default(), 1, LIMITS, Tick(0));
+    let mut nanos = Vec::new();
+    for ticket in 0..ROUNDS {
+        let now = Tick(ticket * 1000);
+        let deadline = now + Duration::from_secs(1);
+        let mut effects = timed(&mut nanos, || slice.reserve(ticket, 500, deadline, now));
+        while let Some(effect) = effects.pop() {
+            match effect {
+                SliceEffect::Ask(ask) => {
+                    if let Ok(grant) = bucket.ask(MemberKey(0), &ask, now) {
+                        effects.extend(slice.answer(&grant, now));
+                    }
+                }
+                SliceEffect::Reserved { reservation, .. } => slice.settle(reservation, 300, now),
+                SliceEffect::Refused { .. } => {}
+            }
+        }
+    }
+    nanos
+}
+
+/// One call that may not be repeated, from its claim to its kept outcome, without the store.
+fn claim() -> Vec<u64> {
+    let mut ledger = Ledger::new(LedgerSettings::default());
+    let mut nanos = Vec::new();
+    for number in 0..ROUNDS {
+        let key = ClaimKey { team: "depot".to_owned(), key: number.to_string() };
+        let now = Tick(number * 1000);
+        timed(&mut nanos, || {
+            let (call, _) = ledger.begin(key, "digest", "attempt", now);
+            let events = [
+                Event::Written { version: 1 },
+                Event::Ready,
+                Event::Written { version: 2 },
+                Event::Answered(Kept::new(200, "done")),
+                Event::Written { version: 3 },
+            ];
+            for event in events {
+                let _ = black_box(ledger.handle(call, event, now));
+            }
+        });
+    }
+    nanos
+}
--- a/crates/coord/src/dispatch/queue.rs
+++ b/crates/coord/src/dispatch/queue.rs
@@ -132,15 +132,22 @@
         lanes.filter_map(|lane| lane.waiting.values().next().copied())
     }
 
-    /// Requests of a team that have to start by `latest` or earlier.
+    /// Requests of a team that have to start by `latest` or earlier, estimated from the span of
+    /// its lane so that a long lane costs no more than a short one.
     pub(super) fn ahead(&self, team: TeamKey, latest: Tick) -> usize {
         let Some(lane) = self.lanes.get(&team) else {
             return 0;
         };
-        match lane.waiting.last_key_value() {
-            Some(((last, _), _)) if *last <= latest => lane.waiting.len(),
-            _ => lane.waiting.range(..(latest, u64::MAX)).count(),
+        let first = lane.waiting.first_key_value();
+        let last = lane.waiting.last_key_value();
+        let (Some(((first, _), _)), Some(((last, _), _))) = (first, last) else {
+            return 0;
+        };
+        if latest >= *last {
+            return lane.waiting.len();
         }
+        let part = latest.since(*first).as_secs_f64() / last.since(*first).as_secs_f64();
+        (lane.waiting.len() as f64 * part) as usize
     }
 
     /// Lanes with waiting requests.
--- a/crates/coord/src/entry/mod.rs
+++ b/crates/coord/src/entry/mod.rs
@@ -3,7 +3,7 @@
 //! Only ready routers that stay are named. Callers of a team are steered to the same few routers:
 //! ranked by rendezvous hash over the team, those in the zone of the team's home first, so that
 //! most of the team's tokens are held where its requests arrive. Routers in the caller's own zone
-//! come first among the chosen.
+//! come first among the chosen, and where there are several zones the chosen lie in two of them.
 
 use std::time::Duration;
 
@@ -85,10 +85,10 @@
         let far = caller.home.is_some_and(|zone| zone != router.zone);
         (far, u64::MAX - rank(caller.team, &router.name))
     });
-    let all = chosen.split_off(settings.routers.min(chosen.len()));
-    if let Some(near) = near(&chosen, &all, caller) {
+    let rest = chosen.split_off(settings.routers.min(chosen.len()));
+    if let Some(router) = substitute(&chosen, &rest, caller) {
         chosen.pop();
-        chosen.push(near);
+        chosen.push(router);
     }
     chosen.sort_by_key(|router| caller.zone.is_some_and(|zone| zone != router.zone));
     let addresses = chosen.iter().map(|router| router.address.clone()).collect();
@@ -102,13 +102,30 @@
     }
 }
 
-/// A router in the caller's zone, where none is among the chosen.
-fn near<'a>(chosen: &[&Router], rest: &[&'a Router], caller: &Caller<'_>) -> Option<&'a Router> {
-    let zone = caller.zone?;
-    if chosen.len() < 2 || chosen.iter().any(|router| router.zone == zone) {
+/// What replaces the last choice: a router in the caller's zone where none is chosen, or one in
+/// another zone where all are in the same, so that a zone that is lost leaves the caller one.
+fn substitute<'a>(
+    chosen: &[&Router],
+    rest: &[&'a Router],
+    caller: &Caller<'_>,
+) -> Option<&'a Router> {
+    if chosen.len() < 2 {
         return None;
     }
-    rest.iter().copied().find(|router| router.zone == zone)
+    let near = |router: &&Router| Some(router.zone) == caller.zone;
+    if !chosen.iter().any(near) {
+        return rest.iter().copied().find(|router| near(router)).or_else(|| spread(chosen, rest));
+    }
+    spread(chosen, rest)
+}
+
+/// A router outside the one zone of all that are chosen.
+fn spread<'a>(chosen: &[&Router], rest: &[&'a Router]) -> Option<&'a Router> {
+    let zone = chosen.first()?.zone;
+    if chosen.iter().any(|router| router.zone != zone) {
+        return None;
+    }
+    rest.iter().copied().find(|router| router.zone != zone)
 }
 
 /// Rendezvous rank of a router for a team: FNV-1a over both names, finished by SplitMix64.
--- a/crates/coord/src/pools/slice/commands.rs
+++ b/crates/coord/src/pools/slice/commands.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use super::Effect;
 use super::Reason;
 use super::Reservation;
@@ -216,19 +218,18 @@
         let base = wait.saturating_sub(limits.span(first.saturating_mul(MICRO)));
         let turn = |tokens: u64| base + limits.span(tokens.saturating_mul(MICRO));
         let mut ahead = 0;
-        let mut waits = Vec::new();
+        let mut waits = IndexMap::new();
         for waiter in &self.waiting {
             let span = turn((ahead + waiter.tokens).saturating_sub(held));
             if now + span > waiter.deadline {
-                waits.push((waiter.ticket, span));
+                waits.insert(waiter.ticket, span);
             } else {
                 ahead += waiter.tokens;
             }
         }
-        let told = |ticket| waits.iter().find(|(other, _)| *other == ticket);
-        let late = |waiter: &Waiter| told(waiter.ticket).is_some();
-        let span = |ticket| (told(ticket).map_or(wait, |(_, span)| *span), Reason::Rate);
-        self.refuse(late, span)
+        let late = |waiter: &Waiter| waits.contains_key(&waiter.ticket);
+        let told = |ticket| (waits.get(&ticket).copied().unwrap_or(wait), Reason::Rate);
+        self.refuse(late, told)
     }
 
     fn refuse_large(&mut self) -> Vec<Effect> {
--- /dev/null
+++ b/crates/coord/tests/entry.rs
@@ -0,0 +1,76 @@
+//! Which routers callers are sent to.
+
+use corianderyoke_coord::entry::entry;
+use corianderyoke_coord::entry::Caller;
+use corianderyoke_coord::entry::Entry;
+use corianderyoke_coord::entry::EntrySettings;
+use corianderyoke_coord::entry::Router;
+use corianderyoke_coord::entry::RouterState;
+use corianderyoke_coord::keys::ZoneKey;
+
+/// Eight ready routers in four zones.
+fn routers() -> Vec<Router> {
+    let router = |index: u32| Router {
+        name: format!("router-{index}"),
+        address: format!("10.0.0.{index}:8080"),
+        zone: ZoneKey(index % 4),
+        drained: false,
+        state: RouterState::Ready,
+    };
+    (0..8).map(router).collect()
+}
+
+fn ask(routers: &[Router], team: &str, zone: u32) -> Entry {
+    let caller = Caller { team, zone: Some(ZoneKey(zone)), home: Some(ZoneKey(1)) };
+    entry(EntrySettings::default(), routers, &caller)
+}
+
+#[test]
+fn callers_of_a_team_share_routers_near_its_home() {
+    let routers = routers();
+    let rows = ["depot", "clerks", "crew"].map(|team| {
+        let near = ask(&routers, team, 1).addresses.join(" ");
+        let far = ask(&routers, team, 3).addresses.join(" ");
+        format!("{team}: from zone 1 {near}, from zone 3 {far}")
+    });
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
+#[test]
+fn leaving_unready_and_drained_routers_are_left_out() {
+    let mut routers = routers();
+    routers[0].state = RouterState::Leaving;
+    routers[1].state = RouterState::Unready;
+    for router in &mut routers {
+        router.drained = router.zone == ZoneKey(2);
+    }
+    let settings = EntrySettings { routers: 8, ..EntrySettings::default() };
+    let caller = Caller { team: "depot", zone: None, home: None };
+    let mut found = entry(settings, &routers, &caller);
+    found.addresses.sort();
+    assert_eq!(found.addresses, [3, 4, 5, 7].map(|index| format!("10.0.0.{index}:8080")));
+    assert_eq!(found.keep, settings.keep_unsettled);
+}
+
+#[test]
+fn a_router_that_goes_moves_only_the_callers_that_used_it() {
+    let routers = routers();
+    let teams: Vec<String> = (0..200).map(|index| format!("team-{index}")).collect();
+    let lists = |routers: &[Router]| -> Vec<Vec<String>> {
+        let list = |team: &String| {
+            let caller = Caller { team, zone: None, home: None };
+            entry(EntrySettings::default(), routers, &caller).addresses
+        };
+        teams.iter().map(list).collect()
+    };
+    let before = lists(&routers);
+    let after = lists(&routers[1..]);
+    let gone = &routers[0].address;
+    for (before, after) in before.iter().zip(&after) {
+        if !before.contains(gone) {
+            assert_eq!(before, after);
+        }
+    }
+    let used = before.iter().filter(|list| list.contains(gone)).count();
+    assert!((40..120).contains(&used), "{used} of 200 teams use one of eight routers");
+}
