--- a/src/router/home/tokens.rs
+++ b/src/router/home/tokens.rs
@@ -95,12 +95,8 @@
 
 /// Answers a router's ask.
 pub fn answer(router: &Router, from: &MemberId, ask: &peer::TokensRequest) -> peer::TokensResponse {
-    let not_home = |home| peer::TokensResponse {
-        home,
-        granted: 0,
-        number: ask.number,
-        verdict: Some(WireVerdict::NotHome(true)),
-    };
+    let not_home =
+        |home| peer::TokensResponse { home, granted: 0, verdict: Some(WireVerdict::NotHome(true)) };
     if !serves(router, Kind::Bucket, &ask.team) || !router.agent.view().contains(from) {
         return not_home(0);
     }
