--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,3 +4,5 @@
 mod membership;
 mod operators;
 mod parsing;
+mod samples;
+mod whole_path;
