--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -177,7 +177,7 @@
     let cell = Cell::new(4);
     cell.until_whole("joined");
     cell.until_in_force(cell.apply());
-    let mut held = vec![Revision::default(); 4];
+    let mut held = [Revision::default(); 4];
     for _ in 0..3 {
         cell.operate(commands::drain(&*cell.platform, "a", &author()));
         let applied = cell.operate(commands::restore(&*cell.platform, "a", &author()));
