--- /dev/null
+++ b/crates/coord/examples/cold_start/cost.rs
@@ -0,0 +1,77 @@
+//! The cost of a decision by the number of upstreams.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use corianderyoke_coord::placement::Effect;
+use corianderyoke_coord::placement::Facts;
+use corianderyoke_coord::placement::Model;
+use corianderyoke_coord::placement::Outcome;
+use corianderyoke_coord::placement::Planner;
+use corianderyoke_coord::placement::Settings;
+use corianderyoke_coord::placement::TableView;
+use corianderyoke_coord::placement::Upstream;
+use corianderyoke_coord::time::Tick;
+
+/// Decisions timed for each size.
+const DECISIONS: usize = 2_000;
+
+/// Prints the time of a wake with the decision that it leads to.
+pub fn print() {
+    println!("upstreams  decision p50 us  p99 us");
+    for upstreams in [10, 1_000, 12_000] {
+        let mut spans = measure(upstreams);
+        spans.sort_unstable();
+        let at = |share: usize| spans[spans.len() * share / 100].as_nanos() as f64 / 1e3;
+        println!("{upstreams:9} {:16.1} {:7.1}", at(50), at(99));
+    }
+}
+
+fn measure(upstreams: usize) -> Vec<Duration> {
+    let models = upstreams * 2;
+    let settings = Settings { store_inflight: usize::MAX, ..Settings::default() };
+    let mut planner = Planner::new(settings, "c1");
+    let upstream = |at| Upstream { name: format!("e{at}"), memory: 1 << 40, ..Default::default() };
+    let model = |at| Model { name: format!("m{at}"), bytes: 1 << 30, ..Default::default() };
+    let facts = Facts {
+        upstreams: (0..upstreams).map(upstream).collect(),
+        models: (0..models).map(model).collect(),
+    };
+    let mut now = Tick(0);
+    planner.configure(now, &facts);
+    planner.start();
+    planner.poll(now);
+    planner.adopt(now, &TableView::default());
+    commit(&mut planner, now);
+    let mut spans = Vec::new();
+    for turn in 0..DECISIONS {
+        now = now + Duration::from_millis(1);
+        let name = format!("m{}", turn % models);
+        let start = Instant::now();
+        planner.wake(now, &name, "r", 1, 0);
+        let effects = planner.poll(now);
+        spans.push(start.elapsed());
+        finish(&mut planner, now, effects);
+    }
+    spans
+}
+
+fn commit(planner: &mut Planner, now: Tick) {
+    let effects = planner.poll(now);
+    finish(planner, now, effects);
+}
+
+/// Makes commits take effect; the orders that follow are left out of the timing.
+fn finish(planner: &mut Planner, now: Tick, effects: Vec<Effect>) {
+    for effect in effects {
+        match effect {
+            Effect::Commit(change) => {
+                planner.committed(now, change.id, Outcome::Done(change.id));
+            }
+            Effect::Order(order) => {
+                planner.answered(now, order.id, corianderyoke_coord::placement::Answer::Accepted);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/examples/cold_start/ours.rs
@@ -0,0 +1,272 @@
+//! The planner with a store, messages and engines that take their time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use corianderyoke_coord::keys::Key;
+use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::placement::gaps::KeepRule;
+use corianderyoke_coord::placement::Answer;
+use corianderyoke_coord::placement::Change;
+use corianderyoke_coord::placement::Effect;
+use corianderyoke_coord::placement::Facts;
+use corianderyoke_coord::placement::Held;
+use corianderyoke_coord::placement::Model;
+use corianderyoke_coord::placement::Observation;
+use corianderyoke_coord::placement::Op;
+use corianderyoke_coord::placement::Order;
+use corianderyoke_coord::placement::Outcome;
+use corianderyoke_coord::placement::Planner;
+use corianderyoke_coord::placement::Settings;
+use corianderyoke_coord::placement::Standing;
+use corianderyoke_coord::placement::TableView;
+use corianderyoke_coord::placement::Tier;
+use corianderyoke_coord::placement::Upstream;
+use corianderyoke_coord::time::Tick;
+use indexmap::IndexMap;
+
+use crate::engines::Engines;
+use crate::engines::Slot;
+use crate::fleet::Fleet;
+use crate::trace::Trace;
+use crate::Figures;
+
+/// Time of a write at the platform's table service.
+const STORE: Duration = Duration::from_millis(8);
+
+/// Time of a message one way between instances.
+const HOP: Duration = Duration::from_micros(1_500);
+
+/// Time between reports of demand while there is any.
+const REPORT: Duration = Duration::from_secs(1);
+
+enum Event {
+    Arrive(usize),
+    Finish(usize),
+    Report(usize),
+    Committed(u64),
+    Order(Order),
+    Answered(u64),
+    Ask(UpstreamKey, Tick),
+    State(UpstreamKey, Observation),
+    Poll,
+}
+
+struct Replay<'a> {
+    fleet: &'a Fleet,
+    trace: &'a Trace,
+    planner: Planner,
+    engines: Engines<'a>,
+    now: Tick,
+    queue: BinaryHeap<Reverse<(Tick, u64)>>,
+    events: IndexMap<u64, Event>,
+    count: u64,
+    waiting: Vec<Vec<usize>>,
+    reporting: Vec<bool>,
+    polls: Tick,
+    figures: Figures,
+}
+
+/// Replays `trace` with the planner under a keep-alive rule.
+pub fn run(fleet: &Fleet, trace: &Trace, keep: KeepRule) -> Figures {
+    let mut replay = Replay::new(fleet, trace, keep);
+    for at in 0..trace.requests.len() {
+        replay.schedule(trace.requests[at].at, Event::Arrive(at));
+    }
+    replay.schedule(Tick(0), Event::Poll);
+    while let Some(Reverse((at, number))) = replay.queue.pop() {
+        replay.now = at;
+        replay.engines.pass(at);
+        if let Some(event) = replay.events.swap_remove(&number) {
+            replay.handle(event);
+        }
+        replay.serve();
+        replay.poll();
+        if at > Tick(0) + crate::trace::LENGTH {
+            break;
+        }
+    }
+    replay.figures.idle_hours = replay.engines.idle_hours();
+    replay.figures
+}
+
+/// What the register says of the fleet.
+pub fn facts(fleet: &Fleet) -> Facts {
+    let upstream = |at: usize| Upstream {
+        name: format!("e{at}"),
+        memory: fleet.memory,
+        fenced: at.is_multiple_of(2),
+        ..Upstream::default()
+    };
+    let model = |model: usize| Model {
+        name: format!("m{model}"),
+        bytes: fleet.bytes(model),
+        adapter_bytes: 0,
+        from_memory: fleet.load_time(model, Tier::Memory),
+        from_disk: fleet.load_time(model, Tier::Disk),
+        from_remote: fleet.load_time(model, Tier::Remote),
+    };
+    Facts {
+        upstreams: (0..fleet.engines).map(upstream).collect(),
+        models: (0..fleet.models).map(model).collect(),
+    }
+}
+
+impl<'a> Replay<'a> {
+    fn new(fleet: &'a Fleet, trace: &'a Trace, keep: KeepRule) -> Self {
+        let settings = Settings {
+            store_rate: fleet.store_rate,
+            store_inflight: fleet.store_inflight,
+            keep,
+            ..Settings::default()
+        };
+        let mut planner = Planner::new(settings, "c1");
+        planner.configure(Tick(0), &facts(fleet));
+        planner.start();
+        Replay {
+            fleet,
+            trace,
+            planner,
+            engines: Engines::new(fleet),
+            now: Tick(0),
+            queue: BinaryHeap::new(),
+            events: IndexMap::new(),
+            count: 0,
+            waiting: vec![Vec::new(); fleet.models],
+            reporting: vec![false; fleet.models],
+            polls: Tick(u64::MAX),
+            figures: Figures::default(),
+        }
+    }
+
+    fn schedule(&mut self, at: Tick, event: Event) {
+        self.count += 1;
+        self.events.insert(self.count, event);
+        self.queue.push(Reverse((at, self.count)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Arrive(at) => self.arrive(at),
+            Event::Finish(model) => self.engines.end(model),
+            Event::Report(model) => self.report(model),
+            Event::Committed(id) => self.planner.committed(now, id, Outcome::Done(id)),
+            Event::Order(order) => self.obey(&order),
+            Event::Answered(id) => self.planner.answered(now, id, Answer::Accepted),
+            Event::Ask(upstream, asked) => {
+                let state = self.state(upstream, asked);
+                self.schedule(now + HOP, Event::State(upstream, state));
+            }
+            Event::State(upstream, state) => self.planner.observed(now, upstream, &state),
+            Event::Poll if self.polls == now => self.polls = Tick(u64::MAX),
+            Event::Poll => {}
+        }
+    }
+
+    fn arrive(&mut self, at: usize) {
+        let model = self.trace.requests[at].model;
+        self.waiting[model].push(at);
+        if !self.reporting[model] {
+            self.reporting[model] = true;
+            self.schedule(self.now + HOP, Event::Report(model));
+        }
+    }
+
+    fn report(&mut self, model: usize) {
+        let waiting = self.waiting[model].len() as u32;
+        let running = self.engines.running(model);
+        self.planner.wake(self.now, &format!("m{model}"), "home", waiting, running);
+        self.reporting[model] = waiting + running > 0;
+        if self.reporting[model] {
+            self.schedule(self.now + REPORT, Event::Report(model));
+        }
+    }
+
+    fn obey(&mut self, order: &Order) {
+        let at = order.upstream.index();
+        let model = order.model.index();
+        self.engines.all[at].fence = order.fence;
+        match order.op {
+            Op::Unload => self.engines.unload(self.now, at, model),
+            Op::Load if !self.engines.all[at].slots.contains_key(&model) => {
+                self.engines.load(self.now, at, model);
+            }
+            Op::Load => {}
+        }
+        self.schedule(self.now + HOP, Event::Answered(order.id));
+    }
+
+    fn state(&self, upstream: UpstreamKey, asked: Tick) -> Observation {
+        let at = upstream.index();
+        let engine = &self.engines.all[at];
+        let mut state = Observation { asked, fence: engine.fence, ..Observation::default() };
+        for (model, slot) in &engine.slots {
+            let held = match slot {
+                Slot::Loading(ready) if *ready <= self.now => Held::Loaded,
+                Slot::Loading(_) => Held::Loading,
+                Slot::Unloading(_) => Held::Unloading,
+            };
+            state.models.insert(ModelKey(*model as u32), (held, self.fleet.bytes(*model)));
+        }
+        for model in 0..self.fleet.models {
+            let tier = self.engines.tier(at, model);
+            if tier != Tier::Remote {
+                state.checkpoints.insert(ModelKey(model as u32), tier);
+            }
+        }
+        state
+    }
+
+    /// Starts requests whose model the routers know to be loaded.
+    fn serve(&mut self) {
+        if self.waiting.iter().all(Vec::is_empty) {
+            return;
+        }
+        for (row, standing) in self.planner.intents() {
+            let model: usize = row.model[1..].parse().expect("models are numbered");
+            let at: usize = row.upstream[1..].parse().expect("engines are numbered");
+            let known = standing == Standing::Loaded;
+            if !known || !self.engines.serves(self.now, at, model) {
+                continue;
+            }
+            for request in std::mem::take(&mut self.waiting[model]) {
+                self.start(request);
+            }
+        }
+    }
+
+    fn start(&mut self, at: usize) {
+        let request = self.trace.requests[at];
+        let wait = self.now.since(request.at).as_micros() as u64;
+        // A request that waited for a load learns of it by one more message.
+        let wait = if wait == 0 { 0 } else { wait + HOP.as_micros() as u64 };
+        self.figures.waits.push(wait);
+        self.engines.begin(request.model);
+        self.schedule(self.now + request.runs, Event::Finish(request.model));
+    }
+
+    fn poll(&mut self) {
+        for effect in self.planner.poll(self.now) {
+            match effect {
+                Effect::Scan => self.planner.adopt(self.now, &TableView::default()),
+                Effect::Commit(change) => self.commit(&change),
+                Effect::Order(order) => self.schedule(self.now + HOP, Event::Order(order)),
+                Effect::Observe { upstream, asked } => {
+                    self.schedule(self.now + HOP, Event::Ask(upstream, asked));
+                }
+            }
+        }
+        let next = self.planner.next_poll(self.now).max(self.now + Duration::from_millis(1));
+        if next < self.polls {
+            self.polls = next;
+            self.schedule(next, Event::Poll);
+        }
+    }
+
+    fn commit(&mut self, change: &Change) {
+        self.schedule(self.now + STORE, Event::Committed(change.id));
+    }
+}
--- a/crates/coord/src/placement/choice.rs
+++ b/crates/coord/src/placement/choice.rs
@@ -19,7 +19,7 @@
 use super::row::Phase;
 
 /// Upstreams looked at besides those with the checkpoint.
-pub const CANDIDATES: usize = 64;
+pub const CANDIDATES: usize = 32;
 
 /// Where to put a replica.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,7 +61,7 @@
     }
 
     fn offer(&self, now: Tick, pair: Pair) -> Option<Choice> {
-        if !self.usable(pair.1) || self.avoid.get(&pair).is_some_and(|until| now < *until) {
+        if !self.answers(now, pair.1) || self.avoid.get(&pair).is_some_and(|until| now < *until) {
             return None;
         }
         let tier = self.tier(pair);
--- a/crates/coord/src/placement/commands.rs
+++ b/crates/coord/src/placement/commands.rs
@@ -25,6 +25,12 @@
 use super::row::Phase;
 use super::row::TableView;
 
+/// Upstreams that are first looked at together.
+const LOOKS_AT_ONCE: usize = 16;
+
+/// Time between first looks at groups of upstreams.
+const LOOK_SPACING: Duration = Duration::from_millis(10);
+
 impl Planner {
     /// Takes in a register revision. Intents of models and upstreams that left it stay counted.
     pub fn configure(&mut self, now: Tick, facts: &Facts) {
@@ -44,7 +50,9 @@
             }
             self.upstreams.insert(key, upstream.clone());
             if !old.contains_key(&key) {
-                self.look_by(key, now);
+                // Looks at many upstreams are spread out, so that no poll has to ask them all.
+                let turn = self.upstreams.len() / LOOKS_AT_ONCE;
+                self.look_by(key, now + LOOK_SPACING * turn as u32);
             }
         }
         for key in old.into_keys().filter(|key| !self.upstreams.contains_key(key)) {
@@ -199,7 +207,7 @@
             let loading = order.op == Op::Load && intent.phase == Phase::Decided;
             intent.refused |= loading && answer == Answer::Overcommit;
             if answer == Answer::Unsent {
-                intent.ordered = None;
+                intent.tries = intent.tries.saturating_sub(1);
             }
         });
         if answer == Answer::StaleFence && order.fence >= self.fence {
@@ -218,8 +226,13 @@
     pub fn unobserved(&mut self, now: Tick, upstream: UpstreamKey) {
         let wait = self.settings.watch_busy;
         if let Some(seen) = self.seen.get_mut(&upstream) {
-            seen.open = None;
+            let asked = seen.open.take().unwrap_or(now);
+            seen.silent.get_or_insert(asked);
         }
+        // Models that were to be loaded there may have to be loaded elsewhere.
+        let models = self.ledger.on(upstream).map(|(model, _)| model);
+        let busy: Vec<ModelKey> = models.filter(|model| self.busy(*model)).collect();
+        self.wanted.extend(busy);
         self.look_by(upstream, now + wait);
     }
 
@@ -233,6 +246,7 @@
             return;
         }
         seen.asked = Some(state.asked);
+        seen.silent = None;
         seen.fence = state.fence;
         seen.running = state.running;
         self.note_checkpoints(upstream, state);
--- a/crates/coord/src/placement/ledger.rs
+++ b/crates/coord/src/placement/ledger.rs
@@ -48,6 +48,7 @@
     upstreams: IndexMap<UpstreamKey, IndexSet<ModelKey>>,
     memory: IndexMap<UpstreamKey, u64>,
     foreign: IndexMap<UpstreamKey, u64>,
+    taken: IndexMap<UpstreamKey, u64>,
     free: BTreeSet<(u64, UpstreamKey)>,
     permits: usize,
 }
@@ -82,8 +83,9 @@
     pub fn put(&mut self, pair: Pair, intent: Intent) {
         let known = self.free.remove(&(self.free(pair.1), pair.1));
         self.permits += usize::from(intent.permit);
+        *self.taken.entry(pair.1).or_default() += intent.bytes;
         if let Some(old) = self.intents.insert(pair, intent) {
-            self.permits -= usize::from(old.permit);
+            self.discount(pair.1, &old);
         }
         self.models.entry(pair.0).or_default().insert(pair.1);
         self.upstreams.entry(pair.1).or_default().insert(pair.0);
@@ -96,7 +98,9 @@
     pub fn remove(&mut self, pair: Pair) -> Option<Intent> {
         let known = self.free.remove(&(self.free(pair.1), pair.1));
         let intent = self.intents.swap_remove(&pair);
-        self.permits -= usize::from(intent.as_ref().is_some_and(|intent| intent.permit));
+        if let Some(old) = &intent {
+            self.discount(pair.1, old);
+        }
         if let Some(upstreams) = self.models.get_mut(&pair.0) {
             upstreams.shift_remove(&pair.1);
         }
@@ -109,6 +113,14 @@
         intent
     }
 
+    /// Takes an intent that is replaced or removed out of the sums.
+    fn discount(&mut self, upstream: UpstreamKey, old: &Intent) {
+        self.permits -= usize::from(old.permit);
+        if let Some(taken) = self.taken.get_mut(&upstream) {
+            *taken -= old.bytes;
+        }
+    }
+
     /// Changes what is known of an intent, but nothing that its row says.
     pub fn update(&mut self, pair: Pair, change: impl FnOnce(&mut Intent)) {
         if let Some(intent) = self.intents.get_mut(&pair) {
@@ -133,7 +145,7 @@
 
     /// Bytes of all intents of an upstream.
     pub fn taken(&self, upstream: UpstreamKey) -> u64 {
-        self.on(upstream).map(|(_, intent)| intent.bytes).sum()
+        self.taken.get(&upstream).copied().unwrap_or(0)
     }
 
     /// Memory of an upstream, zero for one that isn't in the register.
@@ -172,6 +184,7 @@
     pub fn clear(&mut self) {
         self.intents.clear();
         self.permits = 0;
+        self.taken.clear();
         self.models.clear();
         self.upstreams.clear();
         let memory: Vec<UpstreamKey> = self.memory.keys().copied().collect();
--- a/crates/coord/src/placement/planner.rs
+++ b/crates/coord/src/placement/planner.rs
@@ -54,6 +54,8 @@
     pub due: Tick,
     /// When a question was asked that has no answer yet.
     pub open: Option<Tick>,
+    /// Since when its questions go without an answer.
+    pub silent: Option<Tick>,
     /// Models that had a checkpoint there.
     pub checkpoints: Vec<ModelKey>,
 }
@@ -139,6 +141,21 @@
         Planner { settings, me: me.to_owned(), ..Planner::default() }
     }
 
+    /// Starts over as another incarnation. Keys and numbers go on, so that answers to what the
+    /// incarnation before asked are never taken for answers to this one's.
+    pub fn rejoin(&mut self, me: &str) {
+        let old = std::mem::replace(self, Planner::new(self.settings.clone(), me));
+        self.names = old.names;
+        self.hosts = old.hosts;
+        self.next_id = old.next_id;
+        self.ended = old.ended;
+    }
+
+    /// Takes other settings in.
+    pub fn tune(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Puts the next look at an upstream at `at`, unless an earlier one is due.
     pub(super) fn look_by(&mut self, upstream: UpstreamKey, at: Tick) {
         let seen = self.seen.entry(upstream).or_default();
--- a/crates/coord/src/placement/queries.rs
+++ b/crates/coord/src/placement/queries.rs
@@ -118,6 +118,13 @@
         next.unwrap_or(now + Duration::from_secs(1)).max(now)
     }
 
+    /// Whether an upstream is usable and answers questions.
+    pub(super) fn answers(&self, now: Tick, upstream: UpstreamKey) -> bool {
+        let silent = self.seen.get(&upstream).and_then(|seen| seen.silent);
+        let silent = silent.is_some_and(|since| now.since(since) >= self.settings.silence);
+        self.usable(upstream) && !silent
+    }
+
     pub(super) fn usable(&self, upstream: UpstreamKey) -> bool {
         self.upstreams.get(&upstream).is_some_and(Upstream::usable)
     }
--- a/crates/coord/src/placement/settings.rs
+++ b/crates/coord/src/placement/settings.rs
@@ -23,6 +23,8 @@
     pub watch_busy: Duration,
     /// Time between looks at any other upstream.
     pub watch_idle: Duration,
+    /// How long an upstream may leave questions unanswered before its replicas are replaced.
+    pub silence: Duration,
     /// Time that an upstream takes to unload.
     pub unload_time: Duration,
     /// How long a wake counts without being repeated.
@@ -52,6 +54,7 @@
             order_tries: 3,
             watch_busy: Duration::from_millis(500),
             watch_idle: Duration::from_secs(3),
+            silence: Duration::from_secs(3),
             unload_time: Duration::from_millis(500),
             wake_life: Duration::from_secs(5),
             avoid: Duration::from_secs(30),
--- a/crates/coord/src/placement/steps.rs
+++ b/crates/coord/src/placement/steps.rs
@@ -345,7 +345,7 @@
         let replicas = self
             .ledger
             .of(model)
-            .filter(|(up, intent)| intent.phase == Phase::Decided && self.usable(*up));
+            .filter(|(up, intent)| intent.phase == Phase::Decided && self.answers(now, *up));
         let replicas = replicas.count() as u32;
         let waiting = self.waiting(model);
         if replicas == 0 {
@@ -407,7 +407,7 @@
         let fits = self.ledger.free(claim.upstream) >= claim.bytes;
         let pair = (model, claim.upstream);
         let tier = self.tier(pair);
-        let usable = self.usable(claim.upstream) && claim.until > now;
+        let usable = self.answers(now, claim.upstream) && claim.until > now;
         let ready = self.cold(pair);
         let upstream = claim.upstream;
         usable.then_some(Choice { upstream, tier, victims: Vec::new(), fits, ready, price: 0.0 })
--- a/crates/coord/tests/placement/races.rs
+++ b/crates/coord/tests/placement/races.rs
@@ -148,3 +148,22 @@
     }
     assert!(world.engines[first].held.is_empty());
 }
+
+#[test]
+fn a_model_is_loaded_elsewhere_when_its_engine_dies_in_the_load() {
+    let mut world = World::new(1, &[true, false]);
+    let start = |world: &World| world.engines.iter().position(|engine| !engine.held.is_empty());
+    while start(&world).is_none() {
+        world.wake(0, 1);
+        world.run(1);
+    }
+    let dead = start(&world).expect("the load has started");
+    world.engines[dead].silent = true;
+    world.cold(dead);
+    for _ in 0..60 {
+        world.wake(0, 1);
+        world.run(10);
+    }
+    assert!(world.loaded(0));
+    assert!(world.engines[dead].held.is_empty());
+}
--- a/crates/coord/tests/placement/world.rs
+++ b/crates/coord/tests/placement/world.rs
@@ -36,6 +36,8 @@
 pub struct Engine {
     pub fenced: bool,
     pub drained: bool,
+    /// Answers nothing.
+    pub silent: bool,
     fence: u64,
     pub held: BTreeMap<String, Load>,
     disk: BTreeSet<String>,
@@ -64,6 +66,7 @@
     Answered(u64, Answer),
     Ask { engine: usize, asked: Tick },
     State { engine: usize, state: Observation },
+    Unseen { engine: usize },
 }
 
 #[derive(Clone, Debug)]
@@ -341,13 +344,19 @@
             Body::Order { order, .. } => Body::Answered(order.id, Answer::Lost),
             Body::Answered(id, _) => Body::Answered(*id, Answer::Lost),
             Body::Scan | Body::Scanned(_) => Body::Scan,
-            Body::Ask { .. } | Body::State { .. } => return,
+            Body::Ask { engine, .. } => Body::Unseen { engine: *engine },
+            Body::State { .. } | Body::Unseen { .. } => return,
         };
         let message = Message { body: reply, held: false, silent: false, ..message.clone() };
         self.receive(message);
     }
 
     fn deliver(&mut self, message: Message) {
+        if let Body::Order { engine, .. } | Body::Ask { engine, .. } = message.body {
+            if self.engines[engine].silent {
+                return self.give_up(&message);
+            }
+        }
         let reply = match &message.body {
             Body::Commit(change) => Body::Committed(change.id, self.commit(change)),
             Body::Scan => Body::Scanned(TableView {
@@ -390,6 +399,10 @@
                 let key = node.planner.upstream_key(&engine_name(engine));
                 node.planner.observed(now, key.expect("known since the start"), &state);
             }
+            Body::Unseen { engine } => {
+                let key = node.planner.upstream_key(&engine_name(engine));
+                node.planner.unobserved(now, key.expect("known since the start"));
+            }
             _ => unreachable!("requests go to the table and the engines"),
         }
     }
