--- a/crates/coord/examples/cold_start/ours.rs
+++ b/crates/coord/examples/cold_start/ours.rs
@@ -20,7 +20,6 @@
 use corianderyoke_coord::placement::Outcome;
 use corianderyoke_coord::placement::Planner;
 use corianderyoke_coord::placement::Settings;
-use corianderyoke_coord::placement::Standing;
 use corianderyoke_coord::placement::TableView;
 use corianderyoke_coord::placement::Tier;
 use corianderyoke_coord::placement::Upstream;
@@ -222,18 +221,16 @@
 
     /// Starts requests whose model the routers know to be loaded.
     fn serve(&mut self) {
-        if self.waiting.iter().all(Vec::is_empty) {
-            return;
-        }
-        for (row, standing) in self.planner.intents() {
-            let model: usize = row.model[1..].parse().expect("models are numbered");
-            let at: usize = row.upstream[1..].parse().expect("engines are numbered");
-            let known = standing == Standing::Loaded;
-            if !known || !self.engines.serves(self.now, at, model) {
+        for model in 0..self.fleet.models {
+            if self.waiting[model].is_empty() {
                 continue;
             }
-            for request in std::mem::take(&mut self.waiting[model]) {
-                self.start(request);
+            let known = self.planner.loaded(ModelKey(model as u32));
+            let serves = |up: UpstreamKey| self.engines.serves(self.now, up.index(), model);
+            if known.into_iter().any(serves) {
+                for request in std::mem::take(&mut self.waiting[model]) {
+                    self.start(request);
+                }
             }
         }
     }
--- a/crates/coord/src/placement/queries.rs
+++ b/crates/coord/src/placement/queries.rs
@@ -98,6 +98,15 @@
         usable.map(replica).collect()
     }
 
+    /// Upstreams that are known to serve a model and may be given work.
+    pub fn loaded(&self, model: ModelKey) -> Vec<UpstreamKey> {
+        let loaded = self.ledger.of(model).filter(|(up, intent)| {
+            let ready = intent.phase == Phase::Decided && intent.standing == Standing::Loaded;
+            ready && self.usable(*up)
+        });
+        loaded.map(|(up, _)| up).collect()
+    }
+
     /// Permits of the weight store held by intents.
     pub fn permits(&self) -> usize {
         self.ledger.permits()
@@ -159,11 +168,7 @@
 
     /// Whether a model's requests fit on one replica fewer than are loaded.
     pub(super) fn spare(&self, model: ModelKey) -> bool {
-        let loaded = self.ledger.of(model).filter(|(up, intent)| {
-            let ready = intent.phase == Phase::Decided && intent.standing == Standing::Loaded;
-            ready && self.usable(*up)
-        });
-        let loaded = loaded.count() as u32;
+        let loaded = self.loaded(model).len() as u32;
         let requests =
             self.demand.get(&model).map_or(0, |demand| demand.waiting() + demand.running());
         loaded > 1 && requests <= self.settings.slots * (loaded - 1)
--- a/crates/coord/tests/placement/guards.rs
+++ b/crates/coord/tests/placement/guards.rs
@@ -18,6 +18,7 @@
 use corianderyoke_coord::placement::Sequence;
 use corianderyoke_coord::placement::Settings;
 use corianderyoke_coord::placement::TableView;
+use corianderyoke_coord::placement::Tier;
 use corianderyoke_coord::placement::Upstream;
 use corianderyoke_coord::time::Tick;
 
@@ -30,9 +31,10 @@
 /// A planner that has read one row for model `m` on upstream `e`, which checks no tokens.
 fn planner(now: Tick, phase: Phase, senders: &[&str]) -> Planner {
     let mut planner = Planner::new(Settings::default(), ME);
-    let upstream = Upstream { name: "e".to_owned(), memory: 10, ..Upstream::default() };
-    let model = Model { name: "m".to_owned(), bytes: 10, ..Model::default() };
-    planner.configure(now, &Facts { upstreams: vec![upstream], models: vec![model] });
+    let upstream = Upstream { name: "e".to_owned(), memory: 20, ..Upstream::default() };
+    let model = |name: &str| Model { name: name.to_owned(), bytes: 10, ..Model::default() };
+    let models = vec![model("m"), model("n")];
+    planner.configure(now, &Facts { upstreams: vec![upstream], models });
     planner.start();
     assert!(planner.poll(now).contains(&Effect::Scan));
     let row = IntentRow {
@@ -127,6 +129,21 @@
     assert_eq!(orders(&planner.poll(ms(2_010))).len(), 1);
 }
 
+#[test]
+fn nothing_is_ordered_unnamed_while_another_commit_is_on_its_way() {
+    let mut planner = planner(ms(0), Phase::Decided, &[ME]);
+    see(&mut planner, ms(1), Some(Held::Loaded));
+    commit(&mut planner, ms(10));
+    planner.wake(ms(20), "n", "r", 1, 0);
+    assert_eq!(commits(&planner.poll(ms(20))).len(), 1);
+    let mut state = Observation { asked: ms(2_000), ..Observation::default() };
+    let model = planner.model_key("m").expect("configured");
+    state.checkpoints.insert(model, Tier::Disk);
+    let upstream = planner.upstream_key("e").expect("configured");
+    planner.observed(ms(2_001), upstream, &state);
+    assert_eq!(orders(&planner.poll(ms(2_001))), []);
+}
+
 #[test]
 fn another_incarnation_takes_no_answer_meant_for_the_one_before() {
     let mut planner = planner(ms(0), Phase::Decided, &[ME]);
