Take the planner's limits from the register's rules, and other refusals as refusals

Cause: load rate, loads at once and the worth of idle seconds were the planner's defaults, and an order refused for another reason counted as lost.

--- a/crates/coord/src/placement/commands.rs
+++ b/crates/coord/src/placement/commands.rs
@@ -34,6 +34,10 @@
 impl Planner {
     /// Takes in a register revision. Intents of models and upstreams that left it stay counted.
     pub fn configure(&mut self, now: Tick, facts: &Facts) {
+        if self.facts == *facts {
+            return;
+        }
+        self.facts = facts.clone();
         self.models.clear();
         for model in &facts.models {
             let key = self.names.intern(&model.name);
--- a/crates/coord/src/placement/effects.rs
+++ b/crates/coord/src/placement/effects.rs
@@ -93,6 +93,8 @@
     StaleFence,
     /// The upstream says that its memory doesn't suffice.
     Overcommit,
+    /// The upstream refused it for another reason.
+    Refused,
     /// It was never sent: the term had ended or no connection came about.
     Unsent,
     /// No answer came: it may still arrive.
--- a/crates/coord/src/placement/planner.rs
+++ b/crates/coord/src/placement/planner.rs
@@ -16,6 +16,7 @@
 use super::effects::Change;
 use super::effects::Order;
 use super::effects::Pair;
+use super::facts::Facts;
 use super::facts::Model;
 use super::facts::Tier;
 use super::facts::Upstream;
@@ -102,6 +103,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     pub(super) settings: Settings,
+    pub(super) facts: Facts,
     pub(super) me: String,
     pub(super) names: Interner<ModelKey>,
     pub(super) hosts: Interner<UpstreamKey>,
--- a/src/controller/facts.rs
+++ b/src/controller/facts.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use corianderyoke_coord::placement::gaps::KeepRule;
 use corianderyoke_coord::placement::Facts;
 use corianderyoke_coord::placement::Model;
+use corianderyoke_coord::placement::Settings;
 use corianderyoke_coord::placement::Tier;
 use corianderyoke_coord::placement::Upstream;
 use corianderyoke_coord::register::Register;
+use corianderyoke_coord::register::Rules;
 use corianderyoke_coord::register::UpstreamKind;
 use indexmap::IndexMap;
 
@@ -37,6 +40,24 @@
     Facts { upstreams: upstreams.collect(), models: models.collect() }
 }
 
+/// Settings of the planner by the operators' rules.
+pub fn planner_settings(rules: &Rules) -> Settings {
+    let defaults = Settings::default();
+    let keep = match defaults.keep {
+        KeepRule::Histogram { needed, fallback, .. } => {
+            KeepRule::Histogram { worth: rules.idle_worth, needed, fallback }
+        }
+        other => other,
+    };
+    Settings {
+        store_rate: rules.load_rate,
+        store_inflight: rules.load_inflight as usize,
+        adapter_inflight: rules.adapter_inflight as usize,
+        keep,
+        ..defaults
+    }
+}
+
 /// Bytes set aside beside each replica of `model`: its largest adapters, a few of them.
 fn adapter_bytes(register: &Register, model: &str) -> u64 {
     let mut sizes: Vec<u64> = register
--- a/src/controller/orders.rs
+++ b/src/controller/orders.rs
@@ -54,7 +54,7 @@
             Ok(control::Reply::Accepted) => Answer::Accepted,
             Ok(control::Reply::StaleFence) => Answer::StaleFence,
             Ok(control::Reply::Overcommit) => Answer::Overcommit,
-            Ok(control::Reply::Refused { .. }) => Answer::Lost,
+            Ok(control::Reply::Refused { .. }) => Answer::Refused,
             Err(e) if e.outcome == Outcome::NotRun => Answer::Unsent,
             Err(_) => Answer::Lost,
         };
--- a/src/controller/run.rs
+++ b/src/controller/run.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::controller::facts::facts;
+use crate::controller::facts::planner_settings;
 use crate::controller::label;
 use crate::controller::table;
 use crate::controller::Controller;
@@ -57,7 +58,7 @@
         if now != me {
             // A planner's name is never used by another incarnation.
             me = now;
-            *controller.planner.lock() = Planner::new(Default::default(), &me);
+            controller.planner.lock().rejoin(&me);
             round = Round { version: round.version, ..Round::default() };
         }
         controller.round(&mut round);
@@ -101,6 +102,7 @@
         round.looked = now;
         let facts = facts(&register, &self.agent);
         let mut planner = self.planner.lock();
+        planner.tune(planner_settings(&register.rules));
         planner.configure(now, &facts);
         for sender in self.ended_senders(&planner, round, now) {
             planner.sender_ended(&sender);
