--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -13,6 +13,7 @@
 pub mod settings;
 pub mod store;
 pub mod traced;
+pub mod traffic;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -10,6 +10,7 @@
 use corianderyoke_coord::membership::RowState;
 use corianderyoke_history::Event as Recorded;
 use corianderyoke_http::Running as Server;
+use corianderyoke_platform::Platform;
 use corianderyoke_wire::peer::request::Body as Call;
 use corianderyoke_wire::peer::response::Body as Answer;
 use prometheus_client::registry::Registry;
@@ -19,6 +20,8 @@
 use tokio::time::sleep;
 
 use crate::agent;
+use crate::agent::traced::Traced;
+use crate::agent::traffic::Traffic;
 use crate::agent::Agent;
 use crate::agent::Service;
 use crate::ops::daemon;
@@ -57,7 +60,8 @@
 /// Starts a router; it serves once its agent has joined and the configuration is in force.
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
     let history = daemon::recorder(&settings.name, &settings.history)?;
-    let platform = daemon::platform(settings.platform, &history)?;
+    let client = daemon::client(settings.platform)?;
+    let platform = Traced::new(Arc::clone(&client) as Arc<dyn Platform>, &history);
     let callers = daemon::reserve(settings.callers)?;
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
@@ -78,6 +82,7 @@
     agent.serve(Arc::new(Peers { router: Arc::clone(&router) }));
     let mut registry = Registry::with_prefix("corianderyoke");
     router.metrics.register(&mut registry);
+    registry.register_collector(Box::new(Traffic::new(Arc::clone(&agent), client)));
     let subject = Arc::new(Subject { router: Arc::clone(&router) });
     let servers = vec![
         http::serve(callers, Arc::clone(&router)).await?,
--- a/src/router/limit.rs
+++ b/src/router/limit.rs
@@ -287,6 +287,7 @@
         counters: Some(to_wire(ask.counters)),
         want: ask.want,
         need: ask.need,
+        number: ask.number,
     };
     let body = Call::Tokens(request);
     let answer = router.call_home(Kind::Bucket, &slice.team, body, ASK_WITHIN).await;
@@ -298,7 +299,8 @@
     let now = clock::now();
     let effects = match verdict(&answer) {
         Some(verdict) => {
-            let grant = Grant { home: answer.home, granted: answer.granted, verdict };
+            let peer::TokensResponse { home, granted, number, .. } = answer;
+            let grant = Grant { home, number, granted, verdict };
             state.slice.answer(&grant, now)
         }
         None => {
