--- a/crates/support/src/builder.rs
+++ b/crates/support/src/builder.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use anyhow::Result;
+use indexmap::IndexMap;
 
 use crate::fleet::Fleet;
 
@@ -35,8 +36,16 @@
     pub burst: u64,
     /// Whether engines check fencing tokens: all, or every second one.
     pub fencing: bool,
+    /// Rate and burst of single teams, in place of the two above.
+    pub limits: IndexMap<String, (u64, u64)>,
+    /// Deadline of a request whose caller sets none, in milliseconds.
+    pub deadline_ms: u64,
     /// Further lines for each engine's settings file.
     pub engine_lines: String,
+    /// Folder to which the daemons write their histories.
+    pub history: Option<PathBuf>,
+    /// Whether relays stand between the daemons and the platform, and before each upstream.
+    pub relays: bool,
 }
 
 impl Default for Builder {
@@ -52,7 +61,11 @@
             rate: 100_000,
             burst: 200_000,
             fencing: true,
+            limits: IndexMap::new(),
+            deadline_ms: 20_000,
             engine_lines: String::new(),
+            history: None,
+            relays: false,
         }
     }
 }
@@ -75,6 +88,16 @@
         format!("z{}", (number - 1) % 4 + 1)
     }
 
+    /// Rate and burst of a team.
+    pub fn limit(&self, team: &str) -> (u64, u64) {
+        self.limits.get(team).copied().unwrap_or((self.rate, self.burst))
+    }
+
+    /// Memory of an engine in bytes.
+    pub fn engine_bytes(&self) -> u64 {
+        ENGINE_BYTES
+    }
+
     /// Settings of an engine.
     pub(crate) fn engine(&self, number: usize) -> String {
         let fencing = self.fencing || number.is_multiple_of(2);
@@ -106,11 +129,11 @@
             );
         }
         for team in 1..=self.teams {
+            let (rate, burst) = self.limit(&format!("t{team}"));
             let _ = writeln!(
                 text,
-                "[teams.t{team}]\nrate = {}\nburst = {}\n[grants.t{team}]\nmodels = [\"*\"]\n\
-                 adapters = [\"*\"]\nservices = [\"*\"]",
-                self.rate, self.burst
+                "[teams.t{team}]\nrate = {rate}\nburst = {burst}\n[grants.t{team}]\nmodels = [\"*\"]\n\
+                 adapters = [\"*\"]\nservices = [\"*\"]"
             );
         }
         let orders = upstreams.iter().filter(|(name, _)| name.starts_with("orders-"));
@@ -118,7 +141,7 @@
         if !names.is_empty() {
             let _ = writeln!(text, "[services.orders]\nupstreams = [{}]", names.join(", "));
         }
-        text.push_str("[rules]\ndeadline_ms = 20000\nload_rate = 100.0\n");
+        let _ = writeln!(text, "[rules]\ndeadline_ms = {}\nload_rate = 100.0", self.deadline_ms);
         text
     }
 
--- a/crates/support/src/fleet.rs
+++ b/crates/support/src/fleet.rs
@@ -11,6 +11,10 @@
 use anyhow::bail;
 use anyhow::Context;
 use anyhow::Result;
+use corianderyoke_platform::protocol::InstanceList;
+use corianderyoke_platform::Instance;
+use corianderyoke_platform::InstanceState;
+use corianderyoke_standin::relay::tcp;
 use indexmap::IndexMap;
 use nix::sys::signal::Signal;
 use serde_json::Value;
@@ -25,6 +29,8 @@
 const READY_WITHIN: Duration = Duration::from_secs(60);
 /// Time between two looks.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// What every key begins with; stand-ins count requests that carry it.
+const SECRET_PREFIX: &str = "ck_";
 
 /// Processes by name, and what is needed to talk to them.
 pub struct Fleet {
@@ -34,7 +40,13 @@
     pub client: reqwest::Client,
     /// Secrets of the teams' keys, by team.
     pub secrets: IndexMap<String, String>,
+    /// Names of the teams' keys, by team.
+    pub keys: IndexMap<String, String>,
     processes: IndexMap<String, Process>,
+    /// Relays before each upstream, and between each daemon and the platform, by name.
+    relays: IndexMap<String, tcp::Relay>,
+    /// How many daemons were started, so that each has a history file of its own.
+    started: usize,
     folder: TempDir,
 }
 
@@ -45,11 +57,15 @@
             builder,
             client,
             secrets: IndexMap::new(),
+            keys: IndexMap::new(),
             processes: IndexMap::new(),
+            relays: IndexMap::new(),
+            started: 0,
             folder: tempfile::tempdir()?,
         };
         fleet.start_standin("platform", "platform", "")?;
-        let upstreams = fleet.start_upstreams()?;
+        let upstreams = fleet.start_upstreams().await?;
+        fleet.post_instances(&[]).await?;
         let register = fleet.builder.register(&upstreams);
         fleet.write("register.toml", &register)?;
         fleet.write("cli.toml", &format!("platform = \"{}\"\n", fleet.platform()?))?;
@@ -57,10 +73,10 @@
         fleet.operate(&["apply", &register.display().to_string()])?;
         fleet.issue_keys()?;
         for number in 1..=fleet.builder.controllers {
-            fleet.start_daemon("controller", number)?;
+            fleet.start_daemon("controller", number).await?;
         }
         for number in 1..=fleet.builder.routers {
-            fleet.start_daemon("router", number)?;
+            fleet.start_daemon("router", number).await?;
         }
         for number in 1..=fleet.builder.routers {
             fleet.ready(&format!("router-{number}")).await?;
@@ -68,17 +84,21 @@
         Ok(fleet)
     }
 
-    fn start_upstreams(&mut self) -> Result<Vec<(String, String)>> {
+    async fn start_upstreams(&mut self) -> Result<Vec<(String, String)>> {
         let mut upstreams = Vec::new();
         for number in 1..=self.builder.engines {
-            let settings = self.builder.engine(number);
+            let secrets = format!("secrets = [\"{SECRET_PREFIX}\"]\n");
+            let settings = secrets + &self.builder.engine(number);
             let name = format!("engine-{number}");
             let address = self.start_standin(&name, "engine", &settings)?;
+            let address = self.relayed(&name, address).await?;
             upstreams.push((name, address.to_string()));
         }
         for number in 1..=self.builder.services {
             let name = format!("orders-{number}");
-            let address = self.start_standin(&name, "service", "")?;
+            let settings = format!("secrets = [\"{SECRET_PREFIX}\"]\n");
+            let address = self.start_standin(&name, "service", &settings)?;
+            let address = self.relayed(&name, address).await?;
             upstreams.push((name, address.to_string()));
         }
         Ok(upstreams)
@@ -90,7 +110,9 @@
             let issued = self.operate(&["--json", "issue-key", &team])?;
             let issued: Value = serde_json::from_slice(&issued.stdout)?;
             let secret = issued["secret"].as_str().context("no secret was issued")?;
-            self.secrets.insert(team, secret.to_owned());
+            self.secrets.insert(team.clone(), secret.to_owned());
+            let name = issued["key"].as_str().context("no key was named")?;
+            self.keys.insert(team, name.to_owned());
         }
         Ok(())
     }
@@ -108,11 +130,18 @@
     }
 
     /// Starts router or controller `number`, also anew after its end.
-    pub fn start_daemon(&mut self, role: &str, number: usize) -> Result<()> {
+    pub async fn start_daemon(&mut self, role: &str, number: usize) -> Result<()> {
         let name = format!("{role}-{number}");
         let platform = self.platform()?;
+        let platform = self.relayed(&name, platform).await?;
         let zone = self.builder.zone(number);
-        let settings = format!("name = \"{name}\"\nzone = \"{zone}\"\nplatform = \"{platform}\"\n");
+        let mut settings =
+            format!("name = \"{name}\"\nzone = \"{zone}\"\nplatform = \"{platform}\"\n");
+        self.started += 1;
+        if let Some(folder) = &self.builder.history {
+            let file = folder.join(format!("{name}-{}.jsonl", self.started));
+            settings.push_str(&format!("history = \"{}\"\n", file.display()));
+        }
         let file = format!("{name}.toml");
         self.write(&file, &settings)?;
         let arguments = ["--config".to_owned(), self.path(&file).display().to_string()];
@@ -122,6 +151,91 @@
         Ok(())
     }
 
+    /// Puts a relay called `name` before `target`, once, where the fleet has relays; the address to
+    /// use.
+    async fn relayed(&mut self, name: &str, target: SocketAddr) -> Result<SocketAddr> {
+        if !self.builder.relays {
+            return Ok(target);
+        }
+        if let Some(relay) = self.relays.get(name) {
+            return Ok(relay.address());
+        }
+        let relay = tcp::Relay::start(tcp::Settings { target, ..Default::default() }).await?;
+        let address = relay.address();
+        self.relays.insert(name.to_owned(), relay);
+        Ok(address)
+    }
+
+    /// The relay before an upstream, or between a daemon and the platform.
+    pub fn relay(&self, name: &str) -> Result<&tcp::Relay> {
+        self.relays.get(name).with_context(|| format!("no relay `{name}`"))
+    }
+
+    /// Tells the platform's stand-in the true list of instances: all daemons and upstreams, those
+    /// in `leaving` as leaving.
+    pub async fn post_instances(&self, leaving: &[String]) -> Result<()> {
+        let builder = &self.builder;
+        let kinds = [
+            ("router", builder.routers),
+            ("controller", builder.controllers),
+            ("engine", builder.engines),
+            ("orders", builder.services),
+        ];
+        let names = kinds.into_iter().flat_map(|(kind, count)| {
+            (1..=count).map(move |number| (format!("{kind}-{number}"), number))
+        });
+        let instances = names.map(|(name, number)| {
+            let leaves = leaving.contains(&name);
+            let state = if leaves { InstanceState::Leaving } else { InstanceState::Live };
+            let address = String::new();
+            Instance { name, zone: builder.zone(number), address, state }
+        });
+        let list = InstanceList { instances: instances.collect() };
+        self.post("platform", "/instances", &serde_json::to_value(list)?).await
+    }
+
+    /// Orders a fault of a stand-in.
+    pub async fn fault(&self, name: &str, fault: &Value) -> Result<()> {
+        self.post(name, "/faults", fault).await
+    }
+
+    async fn post(&self, name: &str, path: &str, body: &Value) -> Result<()> {
+        let url = self.standin(name, path)?;
+        let request = self.client.post(url).header("content-type", "application/json");
+        request.body(body.to_string()).send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// Kills a stand-in and starts it again at the same address, with nothing in its memory.
+    pub fn restart_standin(&mut self, name: &str) -> Result<()> {
+        let address = self.process(name)?.address("")?;
+        self.kill(name)?;
+        let file = format!("{name}.toml");
+        let settings = std::fs::read_to_string(self.path(&file))?;
+        let settings = match settings.starts_with("listen") {
+            true => settings,
+            false => format!("listen = \"{address}\"\n{settings}"),
+        };
+        let kind = if name.starts_with("engine") { "engine" } else { "service" };
+        self.start_standin(name, kind, &settings)?;
+        Ok(())
+    }
+
+    /// What a daemon calls itself in its records.
+    pub fn recorded_name(&self, name: &str) -> Result<String> {
+        Ok(format!("{name}#{}", self.process(name)?.pid()))
+    }
+
+    /// Whether a process of this name runs or is frozen.
+    pub fn has(&self, name: &str) -> bool {
+        self.processes.contains_key(name)
+    }
+
+    /// Forgets a process that has ended.
+    pub fn forget(&mut self, name: &str) {
+        self.processes.swap_remove(name);
+    }
+
     /// Waits until a daemon says that it is ready.
     pub async fn ready(&self, name: &str) -> Result<()> {
         let url = format!("http://{}/readyz", self.process(name)?.address("operators")?);
