--- a/crates/support/src/builder.rs
+++ b/crates/support/src/builder.rs
@@ -38,6 +38,8 @@
     pub fencing: bool,
     /// Rate and burst of single teams, in place of the two above.
     pub limits: IndexMap<String, (u64, u64)>,
+    /// Most tokens of a prompt and its output.
+    pub context_tokens: u64,
     /// Deadline of a request whose caller sets none, in milliseconds.
     pub deadline_ms: u64,
     /// Further lines for each engine's settings file.
@@ -62,6 +64,7 @@
             burst: 200_000,
             fencing: true,
             limits: IndexMap::new(),
+            context_tokens: 4096,
             deadline_ms: 20_000,
             engine_lines: String::new(),
             history: None,
@@ -120,11 +123,12 @@
         for (name, address) in upstreams {
             self.upstream(&mut text, name, address);
         }
+        let context = self.context_tokens;
         for model in 1..=self.models {
             let _ = writeln!(
                 text,
                 "[models.m{model}]\nbytes = {MODEL_BYTES}\nbytes_per_token = 2.0\n\
-                 context_tokens = 4096\n[models.m{model}.start_ms]\nmemory = 100\ndisk = 400\n\
+                 context_tokens = {context}\n[models.m{model}.start_ms]\nmemory = 100\ndisk = 400\n\
                  remote = 1000\n[adapters.m{model}-a]\nmodel = \"m{model}\"\nbytes = 1000000"
             );
         }
--- a/crates/support/src/fleet.rs
+++ b/crates/support/src/fleet.rs
@@ -325,6 +325,18 @@
         std::fs::read_to_string(self.log(name)).unwrap_or_default()
     }
 
+    /// Copies the processes' logs to a folder.
+    pub fn copy_logs(&self, folder: &Path) -> Result<()> {
+        std::fs::create_dir_all(folder)?;
+        for entry in std::fs::read_dir(self.folder.path())? {
+            let entry = entry?;
+            if entry.path().extension().is_some_and(|extension| extension == "log") {
+                std::fs::copy(entry.path(), folder.join(entry.file_name()))?;
+            }
+        }
+        Ok(())
+    }
+
     fn write(&self, file: &str, text: &str) -> Result<()> {
         Ok(std::fs::write(self.path(file), text)?)
     }
--- a/src/bin/corianderyoke-bench/commands/mod.rs
+++ b/src/bin/corianderyoke-bench/commands/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod check;
 pub mod demo;
+pub mod run;
--- a/src/bin/corianderyoke-bench/main.rs
+++ b/src/bin/corianderyoke-bench/main.rs
@@ -21,6 +21,8 @@
 enum Command {
     /// Bring up a small cell in one process, serve one request of each kind and print a table
     Demo(commands::demo::Cli),
+    /// Run a scenario of failures on a fleet of the real binaries and check its history
+    Run(commands::run::Cli),
     /// Check a history against the properties that must always hold
     Check(commands::check::Cli),
 }
@@ -29,6 +31,7 @@
 async fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Demo(cli) => commands::demo::exec(cli).await,
+        Command::Run(cli) => commands::run::exec(cli).await,
         Command::Check(cli) => commands::check::exec(&cli),
     }
 }
--- a/src/ops/bench/mod.rs
+++ b/src/ops/bench/mod.rs
@@ -1,4 +1,12 @@
 //! Demo, load, experiments and checks of histories.
 
+pub mod callers;
 pub mod cell;
 pub mod demo;
+pub mod journal;
+pub mod operators;
+pub mod run;
+pub mod scenario;
+pub mod schedule;
+pub mod watcher;
+pub mod world;
