--- a/src/bin/corianderyoke-router/main.rs
+++ b/src/bin/corianderyoke-router/main.rs
@@ -24,7 +24,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match start::settings(&Cli::parse().options) {
+    match start::settings(&Cli::parse().options, Settings::check) {
         Ok(Some(settings)) => start::ended(run(settings).await),
         Ok(None) => ExitCode::SUCCESS,
         Err(exit) => exit.into(),
--- a/src/controller/settings.rs
+++ b/src/controller/settings.rs
@@ -3,9 +3,12 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use corianderyoke_coord::register::Problem;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::util::start::daemon_problems;
+
 /// Settings of a controller, as its settings file has them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -26,6 +29,13 @@
     pub history: String,
 }
 
+impl Settings {
+    /// What is wrong with the values.
+    pub fn check(&self) -> Vec<Problem> {
+        daemon_problems(&self.name, &self.log)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
--- a/src/router/home/dispatch.rs
+++ b/src/router/home/dispatch.rs
@@ -84,6 +84,12 @@
 
     /// Starts a dispatcher at `epoch` from the parts of all members.
     pub fn start(&self, router: &Router, epoch: u64, parts: &[(MemberId, peer::TakeoverResponse)]) {
+        for part in parts {
+            if let Some(list) = &part.1.replicas {
+                // A router that joined while no controller acts learns the replicas from the others.
+                self.take(list.clone());
+            }
+        }
         let now = clock::now();
         let names = &router.homes.names;
         let members: Vec<MemberKey> = parts.iter().map(|(id, _)| names.member(id)).collect();
@@ -109,6 +115,23 @@
         self.with(router, |dispatcher| dispatcher.lapse(member, clock::now()));
     }
 
+    /// Placement's newest list, as it came.
+    pub fn newest(&self) -> peer::ReplicasRequest {
+        let Replicas { epoch, version, list } = self.replicas.lock().clone();
+        peer::ReplicasRequest { epoch, version, replicas: list }
+    }
+
+    /// Takes a list, unless a newer one came already; whether it was taken.
+    fn take(&self, pushed: peer::ReplicasRequest) -> bool {
+        let mut held = self.replicas.lock();
+        if (pushed.epoch, pushed.version) < (held.epoch, held.version) {
+            return false;
+        }
+        let peer::ReplicasRequest { epoch, version, replicas: list } = pushed;
+        *held = Replicas { epoch, version, list };
+        true
+    }
+
     /// Replicas as placement pushed them last.
     pub fn replica_list(&self) -> Vec<peer::Replica> {
         self.replicas.lock().list.clone()
@@ -299,16 +322,9 @@
 
 /// Takes placement's list of replicas, unless a newer one came already.
 pub fn replicas(router: &Router, pushed: peer::ReplicasRequest) {
-    let dispatch = &router.homes.dispatch;
-    {
-        let mut replicas = dispatch.replicas.lock();
-        if (pushed.epoch, pushed.version) < (replicas.epoch, replicas.version) {
-            return;
-        }
-        *replicas =
-            Replicas { epoch: pushed.epoch, version: pushed.version, list: pushed.replicas };
+    if router.homes.dispatch.take(pushed) {
+        refresh(router);
     }
-    refresh(router);
 }
 
 /// Brings the dispatcher in step with the register, the replicas and the platform's list.
--- a/src/router/home/takeover.rs
+++ b/src/router/home/takeover.rs
@@ -138,13 +138,13 @@
         counters: Some(to_wire(router.limits.follow(team, ask.epoch))),
     };
     let teams = ask.teams.iter().map(part).collect();
-    let slots = if ask.dispatch {
-        router.homes.dispatch.stop();
-        router.held.inventory()
-    } else {
-        Vec::new()
-    };
-    peer::TakeoverResponse { ready: true, teams, slots }
+    if !ask.dispatch {
+        return peer::TakeoverResponse { ready: true, teams, ..Default::default() };
+    }
+    router.homes.dispatch.stop();
+    let slots = router.held.inventory();
+    let replicas = Some(router.homes.dispatch.newest());
+    peer::TakeoverResponse { ready: true, teams, slots, replicas }
 }
 
 fn to_wire_handover(router: &Router, handed: Handover) -> peer::Handover {
--- a/src/router/settings.rs
+++ b/src/router/settings.rs
@@ -3,9 +3,12 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use corianderyoke_coord::register::Problem;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::util::start::daemon_problems;
+
 /// Settings of a router, as its settings file has them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -36,6 +39,23 @@
     pub next_ms: u64,
 }
 
+impl Settings {
+    /// What is wrong with the values.
+    pub fn check(&self) -> Vec<Problem> {
+        let mut problems = daemon_problems(&self.name, &self.log);
+        if self.attempts == 0 {
+            problems.push(Problem::new("attempts", "0", "1 or more"));
+        }
+        if self.open_requests == 0 {
+            problems.push(Problem::new("open_requests", "0", "1 or more"));
+        }
+        if self.first_ms == 0 || self.next_ms == 0 {
+            problems.push(Problem::new("first_ms, next_ms", "0", "1 or more milliseconds"));
+        }
+        problems
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
--- a/src/util/start.rs
+++ b/src/util/start.rs
@@ -4,6 +4,8 @@
 use std::process::ExitCode;
 
 use clap::Args;
+use corianderyoke_coord::register::Problem;
+use log::LevelFilter;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -21,16 +23,23 @@
     pub check: bool,
 }
 
-/// Reads the settings that `options` name; `None` where they only were to be checked.
+/// Reads the settings that `options` name, and adds the problems that `check` finds; `None` where
+/// they only were to be checked.
 ///
 /// # Errors
 ///
 /// The exit code, after all problems were written to standard error.
-pub fn settings<T>(options: &Options) -> Result<Option<T>, Exit>
+pub fn settings<T>(
+    options: &Options,
+    check: impl FnOnce(&T) -> Vec<Problem>,
+) -> Result<Option<T>, Exit>
 where
     T: Default + DeserializeOwned + Serialize,
 {
-    let read = options.config.as_deref().map_or_else(|| Ok(T::default()), settings::load);
+    let read = match &options.config {
+        Some(file) => settings::load_checked(file, check),
+        None => Ok(T::default()),
+    };
     match read {
         Ok(_) if options.check => {
             println!("the settings are good");
@@ -44,6 +53,20 @@
     }
 }
 
+/// What is wrong with the settings that every daemon has.
+pub fn daemon_problems(name: &str, log: &str) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.is_empty() || !name.chars().all(plain) {
+        let allowed = "letters, digits, `-`, `_` and `.`, at least one";
+        problems.push(Problem::new("name", name, allowed));
+    }
+    if log.parse::<LevelFilter>().is_err() {
+        problems.push(Problem::new("log", log, "off, error, warn, info, debug or trace"));
+    }
+    problems
+}
+
 /// The exit code for how a process ended, with the error's causes on standard error.
 pub fn ended(result: anyhow::Result<()>) -> ExitCode {
     match result {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod callers;
+mod daemons;
 mod events;
 mod membership;
 mod operators;
