--- a/src/ops/bench/experiment/mod.rs
+++ b/src/ops/bench/experiment/mod.rs
@@ -3,6 +3,7 @@
 //! [`overhead`] and [`control`] run the real binaries as processes; the others bring up a cell in
 //! this process, at the size of a [`deployment`].
 
+pub mod configuration;
 pub mod control;
 pub mod overhead;
 pub mod processes;
@@ -18,6 +19,8 @@
 /// The experiments.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
 pub enum Experiment {
+    /// Time until an accepted change is in force at 8 routers, and until a revoked stream is cut
+    Configuration,
     /// Added p99 of a warm request through a router over asking the engine directly
     Overhead,
     /// Processor time, memory and control bytes of a daemon, idle and under load
@@ -48,6 +51,7 @@
 pub async fn run(experiment: Experiment, options: &Options) -> Result<Finding> {
     let before = load_average();
     let mut finding = match experiment {
+        Experiment::Configuration => configuration::run(options).await?,
         Experiment::Overhead => overhead::run(options).await?,
         Experiment::Control => control::run(options).await?,
     };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod callers;
+mod configuration;
 mod daemons;
 mod events;
 mod membership;
