Show that a paused router's guards keep a revoked key out

Cause: a request to a paused router waits in its socket and is the first thing it finds on waking. With the age of the configuration's confirmation not checked the test still passed, since the term had lapsed as well; with the term's check out too it failed: /v1/models answered 200 to the revoked key. With both in place it passes. A chat alone didn't show it, since its tokens come from another member and the revocation was read meanwhile.

--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -88,18 +88,22 @@
     fleet.pause("router-1").unwrap();
     fleet.operate(&["revoke", &name]).unwrap();
     sleep(PAUSE).await;
-    // The request lies in the paused router's socket and is the first thing that it finds.
+    // The requests lie in the paused router's sockets and are the first things that it finds. The
+    // list of models needs nobody but this router.
+    let models = fleet.client.get(fleet.url(1, "/v1/models").unwrap()).bearer_auth(&key);
     let url = fleet.url(1, "/v1/completions").unwrap();
     let body = json!({"model": "m1", "prompt": "p", "max_tokens": 4}).to_string();
-    let asked = fleet.client.post(url).bearer_auth(&key).body(body).send();
-    let asked = tokio::spawn(asked);
+    let chat = fleet.client.post(url).bearer_auth(&key).body(body);
+    let asked = [models, chat].map(|request| tokio::spawn(request.send()));
     sleep(Duration::from_millis(200)).await;
     fleet.resume("router-1").unwrap();
-    let refused = asked.await.unwrap().unwrap();
-    let status = refused.status().as_u16();
-    let text = refused.text().await.unwrap();
-    assert!(matches!(status, 401 | 503), "{status} {text}");
-    assert!(text.contains("\"outcome\":\"not_run\""), "{text}");
+    for asked in asked {
+        let refused = asked.await.unwrap().unwrap();
+        let status = refused.status().as_u16();
+        let text = refused.text().await.unwrap();
+        assert!(matches!(status, 401 | 503), "{status} {text}");
+        assert!(text.contains("\"outcome\":\"not_run\""), "{text}");
+    }
     let ledger = fleet.standin("engine-1", "/ledger").unwrap();
     let ledger: Value =
         serde_json::from_str(&fleet.client.get(ledger).send().await.unwrap().text().await.unwrap())
