--- a/crates/coord/src/dispatch/commands.rs
+++ b/crates/coord/src/dispatch/commands.rs
@@ -372,8 +372,12 @@
     /// costs too much load; else the least loaded.
     fn choose(&self, request: &Request, now: Tick) -> Option<UpstreamKey> {
         let model = self.models.get(&request.model)?;
+        // An upstream that failed the request is better than none: what broke off may have been a
+        // connection only.
+        let avoid = !request.avoid.is_empty() && self.has_other(request);
         let fits = |upstream: &UpstreamKey| {
-            !request.avoid.contains(upstream) && self.leaves_headroom(*upstream, request.team, now)
+            let avoided = avoid && request.avoid.contains(upstream);
+            !avoided && self.leaves_headroom(*upstream, request.team, now)
         };
         let free = model.free.iter().filter(|(_, upstream)| fits(upstream));
         let tried: Vec<(u32, UpstreamKey)> = free.take(UPSTREAMS_TRIED).copied().collect();
@@ -393,6 +397,17 @@
         Some(with.next().map_or(first, |(_, upstream)| *upstream))
     }
 
+    /// Whether an open upstream that didn't fail the request has its model loaded.
+    fn has_other(&self, request: &Request) -> bool {
+        let loaded = |upstream: &Upstream| {
+            upstream.status.models.get(&request.model) == Some(&ReplicaState::Loaded)
+                && !upstream.status.leaving
+                && !self.drained.contains(&upstream.status.zone)
+        };
+        let mut others = self.upstreams.iter().filter(|(key, _)| !request.avoid.contains(*key));
+        others.any(|(_, upstream)| loaded(upstream))
+    }
+
     fn start(&mut self, key: RequestKey, upstream: UpstreamKey, now: Tick) -> Option<Start> {
         let Waiting { request, deadline, .. } = self.unqueue(key)?;
         self.next += 1;
--- a/crates/coord/src/placement/planner.rs
+++ b/crates/coord/src/placement/planner.rs
@@ -16,6 +16,7 @@
 use super::effects::Change;
 use super::effects::Order;
 use super::effects::Pair;
+use super::facts::Facts;
 use super::facts::Model;
 use super::facts::Tier;
 use super::facts::Upstream;
@@ -54,6 +55,8 @@
     pub due: Tick,
     /// When a question was asked that has no answer yet.
     pub open: Option<Tick>,
+    /// Since when its questions go without an answer.
+    pub silent: Option<Tick>,
     /// Models that had a checkpoint there.
     pub checkpoints: Vec<ModelKey>,
 }
@@ -100,6 +103,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     pub(super) settings: Settings,
+    pub(super) facts: Facts,
     pub(super) me: String,
     pub(super) names: Interner<ModelKey>,
     pub(super) hosts: Interner<UpstreamKey>,
@@ -139,6 +143,21 @@
         Planner { settings, me: me.to_owned(), ..Planner::default() }
     }
 
+    /// Starts over as another incarnation. Keys and numbers go on, so that answers to what the
+    /// incarnation before asked are never taken for answers to this one's.
+    pub fn rejoin(&mut self, me: &str) {
+        let old = std::mem::replace(self, Planner::new(self.settings.clone(), me));
+        self.names = old.names;
+        self.hosts = old.hosts;
+        self.next_id = old.next_id;
+        self.ended = old.ended;
+    }
+
+    /// Takes other settings in.
+    pub fn tune(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Puts the next look at an upstream at `at`, unless an earlier one is due.
     pub(super) fn look_by(&mut self, upstream: UpstreamKey, at: Tick) {
         let seen = self.seen.entry(upstream).or_default();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,9 @@
 //! Integration tests: a module a command or feature.
 
+mod bad_input;
+mod callers;
 mod events;
+mod membership;
 mod operators;
 mod parsing;
 mod samples;
