--- a/crates/coord/examples/decision_cost.rs
+++ b/crates/coord/examples/decision_cost.rs
@@ -86,6 +86,7 @@
             leaving: false,
             incarnation: 1,
             slots: 32,
+            fresh: 4,
             models: models.map(|model| (model, ReplicaState::Loaded)).collect(),
             adapters: Default::default(),
         };
--- a/crates/coord/src/dispatch/bound.rs
+++ b/crates/coord/src/dispatch/bound.rs
@@ -19,6 +19,8 @@
 pub(super) struct Bound {
     slots: f64,
     most: u32,
+    /// Most slots while the upstream warms up.
+    fresh: u32,
     /// Whether no sign of overload was seen since the start.
     slow_start: bool,
     /// Slots started before this can't cut the bound again.
@@ -28,10 +30,11 @@
 }
 
 impl Bound {
-    /// The bound of a fresh upstream.
-    pub(super) fn new(settings: &DispatchSettings, most: u32, now: Tick) -> Self {
-        let slots = f64::from(settings.start.min(most));
-        Bound { slots, most, slow_start: true, cut: now, warm: now + settings.warmup }
+    /// The bound of a fresh upstream, which gets `most` slots at most, and `fresh` while it warms
+    /// up.
+    pub(super) fn new(settings: &DispatchSettings, most: u32, fresh: u32, now: Tick) -> Self {
+        let slots = f64::from(settings.start.min(fresh).min(most));
+        Bound { slots, most, fresh, slow_start: true, cut: now, warm: now + settings.warmup }
     }
 
     /// Whole slots.
@@ -40,16 +43,17 @@
     }
 
     /// Changes the most that the bound may reach.
-    pub(super) fn set_most(&mut self, most: u32) {
+    pub(super) fn set_most(&mut self, most: u32, fresh: u32) {
         self.most = most;
+        self.fresh = fresh;
         self.slots = self.slots.min(f64::from(most));
     }
 
     /// Raises the bound to what a home before had granted; more than a fresh upstream gets shows
     /// that it's warm.
-    pub(super) fn raise(&mut self, settings: &DispatchSettings, slots: u32, now: Tick) {
+    pub(super) fn raise(&mut self, slots: u32, now: Tick) {
         self.slots = self.slots.max(f64::from(slots.min(self.most)));
-        if slots > settings.fresh {
+        if slots > self.fresh {
             self.warm = now;
         }
     }
@@ -80,13 +84,13 @@
     fn grow(&mut self, settings: &DispatchSettings, now: Tick) {
         let step =
             if self.slow_start { settings.growth } else { settings.increase / self.slots.max(1.0) };
-        let most = if now < self.warm { self.most.min(settings.fresh) } else { self.most };
+        let most = if now < self.warm { self.most.min(self.fresh) } else { self.most };
         // What was borne before isn't taken away: only growth stops while the upstream warms up.
         self.slots = (self.slots + step).min(f64::from(most)).max(self.slots);
     }
 
     fn cut(&mut self, settings: &DispatchSettings, slots: f64, now: Tick) {
-        let least = f64::from(settings.start.min(self.most));
+        let least = f64::from(settings.start.min(self.fresh).min(self.most));
         self.slots = slots.max(least).min(self.slots);
         self.slow_start = false;
         self.cut = now;
--- a/crates/coord/src/dispatch/commands.rs
+++ b/crates/coord/src/dispatch/commands.rs
@@ -166,7 +166,7 @@
         let back = upstream.status.leaving && !status.leaving;
         let restarted = upstream.status.incarnation != status.incarnation;
         let before = std::mem::replace(&mut upstream.status, status);
-        upstream.bound.set_most(upstream.status.slots);
+        upstream.bound.set_most(upstream.status.slots, upstream.status.fresh);
         let models: Vec<ModelKey> = before.models.into_keys().collect();
         self.note_loading(key, &models, now);
         self.restore(key, back || restarted, now);
--- a/crates/coord/src/dispatch/inventory.rs
+++ b/crates/coord/src/dispatch/inventory.rs
@@ -66,10 +66,9 @@
         };
         self.take_slot(held.slot, slot, now);
         // What the home before had granted is known to be borne.
-        let settings = self.settings;
         if let Some(upstream) = self.upstreams.get_mut(&held.upstream) {
             let in_use = upstream.in_use;
-            upstream.bound.raise(&settings, in_use, now);
+            upstream.bound.raise(in_use, now);
         }
         self.refile(held.upstream);
     }
--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -46,8 +46,6 @@
 pub struct DispatchSettings {
     /// Slots of a fresh or cold upstream.
     pub start: u32,
-    /// Most slots of an upstream while it warms up.
-    pub fresh: u32,
     /// How long an upstream warms up after it was fresh or turned cold.
     pub warmup: Duration,
     /// Slots gained per good release of a full upstream, before its first sign of overload.
@@ -80,7 +78,6 @@
     fn default() -> Self {
         DispatchSettings {
             start: 2,
-            fresh: 4,
             warmup: Duration::from_secs(15),
             growth: 0.5,
             increase: 1.0,
@@ -244,6 +241,8 @@
     pub incarnation: u64,
     /// Most slots that it may ever get.
     pub slots: u32,
+    /// Most slots while it warms up.
+    pub fresh: u32,
     /// Its models.
     pub models: IndexMap<ModelKey, ReplicaState>,
     /// Its adapters.
--- a/crates/coord/tests/dispatch/world.rs
+++ b/crates/coord/tests/dispatch/world.rs
@@ -45,6 +45,7 @@
         leaving: false,
         incarnation: 1,
         slots: WARM,
+        fresh: FRESH,
         models: [(MODEL, ReplicaState::Loaded)].into_iter().collect(),
         adapters: Default::default(),
     }
--- a/src/router/home/dispatch.rs
+++ b/src/router/home/dispatch.rs
@@ -361,6 +361,7 @@
             leaving: router.agent.is_leaving(name),
             incarnation: 0,
             slots: upstream.max_running,
+            fresh: upstream.fresh_running,
             models: IndexMap::new(),
             adapters: IndexSet::new(),
         };
