Refuse within the deadline behind silent upstreams and dead homes

Cause: an attempt waited for its first token longer than the caller's deadline allows, and a request waited 500 ms beyond its deadline for the answer of a home that is gone.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -455,7 +455,9 @@
             max_tokens: self.cost.output,
             resume_from: progress.tokens,
             sampling: self.wish.sampling.clone(),
-            first_timeout: Duration::from_millis(settings.first_ms),
+            // A silent upstream must not keep the caller beyond its deadline.
+            first_timeout: Duration::from_millis(settings.first_ms)
+                .min(self.deadline.since(clock::now())),
             next_timeout: Duration::from_millis(settings.next_ms),
             ..Request::default()
         }
--- a/src/router/service.rs
+++ b/src/router/service.rs
@@ -75,6 +75,8 @@
 pub struct Calls {
     ledger: Mutex<Ledger>,
     open: Mutex<IndexMap<CallKey, Arc<Running>>>,
+    /// Attempt and digest of every call, kept for the history where one is written.
+    traced: Mutex<IndexMap<CallKey, (String, String)>>,
 }
 
 /// One claimed call while it runs.
@@ -83,10 +85,6 @@
     service: String,
     team: String,
     ticket: Ticket,
-    /// Unique id of the attempt to claim.
-    attempt: String,
-    /// Digest of the call.
-    digest: String,
     place: Mutex<Option<Place>>,
     tell: Mutex<Option<oneshot::Sender<Told>>>,
 }
@@ -101,7 +99,7 @@
 impl Calls {
     /// No calls yet.
     pub fn new(ledger: Ledger) -> Self {
-        Calls { ledger: Mutex::new(ledger), open: Mutex::default() }
+        Calls { ledger: Mutex::new(ledger), open: Mutex::default(), traced: Mutex::default() }
     }
 }
 
@@ -287,8 +285,6 @@
         service: name.to_owned(),
         team: caller.team.clone(),
         ticket,
-        attempt: attempt.clone(),
-        digest: digest.clone(),
         place: Mutex::default(),
         tell: Mutex::new(Some(tell)),
     });
@@ -297,6 +293,9 @@
         ledger.begin(claim, &digest, &attempt, clock::now())
     };
     router.ledger.open.lock().insert(key, running);
+    if router.agent.history().is_on() {
+        router.ledger.traced.lock().insert(key, (attempt, digest));
+    }
     carry_out(router, effects);
     let told = told.await.map_err(|_| Refusal {
         outcome: Outcome::Unknown,
@@ -420,8 +419,9 @@
         Effect::Remove { call, .. } | Effect::ReadBack { call, .. } => call,
         Effect::Answer { .. } | Effect::Prepare { .. } | Effect::Send { .. } => return None,
     };
-    let running = router.ledger.open.lock().get(call).cloned()?;
-    Access::begin(router, effect, &running.attempt, &running.digest)
+    // A call goes on after its caller was answered, so the table of open calls isn't asked.
+    let (attempt, digest) = router.ledger.traced.lock().get(call).cloned()?;
+    Access::begin(router, effect, &attempt, &digest)
 }
 
 /// Key of a claim's row.
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -30,7 +30,7 @@
 /// Longest wait for the answer to a release.
 const RELEASE_WITHIN: Duration = Duration::from_secs(2);
 /// Slack beyond the deadline for the home's answer to arrive.
-const ANSWER_SLACK: Duration = Duration::from_millis(500);
+const ANSWER_SLACK: Duration = Duration::from_millis(50);
 
 /// What a request wants to start with.
 #[derive(Clone, Debug)]
