--- a/crates/coord/examples/cold_start/oracle.rs
+++ b/crates/coord/examples/cold_start/oracle.rs
@@ -78,7 +78,8 @@
         let model = self.trace.requests[at].model;
         self.coming[model].pop();
         self.waiting[model].push(at);
-        self.demand[model].touch(self.now);
+        let callers = self.waiting[model].len() as u32 + self.engines.running(model);
+        self.demand[model].report(self.now, "all", callers, 0, Duration::from_secs(5));
         let held = |engine: usize| {
             matches!(self.engines.all[engine].slots.get(&model), Some(Slot::Loading(_)))
         };
@@ -113,7 +114,9 @@
                 let request = self.trace.requests[at];
                 let wait = self.now.since(request.at).as_micros() as u64;
                 let wait = if wait <= STEP.as_micros() as u64 { 0 } else { wait };
-                self.figures.waits.push(wait);
+                if request.counts() {
+                    self.figures.waits.push(wait);
+                }
                 self.engines.begin(model);
                 self.finish.push((self.now + request.runs, model));
             }
--- a/crates/coord/examples/cold_start/ours.rs
+++ b/crates/coord/examples/cold_start/ours.rs
@@ -240,7 +240,9 @@
         let wait = self.now.since(request.at).as_micros() as u64;
         // A request that waited for a load learns of it by one more message.
         let wait = if wait == 0 { 0 } else { wait + HOP.as_micros() as u64 };
-        self.figures.waits.push(wait);
+        if request.counts() {
+            self.figures.waits.push(wait);
+        }
         self.engines.begin(request.model);
         self.schedule(self.now + request.runs, Event::Finish(request.model));
     }
--- a/crates/coord/src/placement/demand.rs
+++ b/crates/coord/src/placement/demand.rs
@@ -19,6 +19,17 @@
     pub at: Tick,
 }
 
+/// Callers that come together after a gap count for it for this long.
+const TOGETHER: Duration = Duration::from_secs(2);
+
+/// Callers that ended a gap.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Arrival {
+    bucket: usize,
+    at: Tick,
+    counted: u32,
+}
+
 /// Demand for one model over all routers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Demand {
@@ -32,6 +43,8 @@
     pub slack: Option<Tick>,
     /// Gaps between its uses.
     pub gaps: Gaps,
+    /// The callers that end the newest gap.
+    arrival: Option<Arrival>,
 }
 
 impl Demand {
@@ -42,6 +55,7 @@
         }
         self.reports.insert(router.to_owned(), Report { waiting, running, at: now });
         self.lapse(now, life);
+        self.count_callers(now);
     }
 
     /// Notes a use.
@@ -49,12 +63,27 @@
         if let Some(used) = self.used {
             let gap = now.since(used);
             if gap > Duration::from_secs(1) {
-                self.gaps.record(gap);
+                let bucket = self.gaps.record(gap);
+                self.arrival = Some(Arrival { bucket, at: now, counted: 0 });
             }
         }
         self.used = Some(self.used.map_or(now, |used| used.max(now)));
     }
 
+    /// Adds the callers that came since the newest gap ended.
+    fn count_callers(&mut self, now: Tick) {
+        let present = self.waiting() + self.running();
+        let Some(arrival) = self.arrival.as_mut() else {
+            return;
+        };
+        if now.since(arrival.at) > TOGETHER {
+            self.arrival = None;
+        } else if present > arrival.counted {
+            self.gaps.add_callers(arrival.bucket, present - arrival.counted);
+            arrival.counted = present;
+        }
+    }
+
     /// Forgets reports older than `life`.
     pub fn lapse(&mut self, now: Tick, life: Duration) {
         self.reports.retain(|_, report| now.since(report.at) < life);
--- a/crates/coord/src/placement/gaps.rs
+++ b/crates/coord/src/placement/gaps.rs
@@ -3,7 +3,7 @@
 //! This follows the hybrid histogram policy published for serverless functions (Shahrad and others,
 //! "Serverless in the Wild", USENIX ATC 2020): a model with enough observed gaps gets a window of
 //! its own, any other a fixed one. The window here minimises expected cost: keeping a replica costs
-//! its idle time, unloading it costs a cold start whenever the next use comes after the window.
+//! its idle time, unloading it costs each caller who comes after the window a cold start.
 
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
 pub enum KeepRule {
     /// Weigh cold starts against idle time by each model's gaps.
     Histogram {
-        /// Idle accelerator seconds that one second of cold start is worth.
+        /// Idle accelerator seconds that one caller's second of cold start is worth.
         worth: f64,
         /// Gaps from which on a model has a window of its own.
         needed: u32,
@@ -46,54 +46,61 @@
     }
 }
 
-/// Gaps between uses of one model, in buckets that grow geometrically.
+/// Gaps between uses of one model, in buckets that grow geometrically, and the callers that came
+/// at the end of each.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Gaps {
-    weights: [f64; BUCKETS],
-    beyond: f64,
+    weights: [f64; BUCKETS + 1],
+    callers: [f64; BUCKETS + 1],
 }
 
 impl Default for Gaps {
     fn default() -> Self {
-        Gaps { weights: [0.0; BUCKETS], beyond: 0.0 }
+        Gaps { weights: [0.0; BUCKETS + 1], callers: [0.0; BUCKETS + 1] }
     }
 }
 
 impl Gaps {
-    /// Upper bound of bucket `index`.
+    /// Upper bound of bucket `index`; the last bucket has none.
     fn bound(index: usize) -> Duration {
         FIRST.mul_f64(GROWTH.powi(index as i32))
     }
 
-    /// Takes one gap in.
-    pub fn record(&mut self, gap: Duration) {
+    /// Takes one gap in; returns its bucket, to which callers are added.
+    pub fn record(&mut self, gap: Duration) -> usize {
         if self.total() >= FULL {
             self.weights.iter_mut().for_each(|weight| *weight *= DECAY);
-            self.beyond *= DECAY;
-        }
-        match (0..BUCKETS).find(|index| gap <= Self::bound(*index)) {
-            Some(index) => self.weights[index] += 1.0,
-            None => self.beyond += 1.0,
+            self.callers.iter_mut().for_each(|callers| *callers *= DECAY);
         }
+        let bucket = (0..BUCKETS).find(|index| gap <= Self::bound(*index)).unwrap_or(BUCKETS);
+        self.weights[bucket] += 1.0;
+        bucket
+    }
+
+    /// Adds callers that came together at the end of a gap.
+    pub fn add_callers(&mut self, bucket: usize, count: u32) {
+        self.callers[bucket] += f64::from(count);
     }
 
     /// Weight of all gaps.
     pub fn total(&self) -> f64 {
-        self.weights.iter().sum::<f64>() + self.beyond
+        self.weights.iter().sum()
     }
 
     /// The window with the least expected cost for a model that takes `cold` to start and `share`
-    /// of an accelerator while it is loaded.
+    /// of an accelerator while it is loaded, when a caller's second is worth `worth` idle seconds.
     pub fn window(&self, cold: Duration, share: f64, worth: f64) -> Duration {
         let penalty = cold.as_secs_f64() * worth;
         let mut later = self.total();
+        let mut callers: f64 = self.callers.iter().sum();
         let mut idle = 0.0;
-        let mut best = (later * penalty, Duration::ZERO);
-        for (index, weight) in self.weights.iter().enumerate() {
+        let mut best = (callers * penalty, Duration::ZERO);
+        for index in 0..BUCKETS {
             let bound = Self::bound(index);
-            later -= weight;
-            idle += weight * bound.as_secs_f64();
-            let cost = share * (idle + later * bound.as_secs_f64()) + later * penalty;
+            later -= self.weights[index];
+            callers -= self.callers[index];
+            idle += self.weights[index] * bound.as_secs_f64();
+            let cost = share * (idle + later * bound.as_secs_f64()) + callers * penalty;
             if cost < best.0 {
                 best = (cost, bound);
             }
