--- a/src/bin/corianderyoke-bench/commands/mod.rs
+++ b/src/bin/corianderyoke-bench/commands/mod.rs
@@ -3,3 +3,4 @@
 pub mod check;
 pub mod demo;
 pub mod experiment;
+pub mod run;
--- a/src/router/home/tokens.rs
+++ b/src/router/home/tokens.rs
@@ -7,7 +7,6 @@
 use corianderyoke_coord::pools::Bucket;
 use corianderyoke_coord::pools::Counters;
 use corianderyoke_coord::pools::Error;
-use corianderyoke_coord::pools::Grant;
 use corianderyoke_coord::pools::Handover;
 use corianderyoke_coord::pools::Limits;
 use corianderyoke_coord::pools::Verdict;
@@ -96,12 +95,8 @@
 
 /// Answers a router's ask.
 pub fn answer(router: &Router, from: &MemberId, ask: &peer::TokensRequest) -> peer::TokensResponse {
-    let not_home = |home| peer::TokensResponse {
-        home,
-        granted: 0,
-        number: ask.number,
-        verdict: Some(WireVerdict::NotHome(true)),
-    };
+    let not_home =
+        |home| peer::TokensResponse { home, granted: 0, verdict: Some(WireVerdict::NotHome(true)) };
     if !serves(router, Kind::Bucket, &ask.team) || !router.agent.view().contains(from) {
         return not_home(0);
     }
@@ -111,13 +106,12 @@
         return not_home(0);
     };
     let counters = from_wire(ask.counters.unwrap_or_default());
-    let peer::TokensRequest { home, number, want, need, .. } = *ask;
-    let asked = Ask { home, number, counters, want, need };
+    // The answer goes back on the ask's own stream, so the number needs no place in the message.
+    let asked = Ask { home: ask.home, number: 0, counters, want: ask.want, need: ask.need };
     match bucket.ask(member, &asked, clock::now()) {
         Ok(grant) => {
             let verdict = Some(to_wire(grant.verdict));
-            let Grant { home, number, granted, .. } = grant;
-            peer::TokensResponse { home, granted, number, verdict }
+            peer::TokensResponse { home: grant.home, granted: grant.granted, verdict }
         }
         Err(Error::OtherHome { asked, found }) if asked > found => {
             // The asker followed a takeover that this home never finished: take over anew.
--- a/src/router/limit.rs
+++ b/src/router/limit.rs
@@ -287,7 +287,6 @@
         counters: Some(to_wire(ask.counters)),
         want: ask.want,
         need: ask.need,
-        number: ask.number,
     };
     let body = Call::Tokens(request);
     let answer = router.call_home(Kind::Bucket, &slice.team, body, ASK_WITHIN).await;
@@ -299,8 +298,8 @@
     let now = clock::now();
     let effects = match verdict(&answer) {
         Some(verdict) => {
-            let peer::TokensResponse { home, granted, number, .. } = answer;
-            let grant = Grant { home, number, granted, verdict };
+            let number = ask.number;
+            let grant = Grant { home: answer.home, number, granted: answer.granted, verdict };
             state.slice.answer(&grant, now)
         }
         None => {
