--- a/src/bin/corianderyoke-bench/commands/experiment.rs
+++ b/src/bin/corianderyoke-bench/commands/experiment.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use clap::Args;
 use corianderyoke::ops::bench::experiment;
+use corianderyoke::ops::bench::experiment::deployment::Deployment;
 use corianderyoke::ops::bench::experiment::Experiment;
 use corianderyoke::ops::bench::experiment::Finding;
 use corianderyoke::ops::bench::experiment::Options;
@@ -20,6 +21,9 @@
 pub struct Cli {
     /// What to measure
     experiment: Experiment,
+    /// Whose sizes the experiment has; overhead and control have a fleet of their own
+    #[arg(long, default_value = "kumlama")]
+    deployment: Deployment,
     /// Number of seeds, from 1 on
     #[arg(long, default_value_t = 3)]
     seeds: u64,
@@ -48,8 +52,11 @@
 }
 
 async fn run(cli: &Cli) -> anyhow::Result<Finding> {
-    let options =
-        Options { seeds: (1..=cli.seeds).collect(), span: Duration::from_secs(cli.seconds) };
+    let options = Options {
+        deployment: cli.deployment,
+        seeds: (1..=cli.seeds).collect(),
+        span: Duration::from_secs(cli.seconds),
+    };
     let finding = experiment::run(cli.experiment, &options).await?;
     if let Some(file) = &cli.report {
         let page = report::page(&format!("{:?}", cli.experiment), &finding);
--- a/src/ops/bench/experiment/mod.rs
+++ b/src/ops/bench/experiment/mod.rs
@@ -3,15 +3,22 @@
 //! [`overhead`] and [`control`] run the real binaries as processes; the others bring up a cell in
 //! this process, at the size of a [`deployment`].
 
+pub mod cold;
 pub mod control;
+pub mod deployment;
+pub mod idle;
 pub mod overhead;
 pub mod processes;
+pub mod refusals;
+pub mod teams;
+pub mod zone;
 
 use std::time::Duration;
 
 use anyhow::Result;
 use clap::ValueEnum;
 
+use self::deployment::Deployment;
 use super::measure::Measure;
 use super::report::Chart;
 
@@ -22,11 +29,23 @@
     Overhead,
     /// Processor time, memory and control bytes of a daemon, idle and under load
     Control,
+    /// Tail cold-start time against an all-knowing single queue
+    ColdStart,
+    /// Idle accelerator hours against fixed keep-alive
+    IdleHours,
+    /// p99 of the worst-served team while another sends five times its rate
+    WorstTeam,
+    /// Requests refused although inside the team's rate
+    Refusals,
+    /// Requests lost or refused while an availability zone leaves and returns
+    Zone,
 }
 
 /// What an experiment is asked for.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Whose sizes the cells have.
+    pub deployment: Deployment,
     /// Seeds, one run each.
     pub seeds: Vec<u64>,
     /// Length of each phase of a run.
@@ -47,9 +66,15 @@
 /// Runs an experiment.
 pub async fn run(experiment: Experiment, options: &Options) -> Result<Finding> {
     let before = load_average();
+    let size = options.deployment.size();
     let mut finding = match experiment {
         Experiment::Overhead => overhead::run(options).await?,
         Experiment::Control => control::run(options).await?,
+        Experiment::ColdStart => cold::run(&size, options).await?,
+        Experiment::IdleHours => idle::run(&size, options)?,
+        Experiment::WorstTeam => teams::run(&size, options).await?,
+        Experiment::Refusals => refusals::run(&size, options).await?,
+        Experiment::Zone => zone::run(&size, options).await?,
     };
     finding.measure.seeds = options.seeds.clone();
     for part in &mut finding.measure.parts {
--- a/src/ops/bench/load/mod.rs
+++ b/src/ops/bench/load/mod.rs
@@ -4,6 +4,7 @@
 //! [`drive`](mod@drive) sends each arrival when it is due. Latency counts from the scheduled time,
 //! so a system that stalls is charged for the requests that it delays (no coordinated omission).
 
+pub mod choice;
 pub mod drive;
 pub mod schedule;
 pub mod target;
