--- a/src/bin/corianderyoke-bench/commands/experiment.rs
+++ b/src/bin/corianderyoke-bench/commands/experiment.rs
@@ -8,6 +8,7 @@
 use clap::Args;
 use corianderyoke::ops::bench::experiment;
 use corianderyoke::ops::bench::experiment::deployment::Deployment;
+use corianderyoke::ops::bench::experiment::processes;
 use corianderyoke::ops::bench::experiment::Experiment;
 use corianderyoke::ops::bench::experiment::Finding;
 use corianderyoke::ops::bench::experiment::Options;
@@ -30,6 +31,12 @@
     /// Length of each phase of a run, in seconds
     #[arg(long, default_value_t = 10)]
     seconds: u64,
+    /// Requests a second, for overhead and control
+    #[arg(long)]
+    rate: Option<f64>,
+    /// Output tokens of a request, for overhead and control
+    #[arg(long, default_value_t = processes::TOKENS)]
+    tokens: u32,
     /// Print one JSON object instead of text
     #[arg(long)]
     json: bool,
@@ -56,6 +63,8 @@
         deployment: cli.deployment,
         seeds: (1..=cli.seeds).collect(),
         span: Duration::from_secs(cli.seconds),
+        rate: cli.rate,
+        tokens: cli.tokens,
     };
     let finding = experiment::run(cli.experiment, &options).await?;
     if let Some(file) = &cli.report {
--- a/src/ops/bench/experiment/control.rs
+++ b/src/ops/bench/experiment/control.rs
@@ -71,9 +71,10 @@
 /// Watches the fleet idle and under load, once a seed.
 pub async fn run(options: &Options) -> Result<Finding> {
     let fleet = processes::start().await?;
-    let routed = Arc::new(processes::routers(&fleet)?);
+    let routed = Arc::new(processes::routers(&fleet, options.tokens)?);
     processes::warm(&routed).await?;
     sleep(SETTLE).await;
+    let rate = options.rate.unwrap_or(RATE);
     let mut phases = Vec::new();
     let mut notes = Vec::new();
     let before = usages(&fleet).await?;
@@ -83,7 +84,7 @@
     for seed in &options.seeds {
         let before = usages(&fleet).await?;
         let label = format!("loaded, seed {seed}");
-        let arrivals = profile(*seed, options.span).arrivals();
+        let arrivals = profile(*seed, rate, options.span).arrivals();
         let samples = drive(&label, arrivals, Arc::clone(&routed)).await?;
         phases.push((label, rates(&fleet, &before).await?));
         notes.push(Summary::of(&samples).line());
@@ -91,13 +92,13 @@
     for (phase, table) in &phases {
         notes.extend(table.iter().map(|(name, rates)| line(phase, name, rates)));
     }
-    Ok(Finding { measure: measure(&phases), charts: Vec::new(), notes })
+    Ok(Finding { measure: measure(rate, &phases), charts: Vec::new(), notes })
 }
 
-fn profile(seed: u64, span: Duration) -> Profile {
+fn profile(seed: u64, rate: f64, span: Duration) -> Profile {
     let stream = |team| Stream {
         team,
-        rate: RATE / processes::TEAMS as f64,
+        rate: rate / processes::TEAMS as f64,
         begin: Duration::ZERO,
         end: span,
     };
@@ -147,7 +148,7 @@
     )
 }
 
-fn measure(phases: &[(String, Table)]) -> Measure {
+fn measure(rate: f64, phases: &[(String, Table)]) -> Measure {
     let worst = |idle: bool, of: fn(&Rates) -> f64| {
         let chosen = phases.iter().filter(|(phase, _)| (phase == "idle") == idle);
         let daemons = chosen.flat_map(|(_, table)| table.values());
@@ -162,7 +163,7 @@
     let memory: fn(&Rates) -> f64 = |rates| rates.memory;
     let bytes: fn(&Rates) -> f64 = Rates::bytes;
     let measure = Measure {
-        measure: "control bytes of the busiest daemon under 500 requests/s".to_owned(),
+        measure: format!("control bytes of the busiest daemon under {rate} requests/s"),
         unit: "KB/s".to_owned(),
         ours: worst(false, bytes),
         bound: Some(BYTES_BOUND),
--- a/src/ops/bench/experiment/mod.rs
+++ b/src/ops/bench/experiment/mod.rs
@@ -10,6 +10,7 @@
 pub mod overhead;
 pub mod processes;
 pub mod refusals;
+pub mod register;
 pub mod teams;
 pub mod zone;
 
@@ -39,6 +40,8 @@
     Refusals,
     /// Requests lost or refused while an availability zone leaves and returns
     Zone,
+    /// Memory of a register at the coming size
+    Register,
 }
 
 /// What an experiment is asked for.
@@ -50,6 +53,22 @@
     pub seeds: Vec<u64>,
     /// Length of each phase of a run.
     pub span: Duration,
+    /// Requests a second over all routers, for the experiments on processes; none for their own.
+    pub rate: Option<f64>,
+    /// Output tokens of a request, for the experiments on processes.
+    pub tokens: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            deployment: Deployment::Kumlama,
+            seeds: vec![1],
+            span: Duration::from_secs(10),
+            rate: None,
+            tokens: processes::TOKENS,
+        }
+    }
 }
 
 /// What an experiment found.
@@ -75,6 +94,7 @@
         Experiment::WorstTeam => teams::run(&size, options).await?,
         Experiment::Refusals => refusals::run(&size, options).await?,
         Experiment::Zone => zone::run(&size, options).await?,
+        Experiment::Register => register::run()?,
     };
     finding.measure.seeds = options.seeds.clone();
     for part in &mut finding.measure.parts {
--- a/src/ops/bench/experiment/overhead.rs
+++ b/src/ops/bench/experiment/overhead.rs
@@ -30,23 +30,28 @@
 /// Runs both sides in turn, one pair a seed, on one fleet.
 pub async fn run(options: &Options) -> Result<Finding> {
     let fleet = processes::start().await?;
-    let routed = Arc::new(processes::routers(&fleet)?);
+    let routed = Arc::new(processes::routers(&fleet, options.tokens)?);
     processes::warm(&routed).await?;
-    let direct = Arc::new(processes::engines(&fleet).await?);
+    let direct = Arc::new(processes::engines(&fleet, options.tokens).await?);
     for (label, target) in [("warm direct", &direct), ("warm routed", &routed)] {
         drive(label, profile(0, WARM_RATE, WARM_SPAN).arrivals(), Arc::clone(target)).await?;
     }
     let mut all = [Vec::new(), Vec::new()];
     let mut added = Vec::new();
+    let mut notes = Vec::new();
     for seed in &options.seeds {
-        let asked = phase("direct", *seed, options.span, &direct).await?;
-        let through = phase("routed", *seed, options.span, &routed).await?;
+        let asked = phase("direct", *seed, options, &direct).await?;
+        let through = phase("routed", *seed, options, &routed).await?;
+        notes
+            .push(format!("seed {seed}: slots after the run: {}", processes::slots(&fleet).await?));
         let (one, two) = (Summary::of(&asked), Summary::of(&through));
         added.push(two.served.quantile_ms(0.99) - one.served.quantile_ms(0.99));
         all[0].extend(asked);
         all[1].extend(through);
     }
-    Ok(finding(&all, &added))
+    let mut finding = finding(options.rate.unwrap_or(RATE), &all, &added);
+    finding.notes.extend(notes);
+    Ok(finding)
 }
 
 fn profile(seed: u64, rate: f64, span: Duration) -> Profile {
@@ -70,14 +75,15 @@
 async fn phase(
     label: &str,
     seed: u64,
-    span: Duration,
+    options: &Options,
     target: &Arc<Target>,
 ) -> Result<Vec<Sample>> {
     let label = format!("{label}, seed {seed}");
-    drive(&label, profile(seed, RATE, span).arrivals(), Arc::clone(target)).await
+    let rate = options.rate.unwrap_or(RATE);
+    drive(&label, profile(seed, rate, options.span).arrivals(), Arc::clone(target)).await
 }
 
-fn finding(all: &[Vec<Sample>; 2], added: &[f64]) -> Finding {
+fn finding(rate: f64, all: &[Vec<Sample>; 2], added: &[f64]) -> Finding {
     let [direct, routed] = all.each_ref().map(Summary::of);
     let clean = direct.served.count() + routed.served.count() == direct.count() + routed.count();
     let quantile = |share| routed.served.quantile_ms(share) - direct.served.quantile_ms(share);
@@ -86,7 +92,7 @@
         Measure { measure, unit, ours, ..Measure::default() }.judged()
     };
     let measure = Measure {
-        measure: "added p99 of a warm request at 1,000 requests/s over 8 routers".to_owned(),
+        measure: format!("added p99 of a warm request at {rate} requests/s over 8 routers"),
         unit: "ms".to_owned(),
         // Requests that weren't served have no latency, so the figure wouldn't stand for all.
         ours: if clean { quantile(0.99) } else { f64::NAN },
--- a/src/ops/bench/experiment/processes.rs
+++ b/src/ops/bench/experiment/processes.rs
@@ -10,10 +10,13 @@
 use anyhow::Result;
 use corianderyoke_support::Builder;
 use corianderyoke_support::Fleet;
+use indexmap::IndexMap;
 use serde_json::Value;
 use tokio::time::sleep;
 
 use crate::ops::bench::load::target::Side;
+use crate::ops::bench::load::Arrival;
+use crate::ops::bench::load::Outcome;
 use crate::ops::bench::load::Target;
 
 /// Routers of the fleet.
@@ -26,7 +29,7 @@
 pub const MODELS: usize = 8;
 /// Teams of the fleet.
 pub const TEAMS: usize = 4;
-/// Tokens of each answer.
+/// Tokens of each answer as a rule.
 pub const TOKENS: u32 = 4;
 /// Deadline of each request.
 const DEADLINE: Duration = Duration::from_secs(10);
@@ -56,17 +59,17 @@
 }
 
 /// Where the routers answer callers.
-pub fn routers(fleet: &Fleet) -> Result<Target> {
+pub fn routers(fleet: &Fleet, tokens: u32) -> Result<Target> {
     let addresses = (1..=ROUTERS).map(|number| {
         fleet.process(&format!("router-{number}")).and_then(|p| p.address("callers"))
     });
     let keys = (1..=TEAMS).map(|team| fleet.secret(&format!("t{team}")).to_owned());
     let side = Side::Routers(addresses.collect::<Result<_>>()?, keys.collect());
-    Target::new(side, TOKENS, DEADLINE)
+    Target::new(side, tokens, DEADLINE)
 }
 
 /// Where each model is loaded: the engines that a caller without a router would ask.
-pub async fn engines(fleet: &Fleet) -> Result<Target> {
+pub async fn engines(fleet: &Fleet, tokens: u32) -> Result<Target> {
     let mut addresses: Vec<Option<SocketAddr>> = vec![None; MODELS];
     for number in 1..=ENGINES {
         let name = format!("engine-{number}");
@@ -82,13 +85,11 @@
     }
     let found: Option<Vec<SocketAddr>> = addresses.into_iter().collect();
     let found = found.context("a model isn't loaded; it was unloaded or moved meanwhile")?;
-    Target::new(Side::Engines(found), TOKENS, DEADLINE)
+    Target::new(Side::Engines(found), tokens, DEADLINE)
 }
 
 /// Has every model loaded, by a request each.
 pub async fn warm(target: &Arc<Target>) -> Result<()> {
-    use crate::ops::bench::load::Arrival;
-    use crate::ops::bench::load::Outcome;
     for model in 0..MODELS {
         let arrival = Arrival { at: Duration::ZERO, team: 0, model, router: model };
         let (outcome, _) = target.send(&arrival).await;
@@ -101,6 +102,27 @@
     Ok(())
 }
 
+/// Slots in use and bounds of the engines, as the dispatch home has them now.
+pub async fn slots(fleet: &Fleet) -> Result<String> {
+    let mut found = IndexMap::new();
+    for router in 1..=ROUTERS {
+        let operators = fleet.process(&format!("router-{router}"))?.address("operators")?;
+        for model in 1..=MODELS {
+            let url = format!("http://{operators}/explain?team=t1&model=m{model}");
+            let answer = fleet.client.get(url).send().await?.text().await?;
+            let answer: Value = serde_json::from_str(&answer)?;
+            for row in answer["replicas"].as_array().into_iter().flatten() {
+                if let (Some(used), Some(slots)) = (row["in_use"].as_u64(), row["slots"].as_u64()) {
+                    let name = row["upstream"].as_str().unwrap_or_default().to_owned();
+                    found.insert(name, format!("{used}/{slots}"));
+                }
+            }
+        }
+    }
+    let parts: Vec<String> = found.iter().map(|(name, slots)| format!("{name} {slots}")).collect();
+    Ok(parts.join(", "))
+}
+
 /// What a process has used so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -150,7 +172,8 @@
     Ok(CLOCK_TICK * ticks)
 }
 
-fn resident(pid: u32) -> Result<u64> {
+/// Resident memory of a process in bytes.
+pub fn resident(pid: u32) -> Result<u64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
     let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
