--- a/src/bin/corianderyoke-bench/commands/experiment.rs
+++ b/src/bin/corianderyoke-bench/commands/experiment.rs
@@ -7,6 +7,8 @@
 use anyhow::Context;
 use clap::Args;
 use corianderyoke::ops::bench::experiment;
+use corianderyoke::ops::bench::experiment::deployment::Deployment;
+use corianderyoke::ops::bench::experiment::processes;
 use corianderyoke::ops::bench::experiment::Experiment;
 use corianderyoke::ops::bench::experiment::Finding;
 use corianderyoke::ops::bench::experiment::Options;
@@ -20,12 +22,21 @@
 pub struct Cli {
     /// What to measure
     experiment: Experiment,
+    /// Whose sizes the experiment has; overhead and control have a fleet of their own
+    #[arg(long, default_value = "kumlama")]
+    deployment: Deployment,
     /// Number of seeds, from 1 on
     #[arg(long, default_value_t = 3)]
     seeds: u64,
     /// Length of each phase of a run, in seconds
     #[arg(long, default_value_t = 10)]
     seconds: u64,
+    /// Requests a second, for overhead and control
+    #[arg(long)]
+    rate: Option<f64>,
+    /// Output tokens of a request, for overhead and control
+    #[arg(long, default_value_t = processes::TOKENS)]
+    tokens: u32,
     /// Print one JSON object instead of text
     #[arg(long)]
     json: bool,
@@ -48,8 +59,13 @@
 }
 
 async fn run(cli: &Cli) -> anyhow::Result<Finding> {
-    let options =
-        Options { seeds: (1..=cli.seeds).collect(), span: Duration::from_secs(cli.seconds) };
+    let options = Options {
+        deployment: cli.deployment,
+        seeds: (1..=cli.seeds).collect(),
+        span: Duration::from_secs(cli.seconds),
+        rate: cli.rate,
+        tokens: cli.tokens,
+    };
     let finding = experiment::run(cli.experiment, &options).await?;
     if let Some(file) = &cli.report {
         let page = report::page(&format!("{:?}", cli.experiment), &finding);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod daemons;
 mod events;
+mod experiments;
 mod membership;
 mod operators;
 mod parsing;
