--- a/tests/testsuite/experiments.rs
+++ b/tests/testsuite/experiments.rs
@@ -114,8 +114,12 @@
 
 #[test]
 fn idle_hours_are_the_same_each_time() {
-    let options =
-        experiment::Options { deployment: Deployment::Speglagler, seeds: vec![1, 2], span: SECOND };
+    let options = experiment::Options {
+        deployment: Deployment::Speglagler,
+        seeds: vec![1, 2],
+        span: SECOND,
+        ..experiment::Options::default()
+    };
     let size = options.deployment.size();
     let found = || idle::run(&size, &options).map(|finding| finding.notes).unwrap_or_default();
     assert_eq!(found(), found());
