Keep a promise that a newer epoch's promise follows

A member that promised to another at epoch 3 and again at epoch 4 forgot the first, called itself clear at epoch 4 and let the view change again, while the other acted by the first. It could then be removed within its term.

Promises now stand by member and epoch.

--- a/crates/coord/src/membership/promises.rs
+++ b/crates/coord/src/membership/promises.rs
@@ -10,17 +10,13 @@
 /// it has been up for a whole lapse, so what an earlier incarnation gave has run out by then.
 #[derive(Clone, Debug, Default)]
 pub struct Promises {
-    given: IndexMap<MemberId, Given>,
+    /// To whom and at which epoch, and until when it stands. One given later at a newer epoch
+    /// doesn't replace an older one: only the older may be part of a majority.
+    given: IndexMap<(MemberId, u64), Tick>,
     /// Incarnation to the version of its row that the consent is bound to.
     consented: IndexMap<MemberId, u64>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Given {
-    epoch: u64,
-    until: Tick,
-}
-
 impl Promises {
     /// Promises `to` not to remove it for one term, unless a consent stands against it.
     pub fn promise(&mut self, now: Tick, to: &MemberId, epoch: u64, settings: &Settings) -> bool {
@@ -28,14 +24,14 @@
             return false;
         }
         let until = now + settings.lapse();
-        self.given.insert(to.clone(), Given { epoch, until });
+        self.given.insert((to.clone(), epoch), until);
         true
     }
 
     /// Consents to the removal of `id` while its row stands at `version`, unless a promise to it
     /// is outstanding.
     pub fn consent(&mut self, now: Tick, id: &MemberId, version: u64) -> bool {
-        if self.given.get(id).is_some_and(|given| now < given.until) {
+        if self.given.iter().any(|((to, _), until)| to == id && now < *until) {
             return false;
         }
         let bound = self.consented.entry(id.clone()).or_insert(version);
@@ -52,7 +48,7 @@
 
     /// Whether no promise given before `epoch` is outstanding.
     pub fn clear(&self, now: Tick, epoch: u64) -> bool {
-        !self.given.values().any(|given| given.epoch < epoch && now < given.until)
+        !self.given.iter().any(|((_, at), until)| *at < epoch && now < *until)
     }
 
     /// Whether no promise at all is outstanding.
@@ -62,7 +58,7 @@
 
     /// Drops what no longer matters.
     pub fn prune(&mut self, now: Tick, member: impl Fn(&MemberId) -> bool) {
-        self.given.retain(|_, given| now < given.until);
+        self.given.retain(|_, until| now < *until);
         self.consented.retain(|id, _| member(id));
     }
 }
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
+use corianderyoke_coord::membership::MemberId;
+use corianderyoke_coord::membership::Promises;
 use corianderyoke_coord::membership::Settings;
+use corianderyoke_coord::time::Tick;
 use membership_model::settings;
 use membership_model::Cell;
 use membership_model::Fault;
@@ -217,3 +220,18 @@
     time("all die and come back at once", &[0, 1, 2, 3, 4, 5, 6, 7].map(|n| Fault::Kill(n, 0)));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// A promise at a newer epoch once hid an older one that a majority had counted on.
+#[test]
+fn a_newer_promise_leaves_the_older_outstanding() {
+    let id = MemberId { name: "a".to_owned(), incarnation: 1 };
+    let settings = Settings::default();
+    let mut promises = Promises::default();
+    let (first, second) = (Tick(1_000_000), Tick(1_500_000));
+    assert!(promises.promise(first, &id, 3, &settings));
+    assert!(promises.promise(second, &id, 4, &settings));
+    assert!(!promises.clear(second, 4));
+    assert!(promises.clear(first + settings.lapse(), 4));
+    assert!(!promises.consent(first + settings.lapse(), &id, 7));
+    assert!(promises.consent(second + settings.lapse(), &id, 7));
+}
