--- a/crates/coord/src/dispatch/bound.rs
+++ b/crates/coord/src/dispatch/bound.rs
@@ -19,17 +19,22 @@
 pub(super) struct Bound {
     slots: f64,
     most: u32,
+    /// Most slots while the upstream warms up.
+    fresh: u32,
     /// Whether no sign of overload was seen since the start.
     slow_start: bool,
     /// Slots started before this can't cut the bound again.
     cut: Tick,
+    /// The upstream warms up until then.
+    warm: Tick,
 }
 
 impl Bound {
-    /// The bound of a fresh upstream.
-    pub(super) fn new(settings: &DispatchSettings, most: u32, now: Tick) -> Self {
-        let slots = f64::from(settings.start.min(most));
-        Bound { slots, most, slow_start: true, cut: now }
+    /// The bound of a fresh upstream, which gets `most` slots at most, and `fresh` while it warms
+    /// up.
+    pub(super) fn new(settings: &DispatchSettings, most: u32, fresh: u32, now: Tick) -> Self {
+        let slots = f64::from(settings.start.min(fresh).min(most));
+        Bound { slots, most, fresh, slow_start: true, cut: now, warm: now + settings.warmup }
     }
 
     /// Whole slots.
@@ -38,14 +43,19 @@
     }
 
     /// Changes the most that the bound may reach.
-    pub(super) fn set_most(&mut self, most: u32) {
+    pub(super) fn set_most(&mut self, most: u32, fresh: u32) {
         self.most = most;
+        self.fresh = fresh;
         self.slots = self.slots.min(f64::from(most));
     }
 
-    /// Raises the bound to what a home before had granted.
-    pub(super) fn raise(&mut self, slots: u32) {
+    /// Raises the bound to what a home before had granted; more than a fresh upstream gets shows
+    /// that it's warm.
+    pub(super) fn raise(&mut self, slots: u32, now: Tick) {
         self.slots = self.slots.max(f64::from(slots.min(self.most)));
+        if slots > self.fresh {
+            self.warm = now;
+        }
     }
 
     /// Takes a release of a slot that started at `started`; `full` tells whether the upstream was
@@ -59,23 +69,28 @@
         now: Tick,
     ) {
         match sign {
-            Sign::Good if full => self.grow(settings),
+            Sign::Good if full => self.grow(settings, now),
             Sign::Good => {}
             Sign::Slow if started >= self.cut => self.cut(settings, self.slots / 2.0, now),
             Sign::Slow => {}
-            Sign::Cold if started >= self.cut => self.cut(settings, 0.0, now),
+            Sign::Cold if started >= self.cut => {
+                self.cut(settings, 0.0, now);
+                self.warm = now + settings.warmup;
+            }
             Sign::Cold => {}
         }
     }
 
-    fn grow(&mut self, settings: &DispatchSettings) {
+    fn grow(&mut self, settings: &DispatchSettings, now: Tick) {
         let step =
             if self.slow_start { settings.growth } else { settings.increase / self.slots.max(1.0) };
-        self.slots = (self.slots + step).min(f64::from(self.most));
+        let most = if now < self.warm { self.most.min(self.fresh) } else { self.most };
+        // What was borne before isn't taken away: only growth stops while the upstream warms up.
+        self.slots = (self.slots + step).min(f64::from(most)).max(self.slots);
     }
 
     fn cut(&mut self, settings: &DispatchSettings, slots: f64, now: Tick) {
-        let least = f64::from(settings.start.min(self.most));
+        let least = f64::from(settings.start.min(self.fresh).min(self.most));
         self.slots = slots.max(least).min(self.slots);
         self.slow_start = false;
         self.cut = now;
--- a/crates/coord/src/dispatch/inventory.rs
+++ b/crates/coord/src/dispatch/inventory.rs
@@ -33,6 +33,7 @@
             orphans: Default::default(),
             wanting: Default::default(),
             budget: RetryBudget::new(settings.retries),
+            outbox: Vec::new(),
             next: 0,
         }
     }
@@ -67,7 +68,7 @@
         // What the home before had granted is known to be borne.
         if let Some(upstream) = self.upstreams.get_mut(&held.upstream) {
             let in_use = upstream.in_use;
-            upstream.bound.raise(in_use);
+            upstream.bound.raise(in_use, now);
         }
         self.refile(held.upstream);
     }
--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -46,6 +46,8 @@
 pub struct DispatchSettings {
     /// Slots of a fresh or cold upstream.
     pub start: u32,
+    /// How long an upstream warms up after it was fresh or turned cold.
+    pub warmup: Duration,
     /// Slots gained per good release of a full upstream, before its first sign of overload.
     pub growth: f64,
     /// Slots gained per round of good releases after it.
@@ -76,6 +78,7 @@
     fn default() -> Self {
         DispatchSettings {
             start: 2,
+            warmup: Duration::from_secs(15),
             growth: 0.5,
             increase: 1.0,
             tolerance: 2.0,
@@ -134,7 +137,7 @@
 }
 
 /// A request that starts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Start {
     /// The request.
     pub request: RequestKey,
@@ -238,6 +241,8 @@
     pub incarnation: u64,
     /// Most slots that it may ever get.
     pub slots: u32,
+    /// Most slots while it warms up.
+    pub fresh: u32,
     /// Its models.
     pub models: IndexMap<ModelKey, ReplicaState>,
     /// Its adapters.
@@ -338,5 +343,7 @@
     orphans: BTreeSet<(Tick, SlotKey)>,
     wanting: IndexSet<ModelKey>,
     budget: RetryBudget,
+    /// Effects of commands that answer otherwise; the next tick returns them.
+    outbox: Vec<Effect>,
     next: u64,
 }
--- a/crates/coord/src/pools/slice/commands.rs
+++ b/crates/coord/src/pools/slice/commands.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use super::Effect;
 use super::Reason;
 use super::Reservation;
@@ -34,10 +36,10 @@
             limits,
             counters: Counters::default(),
             snapshot: Counters::default(),
-            reported: Counters::default(),
             report_at: None,
             waiting: Default::default(),
             queued: 0,
+            number: 0,
             asked: None,
             retry: now,
             answered: false,
@@ -113,9 +115,13 @@
         if grant.home != self.home {
             return Vec::new();
         }
+        self.counters.granted = self.counters.granted.max(grant.granted);
+        // A doubled or late answer tells what was granted, and nothing of the last ask.
+        if self.asked.is_none() || grant.number != self.number {
+            return self.advance(now);
+        }
         self.asked = None;
         self.answered = true;
-        self.counters.granted = self.counters.granted.max(grant.granted);
         let mut effects = Vec::new();
         match grant.verdict {
             Verdict::Granted => self.retry = now,
@@ -185,9 +191,15 @@
         let aim = self.queued + self.target(now);
         let want = aim.saturating_sub(held).max(need);
         self.asked = Some(now);
-        self.reported = self.counters;
+        self.number += 1;
         self.report_at = None;
-        Some(Effect::Ask(Ask { home: self.home, counters: self.counters, want, need }))
+        Some(Effect::Ask(Ask {
+            home: self.home,
+            number: self.number,
+            counters: self.counters,
+            want,
+            need,
+        }))
     }
 
     /// Refuses who is past the deadline.
@@ -206,19 +218,18 @@
         let base = wait.saturating_sub(limits.span(first.saturating_mul(MICRO)));
         let turn = |tokens: u64| base + limits.span(tokens.saturating_mul(MICRO));
         let mut ahead = 0;
-        let mut waits = Vec::new();
+        let mut waits = IndexMap::new();
         for waiter in &self.waiting {
             let span = turn((ahead + waiter.tokens).saturating_sub(held));
             if now + span > waiter.deadline {
-                waits.push((waiter.ticket, span));
+                waits.insert(waiter.ticket, span);
             } else {
                 ahead += waiter.tokens;
             }
         }
-        let told = |ticket| waits.iter().find(|(other, _)| *other == ticket);
-        let late = |waiter: &Waiter| told(waiter.ticket).is_some();
-        let span = |ticket| (told(ticket).map_or(wait, |(_, span)| *span), Reason::Rate);
-        self.refuse(late, span)
+        let late = |waiter: &Waiter| waits.contains_key(&waiter.ticket);
+        let told = |ticket| (waits.get(&ticket).copied().unwrap_or(wait), Reason::Rate);
+        self.refuse(late, told)
     }
 
     fn refuse_large(&mut self) -> Vec<Effect> {
--- a/src/agent/drive.rs
+++ b/src/agent/drive.rs
@@ -117,7 +117,8 @@
                     let me = self.id();
                     tokio::spawn(async move {
                         let (platform, cell) = (&*agent.platform, &agent.settings.cell);
-                        let access = store::access(platform, cell, &me.name, op);
+                        let history = &agent.settings.history;
+                        let access = store::access(platform, history, cell, &me.name, op);
                         // A lost answer has to leave time for another renewal within the term.
                         let answer = timeout(STORE_WITHIN, access).await;
                         let answer = answer.unwrap_or(membership::Answer::Unknown);
--- a/src/bin/corianderyoke-bench/commands/mod.rs
+++ b/src/bin/corianderyoke-bench/commands/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod check;
 pub mod demo;
+pub mod experiment;
+pub mod run;
--- a/src/ops/controller.rs
+++ b/src/ops/controller.rs
@@ -3,12 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use anyhow::Context;
 use corianderyoke_coord::membership::Role;
 use corianderyoke_coord::membership::RowState;
 use corianderyoke_history::Event as Recorded;
 use corianderyoke_http::Running as Server;
-use corianderyoke_platform::http::HttpPlatform;
 use corianderyoke_platform::Platform;
 use prometheus_client::registry::Registry;
 use rocket::serde::json::Value;
@@ -16,6 +14,8 @@
 use tokio::task::JoinSet;
 
 use crate::agent;
+use crate::agent::traced::Traced;
+use crate::agent::traffic::Traffic;
 use crate::agent::Agent;
 use crate::controller::run;
 use crate::controller::settings::Settings;
@@ -39,13 +39,9 @@
 
 /// Starts a controller; it acts once its agent has joined and it is the home of placement.
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
-    let platform: Arc<dyn Platform> = Arc::new(
-        HttpPlatform::new(corianderyoke_platform::http::Settings {
-            address: settings.platform.to_string(),
-            ..Default::default()
-        })
-        .context("failed to set up the platform's client")?,
-    );
+    let history = daemon::recorder(&settings.name, &settings.history)?;
+    let client = daemon::client(settings.platform)?;
+    let platform = Traced::new(Arc::clone(&client) as Arc<dyn Platform>, &history);
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
         agent::Settings {
@@ -54,7 +50,7 @@
             zone: settings.zone.clone(),
             peers: settings.peers,
             operators: operators.to_string(),
-            history: daemon::recorder(&settings.name, &settings.history)?,
+            history,
             ..agent::Settings::default()
         },
         Arc::clone(&platform),
@@ -62,14 +58,15 @@
     let upstreams = Arc::new(corianderyoke_upstream::Client::new(Default::default())?);
     let controller = Controller::new(settings, Arc::clone(&agent), platform, upstreams);
     agent.serve(Arc::new(Peers { controller: Arc::clone(&controller) }));
-    let registry = Registry::with_prefix("corianderyoke");
+    let mut registry = Registry::with_prefix("corianderyoke");
+    registry.register_collector(Box::new(Traffic::new(Arc::clone(&agent), client)));
     let subject = Arc::new(Subject { controller: Arc::clone(&controller) });
     let server = observe::serve(operators, subject, Arc::new(registry)).await?;
     agent.set_state(RowState::Ready);
+    agent.history().record(|| Recorded::ProcessStart { role: "controller".to_owned() });
     agent.run();
     let mut tasks = JoinSet::new();
     tasks.spawn(run::run(Arc::clone(&controller)));
-    agent.history().record(|| Recorded::ProcessStart { role: "controller".to_owned() });
     events::log(Event::Started, format_args!("name={}", controller.settings.name));
     Ok(Running { operators, controller, server, tasks })
 }
@@ -78,9 +75,11 @@
     /// Leaves the view and ends.
     pub async fn leave(mut self) {
         events::log(Event::Stopping, format_args!("name={}", self.controller.settings.name));
+        self.controller.agent.history().record(|| Recorded::ShutdownBegin);
         self.controller.agent.depart().await;
         self.tasks.abort_all();
         self.server.stop().await;
+        self.controller.agent.history().record(|| Recorded::ShutdownEnd);
         events::log(Event::Stopped, format_args!("name={}", self.controller.settings.name));
     }
 }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -5,6 +5,8 @@
 //! error event in the stream. An answer that breaks off at an upstream goes on at another from the
 //! last token that came, so the caller sees one whole answer.
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::router::attempt::Attempt as Sent;
 use crate::router::format::Format;
 use crate::router::http::Answer;
 use crate::router::http::Parts;
@@ -51,6 +54,8 @@
 /// Longest time for which a caller may leave a full buffer unread.
 const READ_WITHIN: Duration = Duration::from_secs(30);
 
+/// Tokens generated at most where the caller names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Longest wait for an adapter to be loaded.
 const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
 
@@ -69,7 +74,7 @@
     let wish = request::parse(kind, &parts.body)?;
     let target = router.target(&caller, &wish.model)?;
     let deadline = arrived + wish.deadline.unwrap_or(target.deadline).min(target.longest);
-    let prompt_tokens = prompt_tokens(&target, &wish)?;
+    let cost = cost(&target, &wish)?;
     let (key, team) = (caller.key.clone(), caller.team.clone());
     let grant = Grant { key, team, target: wish.model.clone() };
     let ticket = router.enter(grant)?;
@@ -82,16 +87,18 @@
     let watched = parts.caller.map(|caller| router.hangups.watch(caller, ticket.cutter()));
     let format = Format::new(kind, &parts.id, &wish.model);
     let stream = wish.stream;
+    let id = parts.id.clone();
     let job = Job {
         router: Arc::clone(router),
         id: parts.id,
         team: caller.team,
         wish,
-        prompt_tokens,
+        cost,
         model: target.model,
         adapter: target.adapter,
         deadline,
         ticket,
+        sent: AtomicBool::new(false),
     };
     let (pieces, mut coming) = mpsc::channel(PIECES_HELD);
     tokio::spawn(job.run(pieces));
@@ -99,25 +106,46 @@
     if let Piece::Failed(refusal) = first {
         return Err(refusal);
     }
+    router.record(|| Recorded::CallStarted { request: id.clone() });
     if stream {
         drop(watched);
-        return Ok(Answer::Events(events_of(format, first, coming)));
+        let ends = Ends { router: Arc::clone(router), id };
+        return Ok(Answer::Events(events_of(format, first, coming, ends)));
     }
     let answer = collect(format, first, coming).await;
     drop(watched);
     answer
 }
 
-/// Tokens that the prompt takes at most.
-fn prompt_tokens(target: &Target, wish: &Generation) -> Result<u32> {
-    let tokens = target.base.prompt_bound(wish.prompt_bytes());
-    let all = tokens + u64::from(wish.max_tokens);
-    if all > target.base.context_tokens {
-        let most = target.base.context_tokens;
-        let message = format!("prompt and output may take {all} tokens, the model takes {most}");
+/// Tokens that a request takes at most.
+#[derive(Clone, Copy)]
+struct Cost {
+    prompt: u32,
+    output: u32,
+}
+
+impl Cost {
+    fn total(self) -> u32 {
+        self.prompt + self.output
+    }
+}
+
+fn cost(target: &Target, wish: &Generation) -> Result<Cost> {
+    let base = &target.base;
+    let output = wish
+        .max_tokens
+        .map_or_else(|| u64::from(DEFAULT_MAX_TOKENS).min(base.output_tokens), u64::from);
+    if output > base.output_tokens {
+        let message = format!("`max_tokens` may be {} for this model", base.output_tokens);
         return Err(Refusal::not_run(Code::BadRequest, message));
     }
-    Ok(tokens as u32)
+    let prompt = base.prompt_bound(wish.prompt_bytes());
+    let (total, most) = (prompt + output, base.context_tokens);
+    if total > most {
+        let message = format!("prompt and output may take {total} tokens, the model takes {most}");
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    Ok(Cost { prompt: prompt as u32, output: output as u32 })
 }
 
 /// The refusal for a task that ended without a last piece.
@@ -146,24 +174,45 @@
     }
 }
 
+/// Records how a stream ended.
+struct Ends {
+    router: Arc<Router>,
+    id: String,
+}
+
+impl Ends {
+    fn sent(&self, whole: bool) {
+        self.router.record(|| Recorded::Answer { request: self.id.clone(), whole });
+    }
+
+    fn gone(&self) {
+        self.router.record(|| Recorded::CallerGone { request: self.id.clone() });
+    }
+}
+
 fn events_of(
     format: Format,
     first: Piece,
     mut coming: mpsc::Receiver<Piece>,
+    ends: Ends,
 ) -> mpsc::Receiver<Bytes> {
     let (events, outgoing) = mpsc::channel(1);
     tokio::spawn(async move {
         let mut piece = first;
         loop {
+            let whole = matches!(piece, Piece::Done { .. });
             let (event, last) = event_of(&format, piece);
             let sent = timeout(READ_WITHIN, events.send(event)).await;
-            if last || !matches!(sent, Ok(Ok(()))) {
-                return;
+            if !matches!(sent, Ok(Ok(()))) {
+                return ends.gone();
+            }
+            if last {
+                return ends.sent(whole);
             }
             piece = tokio::select! {
                 piece = coming.recv() => piece.unwrap_or_else(|| Piece::Failed(lost())),
                 // The caller went away: dropping `coming` cancels the work.
-                () = events.closed() => return,
+                () = events.closed() => return ends.gone(),
             };
         }
     });
@@ -186,11 +235,13 @@
     id: String,
     team: String,
     wish: Generation,
-    prompt_tokens: u32,
+    cost: Cost,
     model: String,
     adapter: Option<String>,
     deadline: Tick,
     ticket: Ticket,
+    /// Whether anything was sent to an upstream.
+    sent: AtomicBool,
 }
 
 /// How far an answer has come over all attempts.
@@ -210,11 +261,11 @@
 
 impl Job {
     async fn run(self, pieces: mpsc::Sender<Piece>) {
-        let cost = self.prompt_tokens + self.wish.max_tokens;
+        let cost = self.cost.total();
         let ended = tokio::select! {
             ended = self.work(cost, &pieces) => ended,
-            () = pieces.closed() => Err(gone()),
-            cut = self.ticket.cut() => Err(cut_refusal(cut)),
+            () = pieces.closed() => Err(self.cut_refusal(Cut::CallerGone)),
+            cut = self.ticket.cut() => Err(self.cut_refusal(cut)),
         };
         match ended {
             Ok(tokens) => {
@@ -227,6 +278,7 @@
                 let refusal = refusal.with_id(&self.id);
                 if pieces.is_closed() || self.ticket.is_cut() == Cut::CallerGone {
                     self.router.metrics.cancelled(&self.team);
+                    self.router.record(|| Recorded::CallerGone { request: self.id.clone() });
                     let detail = format_args!("request={} team={}", self.id, self.team);
                     events::log(Event::Cancelled, detail);
                 }
@@ -250,12 +302,12 @@
             let attempt = self.attempt(slot, &mut progress, &mut reserved, pieces).await;
             match attempt {
                 Attempt::Done { reason } => {
-                    let prompt_tokens = self.prompt_tokens;
+                    let prompt_tokens = self.cost.prompt;
                     let done = Piece::Done { reason, prompt_tokens, tokens: progress.tokens };
                     let _ = pieces.send(done).await;
                     return Ok(reserved.used());
                 }
-                Attempt::CallerGone => return Err(gone()),
+                Attempt::CallerGone => return Err(self.cut_refusal(Cut::CallerGone)),
                 Attempt::Broken { outcome, cause } => {
                     progress.avoid.push(upstream.clone());
                     self.may_resume(&progress, outcome, &cause)?;
@@ -271,12 +323,29 @@
         }
     }
 
+    fn cut_refusal(&self, cut: Cut) -> Refusal {
+        let refusal = match cut {
+            Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
+            Cut::CallerGone | Cut::No => {
+                Refusal::not_run(Code::UpstreamFailed, "the caller went away")
+            }
+            Cut::Stale => {
+                let message = "the router lost touch with the platform";
+                Refusal::not_run(Code::Unavailable, message)
+            }
+        };
+        match self.sent.load(Ordering::SeqCst) {
+            true => refusal.with_outcome(Outcome::Unknown),
+            false => refusal,
+        }
+    }
+
     fn start_wish(&self, progress: &Progress) -> Wish {
         Wish {
             team: self.team.clone(),
             model: self.model.clone(),
             adapter: self.adapter.clone(),
-            cost: u64::from(self.prompt_tokens + self.wish.max_tokens - progress.tokens),
+            cost: u64::from(self.cost.total() - progress.tokens),
             deadline: self.deadline,
             prefix: self.wish.prefix(),
             avoid: progress.avoid.clone(),
@@ -335,12 +404,12 @@
             return Attempt::Broken { outcome: Outcome::NotRun, cause };
         };
         if progress.attempts == 1 {
-            reserved.use_tokens(self.prompt_tokens);
+            reserved.use_tokens(self.cost.prompt);
         }
         let request = self.request(progress);
         let attempt = request.id.clone();
-        self.router.sending(&self.id, &attempt, &self.team, &slot.upstream);
-        let mut finish = Finish::new(&self.router, &attempt, &slot.upstream);
+        let sent = Sent::begin(&self.router, &self.id, &attempt, &self.team, &slot.upstream);
+        self.sent.store(true, Ordering::SeqCst);
         let mut coming = self.router.upstreams.generate(address, request);
         loop {
             match coming.next().await {
@@ -348,23 +417,25 @@
                     slot.token(clock::now());
                     progress.tokens += 1;
                     reserved.use_tokens(1);
-                    let sent = timeout(READ_WITHIN, pieces.send(Piece::Token(token))).await;
-                    if !matches!(sent, Ok(Ok(()))) {
+                    let read = timeout(READ_WITHIN, pieces.send(Piece::Token(token))).await;
+                    if !matches!(read, Ok(Ok(()))) {
                         return Attempt::CallerGone;
                     }
                 }
                 Some(Ok(Coming::Done { reason, .. })) => {
-                    finish.outcome = Outcome::Ran;
+                    sent.end(Outcome::Ran);
                     slot.finish(true, reserved.used());
                     return Attempt::Done { reason };
                 }
                 Some(Err(e)) => {
+                    let outcome = e.outcome.into();
+                    // The end is recorded before the slot can go to another request.
+                    sent.end(outcome);
                     slot.finish(false, reserved.used());
-                    finish.outcome = e.outcome.into();
-                    let outcome = finish.outcome;
                     return Attempt::Broken { outcome, cause: e.kind.to_string() };
                 }
                 None => {
+                    sent.end(Outcome::Unknown);
                     slot.finish(false, reserved.used());
                     let cause = "the upstream's answer ended early".to_owned();
                     return Attempt::Broken { outcome: Outcome::Unknown, cause };
@@ -381,41 +452,18 @@
             model: self.model.clone(),
             adapter: self.adapter.clone(),
             prompt: self.wish.prompt.clone(),
-            max_tokens: self.wish.max_tokens,
+            max_tokens: self.cost.output,
             resume_from: progress.tokens,
             sampling: self.wish.sampling.clone(),
-            first_timeout: Duration::from_millis(settings.first_ms),
+            // A silent upstream must not keep the caller beyond its deadline.
+            first_timeout: Duration::from_millis(settings.first_ms)
+                .min(self.deadline.since(clock::now())),
             next_timeout: Duration::from_millis(settings.next_ms),
             ..Request::default()
         }
     }
 }
 
-/// Records the end of an attempt when it is dropped, however it ends.
-struct Finish<'a> {
-    router: &'a Router,
-    attempt: &'a str,
-    upstream: String,
-    outcome: Outcome,
-}
-
-impl<'a> Finish<'a> {
-    fn new(router: &'a Router, attempt: &'a str, upstream: &str) -> Self {
-        let (upstream, outcome) = (upstream.to_owned(), Outcome::Unknown);
-        Finish { router, attempt, upstream, outcome }
-    }
-}
-
-impl Drop for Finish<'_> {
-    fn drop(&mut self) {
-        self.router.record(|| Recorded::UpstreamFinish {
-            attempt: self.attempt.to_owned(),
-            upstream: self.upstream.clone(),
-            outcome: self.outcome.into(),
-        });
-    }
-}
-
 /// A refusal that came after an upstream had already worked on the request.
 fn after(refusal: Refusal, progress: &Progress) -> Refusal {
     match progress.tokens {
@@ -424,19 +472,3 @@
         _ => refusal.with_outcome(Outcome::Ran),
     }
 }
-
-fn gone() -> Refusal {
-    cut_refusal(Cut::CallerGone)
-}
-
-fn cut_refusal(cut: Cut) -> Refusal {
-    // A cut request may have begun at an upstream, so nothing is said of it that might be wrong.
-    let refusal = match cut {
-        Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
-        Cut::CallerGone | Cut::No => Refusal::not_run(Code::UpstreamFailed, "the caller went away"),
-        Cut::Stale => {
-            Refusal::not_run(Code::Unavailable, "the router lost touch with the platform")
-        }
-    };
-    refusal.with_outcome(Outcome::Unknown)
-}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,9 @@
 //! Integration tests: a module a command or feature.
 
+mod bad_input;
+mod callers;
+mod configuration;
+mod daemons;
 mod events;
 mod membership;
 mod operators;
