Forget what an earlier incarnation held before the next one joins

Cause: a removed router rejoins in the same process; its slices, buckets and queues were dropped by a loop that looks ten times a second, and a process paused at the wrong moment could have spent tokens that its successors counted as lost. They are now dropped before the new incarnation exists, and a reservation is checked against the incarnation that asked for it. Standing that changes (joined, term lapsed, configuration not confirmed, upstream leaving) is logged.

--- a/src/agent/drive.rs
+++ b/src/agent/drive.rs
@@ -31,6 +31,7 @@
 use super::store;
 use super::Agent;
 use super::Service;
+use super::Standing;
 use crate::util::clock;
 use crate::util::events;
 use crate::util::events::Event;
@@ -107,6 +108,27 @@
         if let Some(view) = view {
             self.config.look(&id, &view, clock::now());
         }
+        self.tell(&id);
+    }
+
+    /// Logs where this member's standing changed.
+    fn tell(&self, id: &MemberId) {
+        let now = Standing {
+            member: self.is_member(),
+            acting: self.may_act(),
+            fresh: self.config_fresh(),
+        };
+        let before = std::mem::replace(&mut *self.told.lock(), now);
+        let detail = format_args!("name={} incarnation={}", id.name, id.incarnation);
+        if now.member && !before.member {
+            events::log(Event::Joined, detail);
+        }
+        if now.member && before.acting && !now.acting {
+            events::log(Event::TermLapsed, detail);
+        }
+        if before.fresh && !now.fresh {
+            events::log(Event::RevisionStale, detail);
+        }
     }
 
     fn carry_out(self: &Arc<Self>, effects: Vec<Effect>) {
@@ -227,7 +249,10 @@
             if let Ok(instances) = self.platform.instances().await {
                 let gone = instances.iter().filter(|i| i.state == InstanceState::Leaving);
                 let gone: IndexSet<String> = gone.map(|i| i.name.clone()).collect();
-                *self.leaving.write() = gone;
+                let before = std::mem::replace(&mut *self.leaving.write(), gone.clone());
+                for name in gone.iter().filter(|name| !before.contains(*name)) {
+                    events::log(Event::UpstreamLeaving, format_args!("instance={name}"));
+                }
                 let names: IndexSet<String> = instances.into_iter().map(|i| i.name).collect();
                 self.machine.lock().instances(clock::now(), &names);
             }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -80,6 +80,21 @@
 pub trait Service: Send + Sync {
     /// Answers one call; `None` for a call that this daemon doesn't take.
     async fn answer(&self, from: &MemberId, call: Call) -> Option<Answer>;
+
+    /// This process was removed and is about to join as a new incarnation: whatever the old one
+    /// held or was the home of is lost, and nothing may be decided by it any more.
+    fn rejoining(&self);
+}
+
+/// What the log has told of this member's standing.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Standing {
+    /// Whether it is in a view.
+    pub(crate) member: bool,
+    /// Whether its term is live.
+    pub(crate) acting: bool,
+    /// Whether its configuration is confirmed.
+    pub(crate) fresh: bool,
 }
 
 /// A router as the members' table has it, for the entry list.
@@ -108,6 +123,8 @@
     pub(crate) service: OnceLock<Arc<dyn Service>>,
     /// Upstream instances that the platform says are leaving.
     pub(crate) leaving: RwLock<IndexSet<String>>,
+    /// What the log has told.
+    pub(crate) told: Mutex<Standing>,
     /// Told when the machine has ended.
     pub(crate) ended: Notify,
     /// Told to fetch the configuration now.
@@ -134,6 +151,7 @@
             transport: RwLock::new(None),
             service: OnceLock::new(),
             leaving: RwLock::default(),
+            told: Mutex::default(),
             ended: Notify::new(),
             fetch: Notify::new(),
         });
@@ -153,6 +171,10 @@
         let settings = Settings { peers: bound, ..self.settings.clone() };
         let row = Agent::row(&settings, &fingerprint);
         let machine = Machine::new(settings.membership, &settings.name, row, clock::now());
+        // The old machine has ended, so nothing acts between the two.
+        if let Some(service) = self.service.get() {
+            service.rejoining();
+        }
         *self.machine.lock() = machine;
         *self.transport.write() = Some(transport);
         Ok(())
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -132,4 +132,10 @@
             _ => None,
         }
     }
+
+    fn rejoining(&self) {
+        // The loop takes a new planner under the new incarnation's name; until then the old one
+        // isn't home.
+        self.controller.planner.lock().stop();
+    }
 }
--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -146,6 +146,10 @@
     async fn answer(&self, from: &MemberId, call: Call) -> Option<Answer> {
         home::answer(&self.router, from, call).await
     }
+
+    fn rejoining(&self) {
+        self.router.forget();
+    }
 }
 
 struct Subject {
--- a/src/router/limit.rs
+++ b/src/router/limit.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use corianderyoke_coord::membership::Kind;
+use corianderyoke_coord::membership::MemberId;
 use corianderyoke_coord::pools;
 use corianderyoke_coord::pools::Ask;
 use corianderyoke_coord::pools::Counters;
@@ -116,9 +117,13 @@
         }
     }
 
-    /// Forgets all slices. Their tokens are lost; the member that held them has lapsed.
+    /// Forgets all slices. Their tokens are lost; the member that held them has lapsed. Requests
+    /// that wait are refused.
     pub fn reset(&self) {
-        self.teams.lock().clear();
+        let slices = std::mem::take(&mut *self.teams.lock());
+        for slice in slices.values() {
+            slice.state.lock().waiting.clear();
+        }
     }
 
     /// Takes changed rates over.
@@ -162,6 +167,7 @@
     deadline: Tick,
 ) -> Result<Reservation> {
     let rate = router.rate(team).ok_or_else(|| gone(team))?;
+    let me = router.agent.id();
     let slice = router.limits.team(team, rate);
     let (tell, told) = oneshot::channel();
     let ticket = start(router, &slice, tokens, deadline, tell);
@@ -170,21 +176,36 @@
     queued.ticket = None;
     match told {
         Ok(Ok(held)) => {
-            let held = Some(held);
-            let (router, request) = (Arc::clone(router), request.to_owned());
-            let reservation =
-                Reservation { router, request, team: slice, held, reserved: tokens, used: 0 };
-            // A member whose term lapsed counts as lost with all it held, so it must not spend.
-            reservation.router.may_act()?;
-            reservation.router.record(|| Recorded::Admission {
-                request: reservation.request.clone(),
+            if let Err(refusal) = may_spend(router, &me) {
+                slice.state.lock().slice.settle(held, 0, clock::now());
+                return Err(refusal);
+            }
+            router.record(|| Recorded::Admission {
+                request: request.to_owned(),
                 team: team.to_owned(),
                 tokens: tokens as f64,
             });
-            Ok(reservation)
+            Ok(Reservation {
+                router: Arc::clone(router),
+                request: request.to_owned(),
+                team: slice,
+                held: Some(held),
+                reserved: tokens,
+                used: 0,
+            })
         }
         Ok(Err(refused)) => Err(refusal(team, refused)),
-        Err(_) => Err(Refusal::not_run(Code::Unavailable, "the router rejoined; ask again")),
+        Err(_) => Err(rejoined()),
+    }
+}
+
+/// Whether this member may spend what it held as `me`: a member whose term lapsed counts as lost
+/// with all it held, and so does an earlier incarnation.
+fn may_spend(router: &Router, me: &MemberId) -> Result<()> {
+    router.may_act()?;
+    match router.agent.id() == *me {
+        true => Ok(()),
+        false => Err(rejoined()),
     }
 }
 
@@ -336,6 +357,10 @@
     Counters { granted, spent, returned, refunded }
 }
 
+fn rejoined() -> Refusal {
+    Refusal::not_run(Code::Unavailable, "the router rejoined; ask again")
+}
+
 fn gone(team: &str) -> Refusal {
     Refusal::not_run(Code::Forbidden, format!("team `{team}` is no longer registered"))
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -256,6 +256,13 @@
         })
     }
 
+    /// Forgets what the last incarnation held and was the home of: all of it is lost by now.
+    pub fn forget(&self) {
+        self.limits.reset();
+        self.homes.tokens.reset();
+        self.homes.dispatch.stop();
+    }
+
     /// Rate and burst of a team.
     pub fn rate(&self, team: &str) -> Option<Rate> {
         let register = self.agent.config()?;
--- a/src/router/watch.rs
+++ b/src/router/watch.rs
@@ -29,16 +29,9 @@
 /// Runs until the task is dropped.
 pub async fn run(router: Arc<Router>) {
     let mut seen = Revision::default();
-    let mut incarnation = router.agent.id();
     let mut reported = clock::now();
     loop {
         sleep(LOOK_EVERY).await;
-        if router.agent.id() != incarnation {
-            incarnation = router.agent.id();
-            router.limits.reset();
-            router.homes.tokens.reset();
-            router.homes.dispatch.stop();
-        }
         if !router.agent.config_fresh() {
             // What was revoked since can't be known, so nothing that runs under a key goes on.
             router.open.cut_where(Cut::Stale, |grant| !grant.key.is_empty());
