Test an agent that is cut from the store and comes back

Each agent gets a line of its own to the platform, which the test cuts: the others remove it, it stops, and its next incarnation joins once the line is back.

--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -2,11 +2,14 @@
 //! platform. Ending a runtime is a crash: no task of the agent runs on.
 
 use std::future::Future;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
 use corianderyoke::agent::Agent;
 use corianderyoke::agent::Settings;
 use corianderyoke::ops::config::commands;
@@ -17,9 +20,15 @@
 use corianderyoke_coord::membership::RowState;
 use corianderyoke_coord::register::document::Document;
 use corianderyoke_coord::register::Revision;
+use corianderyoke_platform as platform;
 use corianderyoke_platform::faults::Fault;
 use corianderyoke_platform::faults::Order;
 use corianderyoke_platform::memory::MemoryPlatform;
+use corianderyoke_platform::Commit;
+use corianderyoke_platform::Instance;
+use corianderyoke_platform::Platform;
+use corianderyoke_platform::Row;
+use corianderyoke_platform::Transaction;
 use indexmap::IndexMap;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
@@ -35,8 +44,51 @@
     Author { operator: "test".to_owned(), action: "test".to_owned() }
 }
 
+/// A process's own way to the platform, which can be cut.
+struct Line {
+    platform: Arc<MemoryPlatform>,
+    cut: AtomicBool,
+}
+
+impl Line {
+    fn open(&self) -> platform::Result<&MemoryPlatform> {
+        if self.cut.load(Ordering::Relaxed) {
+            return Err(platform::Error::Unavailable("the line is cut".to_owned()));
+        }
+        Ok(&self.platform)
+    }
+}
+
+#[async_trait]
+impl Platform for Line {
+    async fn get(&self, table: &str, key: &str) -> platform::Result<Option<Row>> {
+        self.open()?.get(table, key).await
+    }
+
+    async fn scan(&self, table: &str, from: &str, to: &str) -> platform::Result<Vec<Row>> {
+        self.open()?.scan(table, from, to).await
+    }
+
+    async fn transact(&self, transaction: &Transaction) -> platform::Result<Commit> {
+        self.open()?.transact(transaction).await
+    }
+
+    async fn object(&self, name: &str) -> platform::Result<Option<Vec<u8>>> {
+        self.open()?.object(name).await
+    }
+
+    async fn put_object(&self, name: &str, body: Vec<u8>) -> platform::Result<()> {
+        self.open()?.put_object(name, body).await
+    }
+
+    async fn instances(&self) -> platform::Result<Vec<Instance>> {
+        self.open()?.instances().await
+    }
+}
+
 struct Process {
     agent: Arc<Agent>,
+    line: Arc<Line>,
     runtime: Runtime,
 }
 
@@ -65,11 +117,13 @@
             ..Settings::default()
         };
         let entered = runtime.enter();
-        let agent = Agent::bind(settings, self.platform.clone()).expect("an agent");
+        let line = Line { platform: self.platform.clone(), cut: AtomicBool::new(false) };
+        let line = Arc::new(line);
+        let agent = Agent::bind(settings, line.clone()).expect("an agent");
         agent.run();
         agent.set_state(RowState::Ready);
         drop(entered);
-        self.processes.insert(name.to_owned(), Process { agent, runtime });
+        self.processes.insert(name.to_owned(), Process { agent, line, runtime });
     }
 
     /// Runs an operator's command.
@@ -226,6 +280,25 @@
     cell.until_whole("after the outage");
 }
 
+#[test]
+fn an_agent_cut_from_the_store_is_replaced_by_its_next_incarnation() {
+    let cell = Cell::new(4);
+    cell.until_whole("joined");
+    let process = &cell.processes["router-2"];
+    let before = process.agent.id();
+    process.line.cut.store(true, Ordering::Relaxed);
+    let end = Instant::now() + LIMIT;
+    while cell.processes["router-0"].agent.view().contains(&before) {
+        assert!(Instant::now() < end, "not removed: {:?}", cell.describe());
+        cell.assert_one_home();
+        sleep(LOOK_EVERY);
+    }
+    assert!(!process.agent.may_act());
+    process.line.cut.store(false, Ordering::Relaxed);
+    cell.until_whole("came back");
+    assert_ne!(process.agent.id(), before);
+}
+
 #[test]
 fn lost_answers_stop_nobody() {
     let cell = Cell::new(3);
