Count a request's use at its reservation, and credit refunds by that

The limit was kept for reservations net of refunds at the time of the refund. The home now keeps its level and holdings over time and credits a refund only as far as they'd have stayed within the burst ever since the reservation. Refunds are numbered and repeated until acknowledged, and refer to the home's clock as last told, so that no clocks are compared.

--- a/crates/coord/examples/decision_cost.rs
+++ b/crates/coord/examples/decision_cost.rs
@@ -151,7 +151,9 @@
     for number in 0..ROUNDS {
         let index = (number % u64::from(routers)) as usize;
         counters[index].spent = counters[index].granted;
-        let ask = Ask { home: 1, number, counters: counters[index], want: 1000, need: 500 };
+        let refunds = Vec::new();
+        let counters_of = counters[index];
+        let ask = Ask { home: 1, number, counters: counters_of, refunds, want: 1000, need: 500 };
         let router = MemberKey(index as u32);
         let now = Tick(number * 10);
         if let Ok(grant) = timed(&mut nanos, || bucket.ask(router, &ask, now)) {
--- a/crates/coord/src/pools/bucket/commands.rs
+++ b/crates/coord/src/pools/bucket/commands.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use super::peaks::Peaks;
 use super::Account;
 use super::Bucket;
 use super::Handover;
@@ -15,6 +16,7 @@
 use crate::pools::Error;
 use crate::pools::Grant;
 use crate::pools::Limits;
+use crate::pools::Refund;
 use crate::pools::Result;
 use crate::pools::Verdict;
 use crate::pools::MICRO;
@@ -34,6 +36,7 @@
     pub fn fresh(home: u64, limits: Limits, now: Tick) -> Self {
         let mut bucket = Bucket::start(home, limits, &[], now);
         bucket.level = limits.burst.saturating_mul(MICRO);
+        bucket.note(now);
         bucket
     }
 
@@ -50,7 +53,7 @@
             filled: stopped,
             accounts: IndexMap::new(),
             holdings: 0,
-            credited: 0,
+            peaks: Peaks::new(stopped),
             waiting: Default::default(),
             missing: members.iter().copied().collect(),
             lapsed: IndexSet::new(),
@@ -76,7 +79,7 @@
             Some(account) => Counters { granted: snapshot.granted, ..account.counters },
             None => snapshot,
         };
-        self.accounts.insert(router, Account { counters: base });
+        self.accounts.insert(router, Account { counters: base, refund: 0 });
         self.holdings += base.held();
         self.absorb(router, snapshot);
         self.missing.swap_remove(&router);
@@ -99,9 +102,12 @@
     /// Changes rate and burst at `now`. What is above the new burst is dropped.
     pub fn set_limits(&mut self, limits: Limits, now: Tick) {
         self.accrue(now);
+        let higher = limits.burst.saturating_sub(self.limits.burst);
+        self.peaks.shift(higher.saturating_mul(MICRO));
         self.limits = limits;
         let most = limits.burst.saturating_sub(self.holdings).saturating_mul(MICRO);
         self.level = self.level.min(most);
+        self.note(now);
     }
 
     /// Stops for good and tells what the next home may count on.
@@ -122,13 +128,15 @@
         self.admit(router, ask)?;
         if !self.missing.is_empty() {
             let granted = self.granted(router).max(ask.counters.granted);
-            return Ok(self.answer(ask, granted, Verdict::Wait(INVENTORY_WAIT)));
+            return Ok(self.answer(router, ask, granted, Verdict::Wait(INVENTORY_WAIT), now));
         }
         self.accrue(now);
         self.absorb(router, ask.counters);
+        self.refund(router, &ask.refunds);
         self.expire(now);
         let verdict = self.decide(router, ask, now);
-        Ok(self.answer(ask, self.granted(router), verdict))
+        self.note(now);
+        Ok(self.answer(router, ask, self.granted(router), verdict, now))
     }
 
     /// Checks that the message is for this home and from a router with an account; a router that
@@ -208,20 +216,41 @@
             granted: before.granted,
             spent: before.spent.max(seen.spent),
             returned: before.returned.max(seen.returned),
-            refunded: before.refunded.max(seen.refunded),
         };
         account.counters = after;
         self.holdings = self.holdings - before.held() + after.held();
         self.credit((after.returned - before.returned).saturating_mul(MICRO));
-        let refunded = (after.refunded - before.refunded).saturating_mul(MICRO);
-        self.credited += self.credit(refunded);
     }
 
-    /// Adds to the level, never above what the invariant leaves, and tells how much it was.
-    fn credit(&mut self, micros: u64) -> u64 {
-        let credit = micros.min(self.room());
-        self.level += credit;
-        credit
+    /// Credits refunds that weren't taken yet, as if their tokens had never been taken.
+    fn refund(&mut self, router: MemberKey, refunds: &[Refund]) {
+        for refund in refunds {
+            let Some(account) = self.accounts.get_mut(&router) else {
+                return;
+            };
+            if refund.number <= account.refund {
+                continue;
+            }
+            account.refund = refund.number;
+            let Some(peak) = self.peaks.since(refund.since) else {
+                continue;
+            };
+            let burst = self.limits.burst.saturating_mul(MICRO);
+            let micros = refund.tokens.saturating_mul(MICRO).min(burst.saturating_sub(peak));
+            self.credit(micros);
+            self.peaks.lift(refund.since, micros);
+        }
+    }
+
+    /// Adds to the level, never above what the invariant leaves.
+    fn credit(&mut self, micros: u64) {
+        self.level += micros.min(self.room());
+    }
+
+    /// Notes level and holdings for later refunds.
+    fn note(&mut self, now: Tick) {
+        let sum = self.level + self.holdings.saturating_mul(MICRO);
+        self.peaks.note(sum, self.limits.rate, now);
     }
 
     fn accrue(&mut self, now: Tick) {
@@ -231,6 +260,7 @@
         let micros = now.0 - self.filled.0;
         self.filled = now;
         self.credit(self.limits.rate.saturating_mul(micros));
+        self.note(now);
     }
 
     /// Ends the inventory when nobody is missing: the handed-over level counts from here.
@@ -241,9 +271,20 @@
         let handed = std::mem::take(&mut self.handed);
         self.credit(handed.level);
         self.accrue(now);
+        // Before this moment the holdings weren't known, so no refund may refer to it.
+        self.peaks = Peaks::new(now);
+        self.note(now);
     }
 
-    fn answer(&self, ask: &Ask, granted: u64, verdict: Verdict) -> Grant {
-        Grant { home: self.home, number: ask.number, granted, verdict }
+    fn answer(
+        &self,
+        router: MemberKey,
+        ask: &Ask,
+        granted: u64,
+        verdict: Verdict,
+        now: Tick,
+    ) -> Grant {
+        let refund = self.accounts.get(&router).map_or(0, |account| account.refund);
+        Grant { home: self.home, number: ask.number, at: now, granted, refund, verdict }
     }
 }
--- a/crates/coord/src/pools/bucket/mod.rs
+++ b/crates/coord/src/pools/bucket/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! Invariant: `level + Σ holdings <= burst`, where a holding is what a live router was granted and
 //! hasn't reported as spent or returned. Accrual, refunds and handed-over levels are all capped by
-//! it. A bucket that starts after another home takes inventory first and grants nothing until each
+//! it. A refund counts as if its tokens had never been taken: it is credited as far as `level +
+//! Σ holdings` would have stayed within the burst ever since the reservation. A bucket that starts after another home takes inventory first and grants nothing until each
 //! member has answered or lapsed.
 
 mod commands;
+mod peaks;
 mod queries;
 
 use std::collections::VecDeque;
@@ -13,6 +15,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use self::peaks::Peaks;
 use super::Counters;
 use super::Limits;
 use crate::keys::MemberKey;
@@ -23,6 +26,8 @@
 pub struct Account {
     /// Highest counters seen; `granted` is the home's own.
     pub counters: Counters,
+    /// Highest number of its refunds that this home took.
+    pub refund: u64,
 }
 
 /// What a home that stops hands to the next.
@@ -54,8 +59,8 @@
     accounts: IndexMap<MemberKey, Account>,
     /// Σ of the accounts' holdings in tokens.
     holdings: u64,
-    /// Microtokens of refunds that were credited.
-    credited: u64,
+    /// Level and holdings over time, refunds included, which bound later refunds.
+    peaks: Peaks,
     waiting: VecDeque<Waiter>,
     missing: IndexSet<MemberKey>,
     lapsed: IndexSet<MemberKey>,
--- a/crates/coord/src/pools/bucket/queries.rs
+++ b/crates/coord/src/pools/bucket/queries.rs
@@ -27,11 +27,6 @@
         self.holdings
     }
 
-    /// Tokens of refunds that were credited to the level: what the admitted total is net of.
-    pub fn credited(&self) -> u64 {
-        self.credited / MICRO
-    }
-
     /// Whether the inventory is complete and the bucket grants.
     pub fn is_open(&self) -> bool {
         self.missing.is_empty() && !self.stopped
--- a/crates/coord/src/pools/mod.rs
+++ b/crates/coord/src/pools/mod.rs
@@ -6,8 +6,9 @@
 //! lost one is made good by the next. [`Permits`] counts operations in flight, with a start rate.
 //!
 //! The invariant behind every limit: the giver gives a token up before the taker has it. Hence
-//! `level + Σ holdings <= burst` at all times, and what is admitted in any window, less what is
-//! refunded in it, is at most `rate × window + burst`. Rates are per second of the home's clock.
+//! `level + Σ holdings <= burst` at all times, and what is used in any window, each request counted
+//! when it reserved its tokens, is at most `rate × window + burst`. Rates are per second of the
+//! home's clock.
 
 pub mod bucket;
 pub mod permits;
@@ -30,6 +31,8 @@
 
 use std::time::Duration;
 
+use crate::time::Tick;
+
 /// Microtokens in a token: levels are kept in microtokens, so that a rate times microseconds is
 /// exact.
 pub(crate) const MICRO: u64 = 1_000_000;
@@ -65,8 +68,6 @@
     pub spent: u64,
     /// Holding that was given back unspent.
     pub returned: u64,
-    /// Parts of settled reservations that went unused.
-    pub refunded: u64,
 }
 
 impl Counters {
@@ -76,8 +77,19 @@
     }
 }
 
-/// A router's message to the home: its account, and what it would like.
+/// The unused part of settled reservations.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refund {
+    /// The router's number for it; numbers rise.
+    pub number: u64,
+    /// A moment on the home's clock, no later than the reservations.
+    pub since: Tick,
+    /// Tokens reserved and not used.
+    pub tokens: u64,
+}
+
+/// A router's message to the home: its account, and what it would like.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ask {
     /// The home that is meant; homes are numbered by the view epoch in which they started.
     pub home: u64,
@@ -85,6 +97,8 @@
     pub number: u64,
     /// The router's account.
     pub counters: Counters,
+    /// Refunds that the home hasn't acknowledged, by number.
+    pub refunds: Vec<Refund>,
     /// Tokens wanted, `need` included.
     pub want: u64,
     /// Tokens without which the first waiting request can't go; 0 when none waits.
@@ -98,8 +112,12 @@
     pub home: u64,
     /// Number of the ask.
     pub number: u64,
+    /// The home's clock, which refunds refer to.
+    pub at: Tick,
     /// Total granted to this router, earlier grants included.
     pub granted: u64,
+    /// Highest number of the router's refunds that was taken.
+    pub refund: u64,
     /// What became of the need.
     pub verdict: Verdict,
 }
--- a/crates/coord/src/pools/slice/commands.rs
+++ b/crates/coord/src/pools/slice/commands.rs
@@ -14,6 +14,7 @@
 use crate::pools::Counters;
 use crate::pools::Grant;
 use crate::pools::Limits;
+use crate::pools::Refund;
 use crate::pools::Verdict;
 use crate::pools::MICRO;
 use crate::time::Tick;
@@ -27,6 +28,9 @@
 /// Longest such span, so that returns and refunds of others are noticed.
 const RETRY_MOST: Duration = Duration::from_millis(100);
 
+/// Most refunds that wait for the home's acknowledgement.
+const REFUNDS_MOST: usize = 256;
+
 impl Slice {
     /// An empty slice that asks the home of epoch `home`.
     pub fn new(settings: SliceSettings, home: u64, limits: Limits, now: Tick) -> Self {
@@ -39,6 +43,10 @@
             report_at: None,
             waiting: Default::default(),
             queued: 0,
+            refunds: Vec::new(),
+            sent: 0,
+            refund: 0,
+            home_at: None,
             number: 0,
             asked: None,
             retry: now,
@@ -58,6 +66,10 @@
         if home > self.home {
             self.home = home;
             self.snapshot = self.counters;
+            // Refunds refer to the clock of the home before, and the new one can't tell what its
+            // level was.
+            self.refunds.clear();
+            self.home_at = None;
             self.asked = None;
             self.answered = false;
             self.retry = now;
@@ -105,9 +117,24 @@
 
     /// Settles a request that used `used` tokens; the rest goes back to the home.
     pub fn settle(&mut self, reservation: Reservation, used: u64, now: Tick) {
-        let rest = reservation.tokens.saturating_sub(used);
-        self.counters.refunded += rest;
+        let tokens = reservation.tokens.saturating_sub(used);
+        let since = reservation.since.filter(|_| reservation.home == self.home);
+        let (Some(since), true) = (since, tokens > 0) else {
+            return;
+        };
         self.note(now);
+        let sent = self.sent;
+        let mut unsent = self.refunds.iter_mut().filter(|refund| refund.number > sent);
+        if let Some(refund) = unsent.find(|refund| refund.since == since) {
+            refund.tokens += tokens;
+            return;
+        }
+        // With so many unacknowledged the home is long gone, and a lost refund is safe.
+        if self.refunds.len() >= REFUNDS_MOST {
+            return;
+        }
+        self.refund += 1;
+        self.refunds.push(Refund { number: self.refund, since, tokens });
     }
 
     /// Takes the home's answer. Answers of an earlier home are ignored.
@@ -116,6 +143,8 @@
             return Vec::new();
         }
         self.counters.granted = self.counters.granted.max(grant.granted);
+        self.home_at = self.home_at.max(Some(grant.at));
+        self.refunds.retain(|refund| refund.number > grant.refund);
         // A doubled or late answer tells what was granted, and nothing of the last ask.
         if self.asked.is_none() || grant.number != self.number {
             return self.advance(now);
@@ -154,7 +183,8 @@
             self.queued -= waiter.tokens;
             self.answered = false;
             self.spend(waiter.tokens, now);
-            let reservation = Reservation { tokens: waiter.tokens };
+            let (tokens, home, since) = (waiter.tokens, self.home, self.home_at);
+            let reservation = Reservation { tokens, home, since };
             effects.push(Effect::Reserved { ticket: waiter.ticket, reservation });
         }
         effects.extend(self.ask(now));
@@ -193,10 +223,12 @@
         self.asked = Some(now);
         self.number += 1;
         self.report_at = None;
+        self.sent = self.refund;
         Some(Effect::Ask(Ask {
             home: self.home,
             number: self.number,
             counters: self.counters,
+            refunds: self.refunds.clone(),
             want,
             need,
         }))
--- a/crates/coord/src/pools/slice/mod.rs
+++ b/crates/coord/src/pools/slice/mod.rs
@@ -14,6 +14,7 @@
 use super::Ask;
 use super::Counters;
 use super::Limits;
+use super::Refund;
 use crate::time::Tick;
 
 /// Settings of a slice.
@@ -47,7 +48,10 @@
 #[derive(Debug, Eq, PartialEq)]
 #[must_use]
 pub struct Reservation {
-    pub(super) tokens: u64,
+    tokens: u64,
+    /// The home at the time, and its clock as last told.
+    home: u64,
+    since: Option<Tick>,
 }
 
 /// Why a request was refused by its team's limit.
@@ -107,6 +111,12 @@
     waiting: VecDeque<Waiter>,
     /// Σ of the waiting requests' tokens.
     queued: u64,
+    /// Refunds that the home hasn't acknowledged, by number; those up to `sent` were sent.
+    refunds: Vec<Refund>,
+    sent: u64,
+    refund: u64,
+    /// The home's clock as last told.
+    home_at: Option<Tick>,
     /// Number of the last ask, and when it was sent unless it was answered.
     number: u64,
     asked: Option<Tick>,
--- a/crates/coord/tests/pools/limits.rs
+++ b/crates/coord/tests/pools/limits.rs
@@ -5,8 +5,10 @@
 use corianderyoke_coord::keys::MemberKey;
 use corianderyoke_coord::pools::Ask;
 use corianderyoke_coord::pools::Bucket;
+use corianderyoke_coord::pools::Counters;
 use corianderyoke_coord::pools::Effect;
 use corianderyoke_coord::pools::Limits;
+use corianderyoke_coord::pools::Refund;
 use corianderyoke_coord::pools::Slice;
 use corianderyoke_coord::pools::SliceSettings;
 use corianderyoke_coord::time::Tick;
@@ -151,7 +153,7 @@
     let Some(Effect::Ask(ask)) = effects.last() else {
         panic!("no ask in {effects:?}");
     };
-    let ask = *ask;
+    let ask = ask.clone();
     (slice, ask)
 }
 
@@ -193,3 +195,26 @@
     slice.set_limits(Limits { rate: 10, burst: 50 }, Tick(2));
     assert_eq!(slice.held(), 0);
 }
+
+#[test]
+fn a_refund_is_credited_once_and_as_if_it_had_never_been_taken() {
+    let (_, ask) = asking(500);
+    let mut home = Bucket::fresh(1, LIMITS, Tick(0));
+    let granted = home.ask(ROUTER, &ask, Tick(0)).unwrap().granted;
+    let counters = Counters { granted, spent: granted, ..ask.counters };
+    let empty = Ask { counters, want: 0, need: 0, ..ask };
+    home.ask(ROUTER, &empty, Tick(0)).unwrap();
+    home.ask(ROUTER, &empty, Tick(250_000)).unwrap();
+    assert_eq!(home.level(), 250);
+    // Reserved after the burst was used up, at a level of 250 at most: 250 are left for refunds.
+    let refunds = vec![Refund { number: 1, since: Tick(250_000), tokens: 100 }];
+    let settled = Ask { refunds, ..empty.clone() };
+    for _ in 0..3 {
+        assert_eq!(home.ask(ROUTER, &settled, Tick(260_000)).unwrap().refund, 1);
+        assert_eq!(home.level(), 360);
+    }
+    // Reserved while the bucket was full: nothing is left.
+    let refunds = vec![Refund { number: 2, since: Tick(0), tokens: 100 }];
+    assert_eq!(home.ask(ROUTER, &Ask { refunds, ..empty }, Tick(260_000)).unwrap().refund, 2);
+    assert_eq!(home.level(), 360);
+}
--- a/crates/coord/tests/pools/refusals.rs
+++ b/crates/coord/tests/pools/refusals.rs
@@ -30,24 +30,27 @@
     gap: Duration,
 }
 
-/// Arrivals that reserve 90% of the rate on average; some used tokens come back on top.
-struct Arrivals(ChaCha8Rng);
+/// Arrivals that reserve `reserved` tokens a second on average and use three quarters of them.
+struct Arrivals {
+    rng: ChaCha8Rng,
+    reserved: f64,
+}
 
 impl Arrivals {
     fn new(seed: u64) -> Self {
-        Arrivals(ChaCha8Rng::seed_from_u64(seed))
+        Arrivals { rng: ChaCha8Rng::seed_from_u64(seed), reserved: 36_000.0 }
     }
 
     fn next(&mut self) -> Arrival {
-        let mut pick = self.0.random_range(0..1000);
+        let mut pick = self.rng.random_range(0..1000);
         let mut router = 0;
         while pick >= WEIGHTS[router] {
             pick -= WEIGHTS[router];
             router += 1;
         }
-        let tokens = self.0.random_range(100..700);
-        let uniform: f64 = self.0.random_range(f64::EPSILON..1.0);
-        let gap = Duration::from_secs_f64(-uniform.ln() * 400.0 / 36_000.0);
+        let tokens = self.rng.random_range(100..700);
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let gap = Duration::from_secs_f64(-uniform.ln() * 400.0 / self.reserved);
         Arrival { router, tokens, gap }
     }
 }
@@ -105,6 +108,17 @@
     permille(refused, asked)
 }
 
+#[test]
+fn requests_that_reserve_more_than_the_rate_but_use_less_are_not_refused() {
+    let mut world = World::new(SliceSettings::default(), LIMITS, &[0; 8], FAULTS);
+    let mut arrivals = Arrivals { reserved: 48_000.0, ..Arrivals::new(3) };
+    drive(&mut world, &mut arrivals, Duration::from_secs(120));
+    let count = world.count;
+    let refused = permille(count.refused, count.asked);
+    assert!(refused <= 10, "refused {refused}‰ of {}", count.asked);
+    assert!(world.worst_excess(LIMITS.rate as f64) <= LIMITS.burst as f64);
+}
+
 #[test]
 fn a_dead_home_costs_few_requests() {
     let mut world = World::new(SliceSettings::default(), LIMITS, &[0; 8], FAULTS);
--- a/crates/coord/tests/pools/world.rs
+++ b/crates/coord/tests/pools/world.rs
@@ -27,7 +27,7 @@
     pub delay: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum Message {
     Ask(usize, Ask),
     Grant(usize, Grant),
@@ -39,7 +39,8 @@
     pub slice: Slice,
     clock: i64,
     paused: u64,
-    running: BTreeMap<u64, Reservation>,
+    /// Reservations with their place in `net`.
+    running: BTreeMap<u64, (Reservation, usize)>,
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -55,8 +56,9 @@
     pub home: Option<Bucket>,
     pub routers: Vec<Option<Router>>,
     pub count: Count,
-    /// Tokens admitted, less refunds that were credited, by time.
-    pub net: Vec<(u64, i64)>,
+    /// Tokens that requests used, by the time at which they reserved; all that was reserved until
+    /// they are settled.
+    pub net: Vec<(u64, u64)>,
     pub refusals: Vec<(u64, Reason)>,
     limits: Limits,
     epoch: u64,
@@ -220,7 +222,6 @@
 
     fn receive(&mut self, message: Message) {
         let home_now = clock(self.now, self.home_clock);
-        let before = self.home.as_ref().map_or(0, Bucket::credited);
         match message {
             Message::Ask(index, ask) => {
                 let router = MemberKey(index as u32);
@@ -246,16 +247,13 @@
             Message::Settle(index, ticket, used) => {
                 let now = self.now;
                 if let Some(router) = self.awake(index) {
-                    if let Some(reservation) = router.running.remove(&ticket) {
+                    if let Some((reservation, place)) = router.running.remove(&ticket) {
                         router.slice.settle(reservation, used, clock(now, router.clock));
+                        self.net[place].1 = used;
                     }
                 }
             }
         }
-        let after = self.home.as_ref().map_or(0, Bucket::credited);
-        if after > before {
-            self.net.push((self.now, -((after - before) as i64)));
-        }
     }
 
     fn apply(&mut self, index: usize, effects: Vec<Effect>) {
@@ -277,11 +275,12 @@
     /// A request runs for up to two seconds and uses a random part of its reservation.
     fn admit(&mut self, index: usize, ticket: u64, reservation: Reservation) {
         let tokens = reservation.tokens();
-        self.net.push((self.now, tokens as i64));
+        self.net.push((self.now, tokens));
+        let place = self.net.len() - 1;
         let used = self.rng.random_range(tokens / 2..=tokens);
         let span = self.rng.random_range(1_000..2_000_000);
         if let Some(router) = &mut self.routers[index] {
-            router.running.insert(ticket, reservation);
+            router.running.insert(ticket, (reservation, place));
         }
         self.next += 1;
         self.messages.insert((self.now + span, self.next), Message::Settle(index, ticket, used));
@@ -296,7 +295,7 @@
         for _ in 0..copies {
             let delay = self.rng.random_range(500..=self.faults.delay.as_micros() as u64);
             self.next += 1;
-            self.messages.insert((self.now + delay, self.next), message);
+            self.messages.insert((self.now + delay, self.next), message.clone());
         }
     }
 }
--- a/src/router/home/takeover.rs
+++ b/src/router/home/takeover.rs
@@ -163,7 +163,7 @@
         .into_iter()
         .map(|account| {
             let counters = from_wire(account.counters.unwrap_or_default());
-            (names.key(&account.member), Account { counters })
+            (names.key(&account.member), Account { counters, ..Account::default() })
         })
         .collect();
     Handover { level: handed.level, accounts }
--- a/src/router/home/tokens.rs
+++ b/src/router/home/tokens.rs
@@ -7,6 +7,7 @@
 use corianderyoke_coord::pools::Bucket;
 use corianderyoke_coord::pools::Counters;
 use corianderyoke_coord::pools::Error;
+use corianderyoke_coord::pools::Grant;
 use corianderyoke_coord::pools::Handover;
 use corianderyoke_coord::pools::Limits;
 use corianderyoke_coord::pools::Verdict;
@@ -17,6 +18,7 @@
 
 use crate::router::home::serves;
 use crate::router::limit::from_wire;
+use crate::router::limit::refund_from_wire;
 use crate::router::Router;
 use crate::util::clock;
 
@@ -95,8 +97,10 @@
 
 /// Answers a router's ask.
 pub fn answer(router: &Router, from: &MemberId, ask: &peer::TokensRequest) -> peer::TokensResponse {
-    let not_home =
-        |home| peer::TokensResponse { home, granted: 0, verdict: Some(WireVerdict::NotHome(true)) };
+    let not_home = |home| {
+        let verdict = Some(WireVerdict::NotHome(true));
+        peer::TokensResponse { home, verdict, ..Default::default() }
+    };
     if !serves(router, Kind::Bucket, &ask.team) || !router.agent.view().contains(from) {
         return not_home(0);
     }
@@ -107,11 +111,19 @@
     };
     let counters = from_wire(ask.counters.unwrap_or_default());
     // The answer goes back on the ask's own stream, so the number needs no place in the message.
-    let asked = Ask { home: ask.home, number: 0, counters, want: ask.want, need: ask.need };
+    let asked = Ask {
+        home: ask.home,
+        number: 0,
+        counters,
+        refunds: ask.refunds.iter().map(refund_from_wire).collect(),
+        want: ask.want,
+        need: ask.need,
+    };
     match bucket.ask(member, &asked, clock::now()) {
         Ok(grant) => {
+            let Grant { home, at, granted, refund, .. } = grant;
             let verdict = Some(to_wire(grant.verdict));
-            peer::TokensResponse { home: grant.home, granted: grant.granted, verdict }
+            peer::TokensResponse { home, granted, verdict, at_us: at.0, refund }
         }
         Err(Error::OtherHome { asked, found }) if asked > found => {
             // The asker followed a takeover that this home never finished: take over anew.
--- a/src/router/limit.rs
+++ b/src/router/limit.rs
@@ -14,6 +14,7 @@
 use corianderyoke_coord::pools::Grant;
 use corianderyoke_coord::pools::Limits as Rate;
 use corianderyoke_coord::pools::Reason;
+use corianderyoke_coord::pools::Refund;
 use corianderyoke_coord::pools::Slice;
 use corianderyoke_coord::pools::SliceSettings;
 use corianderyoke_coord::pools::Verdict;
@@ -287,6 +288,7 @@
         counters: Some(to_wire(ask.counters)),
         want: ask.want,
         need: ask.need,
+        refunds: ask.refunds.iter().map(refund_to_wire).collect(),
     };
     let body = Call::Tokens(request);
     let answer = router.call_home(Kind::Bucket, &slice.team, body, ASK_WITHIN).await;
@@ -298,8 +300,14 @@
     let now = clock::now();
     let effects = match verdict(&answer) {
         Some(verdict) => {
-            let number = ask.number;
-            let grant = Grant { home: answer.home, number, granted: answer.granted, verdict };
+            let grant = Grant {
+                home: answer.home,
+                number: ask.number,
+                at: Tick(answer.at_us),
+                granted: answer.granted,
+                refund: answer.refund,
+                verdict,
+            };
             state.slice.answer(&grant, now)
         }
         None => {
@@ -324,16 +332,25 @@
     }
 }
 
+fn refund_to_wire(refund: &Refund) -> peer::Refund {
+    peer::Refund { number: refund.number, since_us: refund.since.0, tokens: refund.tokens }
+}
+
+/// Refunds as the home takes them.
+pub fn refund_from_wire(refund: &peer::Refund) -> Refund {
+    Refund { number: refund.number, since: Tick(refund.since_us), tokens: refund.tokens }
+}
+
 /// Counters as peers exchange them.
 pub fn to_wire(counters: Counters) -> peer::Counters {
-    let Counters { granted, spent, returned, refunded } = counters;
-    peer::Counters { granted, spent, returned, refunded }
+    let Counters { granted, spent, returned } = counters;
+    peer::Counters { granted, spent, returned }
 }
 
 /// Counters as a peer sent them.
 pub fn from_wire(counters: peer::Counters) -> Counters {
-    let peer::Counters { granted, spent, returned, refunded } = counters;
-    Counters { granted, spent, returned, refunded }
+    let peer::Counters { granted, spent, returned } = counters;
+    Counters { granted, spent, returned }
 }
 
 fn gone(team: &str) -> Refusal {
