--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,10 @@
 
 mod bad_input;
 mod callers;
+mod configuration;
+mod daemons;
 mod events;
+mod experiments;
 mod membership;
 mod operators;
 mod parsing;
