Say not run only when no attempt may have run, and keep orders' deadlines

Cause: a refusal told the last attempt's outcome, so a first attempt that broke off before its first token and a second that wasn't sent made 'not run' of a request that ran. An order's call began its timeout anew when it was sent late.

--- a/src/ops/bench/run.rs
+++ b/src/ops/bench/run.rs
@@ -168,6 +168,7 @@
         limits: Mutex::new(limits.into_iter().map(|(team, limit)| (team, held(limit))).collect()),
         leaving: Mutex::default(),
         paused: Mutex::default(),
+        tasks: Mutex::default(),
         fresh: (FRESH_BEARS, FRESH.as_micros() as u64),
     }))
 }
@@ -192,6 +193,9 @@
     let daemons = world.daemons().await;
     for name in &daemons {
         world.resume(name).await?;
+    }
+    world.finish().await;
+    for name in &daemons {
         world.start(name).await?;
     }
     {
--- a/src/ops/bench/world.rs
+++ b/src/ops/bench/world.rs
@@ -1,5 +1,6 @@
 //! The state that the parts of a run share, and the actions on the fleet's processes.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use parking_lot::Mutex;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use super::journal::Journal;
@@ -57,6 +59,8 @@
     pub leaving: Mutex<IndexSet<String>>,
     /// Daemons that are frozen, as they record themselves.
     pub paused: Mutex<IndexSet<String>>,
+    /// Actions that go on by themselves.
+    pub tasks: Mutex<Vec<JoinHandle<()>>>,
     /// What engines bear while fresh, and for how long, in microseconds.
     pub fresh: (u32, u64),
 }
@@ -81,24 +85,39 @@
             Action::DieInLoad(name) => self.die_in_load(name).await,
             Action::RestartStandin(name) => self.restart(name).await,
             Action::Rate { .. } | Action::Revoke { .. } | Action::Drain(_) | Action::Restore(_) => {
-                tokio::spawn(operators::act(Arc::clone(self), action.clone()));
+                self.spawn(operators::act(Arc::clone(self), action.clone()));
                 Ok(())
             }
             Action::Leave(name) => self.list(name, true).await,
             Action::Join(name) => self.list(name, false).await,
             Action::ReplaceEach => {
-                tokio::spawn(Arc::clone(self).replace_each());
+                self.spawn(Arc::clone(self).replace_each());
                 Ok(())
             }
             Action::ReplaceAll => {
                 for name in self.daemons().await {
-                    tokio::spawn(Arc::clone(self).replace(name));
+                    self.spawn(Arc::clone(self).replace(name));
                 }
                 Ok(())
             }
         }
     }
 
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.lock().push(tokio::spawn(task));
+    }
+
+    /// Waits until every action that goes on by itself has ended.
+    pub async fn finish(&self) {
+        loop {
+            let Some(task) = self.tasks.lock().pop() else {
+                return;
+            };
+            // A task that panicked has said so on standard error.
+            let _ = task.await;
+        }
+    }
+
     /// Names of all daemons of the fleet.
     pub async fn daemons(&self) -> Vec<String> {
         let fleet = self.fleet.lock().await;
@@ -197,9 +216,10 @@
         let fault = serde_json::json!({"fault": "die_in_load"});
         let _ = self.fleet.lock().await.fault(name, &fault).await;
         let (world, name) = (Arc::clone(self), name.to_owned());
-        tokio::spawn(async move {
+        self.spawn(async move {
             sleep(REVIVE_AFTER).await;
-            world.restart(&name).await
+            // An engine that can't be started anew shows in the run's results.
+            let _ = world.restart(&name).await;
         });
         Ok(())
     }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -250,6 +250,19 @@
     tokens: u32,
     avoid: Vec<String>,
     attempts: u32,
+    /// Whether an attempt may have run.
+    may_have_run: bool,
+}
+
+impl Progress {
+    /// What is known of the work over all attempts.
+    fn outcome(&self) -> Outcome {
+        match (self.tokens, self.may_have_run) {
+            (0, false) => Outcome::NotRun,
+            (0, true) => Outcome::Unknown,
+            _ => Outcome::Ran,
+        }
+    }
 }
 
 /// How one attempt at an upstream ended.
@@ -310,7 +323,8 @@
                 Attempt::CallerGone => return Err(self.cut_refusal(Cut::CallerGone)),
                 Attempt::Broken { outcome, cause } => {
                     progress.avoid.push(upstream.clone());
-                    self.may_resume(&progress, outcome, &cause)?;
+                    progress.may_have_run |= outcome != Outcome::NotRun;
+                    self.may_resume(&progress, &cause)?;
                     let tokens = progress.tokens;
                     let id = &self.id;
                     let detail = format_args!(
@@ -353,15 +367,14 @@
     }
 
     /// Whether the answer goes on elsewhere; the refusal that ends it otherwise.
-    fn may_resume(&self, progress: &Progress, outcome: Outcome, cause: &str) -> Result<()> {
+    fn may_resume(&self, progress: &Progress, cause: &str) -> Result<()> {
         let late = clock::now() >= self.deadline;
         if progress.attempts < self.router.settings.attempts && !late {
             return Ok(());
         }
         events::log(Event::Broken, format_args!("request={} cause={cause}", self.id));
         let message = format!("no upstream gave a whole answer: {cause}");
-        let outcome = if progress.tokens > 0 { Outcome::Ran } else { outcome };
-        Err(Refusal::not_run(Code::UpstreamFailed, message).with_outcome(outcome))
+        Err(Refusal::not_run(Code::UpstreamFailed, message).with_outcome(progress.outcome()))
     }
 
     /// Has the adapter loaded at an upstream that doesn't hold it yet.
@@ -466,9 +479,5 @@
 
 /// A refusal that came after an upstream had already worked on the request.
 fn after(refusal: Refusal, progress: &Progress) -> Refusal {
-    match progress.tokens {
-        0 if progress.attempts == 0 => refusal,
-        0 => refusal.with_outcome(Outcome::Unknown),
-        _ => refusal.with_outcome(Outcome::Ran),
-    }
+    refusal.with_outcome(progress.outcome())
 }
--- a/src/router/service.rs
+++ b/src/router/service.rs
@@ -40,6 +40,7 @@
 use sha2::Sha256;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::router::attempt::Attempt;
 use crate::router::claims::Access;
@@ -84,6 +85,7 @@
     call: Call,
     service: String,
     team: String,
+    deadline: Tick,
     ticket: Ticket,
     place: Mutex<Option<Place>>,
     tell: Mutex<Option<oneshot::Sender<Told>>>,
@@ -128,8 +130,7 @@
     let answer = if service.repeatable || safe {
         repeatable(router, name, &call, &caller.team, &ticket, deadline).await
     } else {
-        let key = idempotency_key(&parts)?;
-        once(router, name, call, ticket, &caller, key, &parts).await
+        once(router, name, call, ticket, &caller, deadline, &parts).await
     };
     if answer.is_ok() {
         router.metrics.called(&caller.team);
@@ -273,9 +274,10 @@
     call: Call,
     ticket: Ticket,
     caller: &Caller,
-    key: String,
+    deadline: Tick,
     parts: &Parts,
 ) -> Result<Answer> {
+    let key = idempotency_key(parts)?;
     let claim = ClaimKey { team: caller.team.clone(), key };
     let attempt = format!("{:032x}", random::<u128>());
     let digest = digest(name, parts);
@@ -284,6 +286,7 @@
         call,
         service: name.to_owned(),
         team: caller.team.clone(),
+        deadline,
         ticket,
         place: Mutex::default(),
         tell: Mutex::new(Some(tell)),
@@ -297,11 +300,16 @@
         router.ledger.traced.lock().insert(key, (attempt, digest));
     }
     carry_out(router, effects);
-    let told = told.await.map_err(|_| Refusal {
-        outcome: Outcome::Unknown,
-        ..Refusal::not_run(Code::OutcomeUnknown, "the call was lost inside the router")
-    })?;
-    answer_of(name, told)
+    // The call goes on behind a caller whose deadline is over, so that its outcome is kept.
+    match timeout(deadline.since(clock::now()), told).await {
+        Ok(Ok(told)) => answer_of(name, told),
+        Ok(Err(_)) => Err(unknown("the call was lost inside the router")),
+        Err(_) => Err(unknown("the deadline is over; ask again under the same key")),
+    }
+}
+
+fn unknown(message: &str) -> Refusal {
+    Refusal::not_run(Code::OutcomeUnknown, message).with_outcome(Outcome::Unknown)
 }
 
 fn digest(name: &str, parts: &Parts) -> String {
@@ -487,7 +495,8 @@
     let request = &running.call.id;
     let id = format!("{request}.1");
     let attempt = Attempt::begin(router, request, &id, &running.team, &place.upstream);
-    let sent = Call { id, ..running.call.clone() };
+    let timeout = running.deadline.since(clock::now());
+    let sent = Call { id, timeout, ..running.call.clone() };
     let result = router.upstreams.call_once(place.address, sent).await;
     attempt.end(ended(&result));
     match result {
