--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod daemons;
 mod events;
 mod experiments;
+mod failure_runs;
 mod membership;
 mod operators;
 mod parsing;
