--- a/crates/history/tests/checks.rs
+++ b/crates/history/tests/checks.rs
@@ -218,7 +218,13 @@
                2 r shutdown_begin
                3 r answer request=q1 whole=true
                3 r refusal request=q2 outcome=not_run code=leaving
-               4 r shutdown_end",
+               4 r shutdown_end
+               5 t call request=q4 key=k open=false deadline_us=9
+               6 t call_started request=q4
+               7 t shutdown_begin
+               8 h key_revoked key=k
+               9 t answer request=q4 whole=false
+               9 t shutdown_end",
         bad: &[
             "0 s call request=q3 open=true deadline_us=9
              2 s shutdown_begin
@@ -233,6 +239,11 @@
              2 s shutdown_begin
              3 s refusal request=q3 outcome=unknown code=leaving
              4 s shutdown_end",
+            "10 s call request=q3 key=l open=false deadline_us=9
+             11 s call_started request=q3
+             12 s shutdown_begin
+             13 s answer request=q3 whole=false
+             14 s shutdown_end",
         ],
     },
     Case {
@@ -270,12 +281,17 @@
             5 b table began_us=4000 table=t key=k op={"do":"get","found":{"version":1,"value":"x"}}
             6 b table began_us=5000 table=t key=k op={"do":"get","found":{"version":2,"value":"z"}}
             7 b table began_us=6000 table=t key=k op={"do":"put","expect":{"version":2},"value":null,"outcome":{"done":3}}
-            8 a table began_us=7000 table=t key=k op={"do":"get","found":null}"#,
+            8 a table began_us=7000 table=t key=k op={"do":"get","found":null}
+            8 c begun scope=s number=1 operation={"event":"table","began_us":7900,"table":"t","key":"l","op":{"do":"put","expect":"absent","value":"x","outcome":"unknown"}}
+            9 b table began_us=8500 table=t key=l op={"do":"get","found":{"version":4,"value":"x"}}"#,
         bad: &[
             r#"9 a table began_us=8000 table=t key=k op={"do":"get","found":{"version":2,"value":"z"}}"#,
             r#"9 a table began_us=8000 table=t key=k op={"do":"put","expect":{"version":2},"value":"w","outcome":{"done":4}}"#,
             r#"9 a table began_us=8000 table=t key=k op={"do":"put","expect":"absent","value":"w","outcome":"refused"}"#,
             r#"9 a table began_us=8000 table=t key=k op={"do":"put","expect":"any","value":"w","outcome":{"done":3}}"#,
+            r#"9 d begun scope=s number=1 operation={"event":"table","began_us":9000,"table":"t","key":"m","op":{"do":"put","expect":"absent","value":"x","outcome":"unknown"}}
+               9 d ended scope=s number=1
+               10 b table began_us=9500 table=t key=m op={"do":"get","found":{"version":5,"value":"x"}}"#,
         ],
     },
     Case {
