--- a/src/ops/bench/mod.rs
+++ b/src/ops/bench/mod.rs
@@ -4,6 +4,7 @@
 pub mod cell;
 pub mod demo;
 pub mod experiment;
+pub mod faults;
 pub mod journal;
 pub mod load;
 pub mod measure;
--- a/src/ops/bench/run.rs
+++ b/src/ops/bench/run.rs
@@ -41,6 +41,8 @@
 const MODELS: usize = 4;
 /// Most tokens of a prompt and its output, and so the least burst of a team.
 const CONTEXT_TOKENS: u64 = 1024;
+/// Time of a token at an engine in microseconds: long enough that calls meet there.
+const TOKEN_US: u64 = 6000;
 /// Calls at once that a fresh engine bears.
 const FRESH_BEARS: u32 = 4;
 /// How long an engine is fresh.
@@ -117,7 +119,7 @@
 
 async fn start(options: &Options, folder: &Path, sizes: Sizes) -> Result<Arc<World>> {
     let limits: IndexMap<String, (u64, u64)> =
-        [("t1", (900, 1500)), ("t2", (600, 1500)), ("t3", (2000, 3000))]
+        [("t1", (500, 1100)), ("t2", (300, 1100)), ("t3", (2000, 3000))]
             .map(|(team, limit)| (team.to_owned(), limit))
             .into();
     let builder = Builder {
@@ -132,7 +134,10 @@
         context_tokens: CONTEXT_TOKENS,
         deadline_ms: DEADLINE.as_millis() as u64,
         fencing: false,
-        engine_lines: format!("fresh_ms = {}\nfresh_bears = {FRESH_BEARS}\n", FRESH.as_millis()),
+        engine_lines: format!(
+            "token_us = {TOKEN_US}\nfresh_ms = {}\nfresh_bears = {FRESH_BEARS}\n",
+            FRESH.as_millis()
+        ),
         history: Some(folder.to_owned()),
         relays: true,
         ..Builder::default()
--- a/src/ops/bench/world.rs
+++ b/src/ops/bench/world.rs
@@ -38,6 +38,9 @@
     pub secret: String,
 }
 
+/// Rate and burst of a team, held by the operator that changes them.
+pub type Limit = Arc<tokio::sync::Mutex<(u64, u64)>>;
+
 /// A run in progress. Lock order: the fleet before anything else; no other lock is held over an
 /// await.
 pub struct World {
@@ -54,7 +57,7 @@
     /// Keys that were withdrawn.
     pub withdrawn: Mutex<Vec<Key>>,
     /// Rate and burst by team, as last accepted.
-    pub limits: Mutex<IndexMap<String, Arc<tokio::sync::Mutex<(u64, u64)>>>>,
+    pub limits: Mutex<IndexMap<String, Limit>>,
     /// Upstreams listed as leaving.
     pub leaving: Mutex<IndexSet<String>>,
     /// Daemons that are frozen, as they record themselves.
