--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -42,7 +42,9 @@
 use corianderyoke_platform::Platform;
 use corianderyoke_wire::peer::request::Body as Call;
 use corianderyoke_wire::peer::response::Body as Answer;
+use futures::future::BoxFuture;
 use rand::random;
+use tokio::time::timeout;
 
 use self::hangup::Hangups;
 use self::home::Homes;
@@ -296,7 +298,11 @@
         limit: Duration,
     ) -> Option<Answer> {
         if *member == self.agent.id() {
-            return Box::pin(home::answer(self, member, call)).await;
+            // As at another member, the work goes on when the wait for it is over.
+            let (router, member) = (Arc::clone(self), member.clone());
+            let work: BoxFuture<'static, Option<Answer>> =
+                Box::pin(async move { home::answer(&router, &member, call).await });
+            return timeout(limit, tokio::spawn(work)).await.ok()?.ok()?;
         }
         self.agent.call(member, call, limit).await.ok()
     }
