--- a/tests/testsuite/failure_runs.rs
+++ b/tests/testsuite/failure_runs.rs
@@ -8,11 +8,15 @@
 use corianderyoke::ops::bench::run::Outcome;
 use corianderyoke::ops::bench::scenario;
 use corianderyoke_history::Property;
+use tokio::sync::Mutex;
 
 /// How long the load lasts.
 const SPAN: Duration = Duration::from_secs(8);
 
 async fn run(name: &str, seed: u64) -> Outcome {
+    // A run has a dozen processes, so one goes on at a time.
+    static ONE: Mutex<()> = Mutex::const_new(());
+    let _turn = ONE.lock().await;
     let folder = tempfile::tempdir().unwrap();
     let binary = Path::new(env!("CARGO_BIN_EXE_corianderyoke-router"));
     let options = run::Options {
