--- a/src/ops/bench/demo.rs
+++ b/src/ops/bench/demo.rs
@@ -21,6 +21,7 @@
 bytes = 16_000_000_000
 bytes_per_token = 2.0
 context_tokens = 4096
+output_tokens = 4000
 [models.summary.start_ms]
 memory = 200
 disk = 600
--- a/tests/testsuite/daemons.rs
+++ b/tests/testsuite/daemons.rs
@@ -71,3 +71,9 @@
     let arguments = ["--config", "none.toml"];
     insta::assert_snapshot!("router_missing", run(ROUTER, folder.path(), &arguments));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_demo_goes_as_expected() {
+    let table = corianderyoke::ops::bench::demo::run().await.expect("each step goes as expected");
+    assert!(table.ends_with("the order ran 1 time(s) at the service\n"), "{table}");
+}
