--- a/src/router/limit.rs
+++ b/src/router/limit.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use corianderyoke_coord::membership::Kind;
+use corianderyoke_coord::membership::MemberId;
 use corianderyoke_coord::pools;
 use corianderyoke_coord::pools::Ask;
 use corianderyoke_coord::pools::Counters;
@@ -14,6 +15,7 @@
 use corianderyoke_coord::pools::Grant;
 use corianderyoke_coord::pools::Limits as Rate;
 use corianderyoke_coord::pools::Reason;
+use corianderyoke_coord::pools::Refund;
 use corianderyoke_coord::pools::Slice;
 use corianderyoke_coord::pools::SliceSettings;
 use corianderyoke_coord::pools::Verdict;
@@ -116,9 +118,13 @@
         }
     }
 
-    /// Forgets all slices. Their tokens are lost; the member that held them has lapsed.
+    /// Forgets all slices. Their tokens are lost; the member that held them has lapsed. Requests
+    /// that wait are refused.
     pub fn reset(&self) {
-        self.teams.lock().clear();
+        let slices = std::mem::take(&mut *self.teams.lock());
+        for slice in slices.values() {
+            slice.state.lock().waiting.clear();
+        }
     }
 
     /// Takes changed rates over.
@@ -162,6 +168,7 @@
     deadline: Tick,
 ) -> Result<Reservation> {
     let rate = router.rate(team).ok_or_else(|| gone(team))?;
+    let me = router.agent.id();
     let slice = router.limits.team(team, rate);
     let (tell, told) = oneshot::channel();
     let ticket = start(router, &slice, tokens, deadline, tell);
@@ -170,21 +177,36 @@
     queued.ticket = None;
     match told {
         Ok(Ok(held)) => {
-            let held = Some(held);
-            let (router, request) = (Arc::clone(router), request.to_owned());
-            let reservation =
-                Reservation { router, request, team: slice, held, reserved: tokens, used: 0 };
-            // A member whose term lapsed counts as lost with all it held, so it must not spend.
-            reservation.router.may_act()?;
-            reservation.router.record(|| Recorded::Admission {
-                request: reservation.request.clone(),
+            if let Err(refusal) = may_spend(router, &me) {
+                slice.state.lock().slice.settle(held, 0, clock::now());
+                return Err(refusal);
+            }
+            router.record(|| Recorded::Admission {
+                request: request.to_owned(),
                 team: team.to_owned(),
                 tokens: tokens as f64,
             });
-            Ok(reservation)
+            Ok(Reservation {
+                router: Arc::clone(router),
+                request: request.to_owned(),
+                team: slice,
+                held: Some(held),
+                reserved: tokens,
+                used: 0,
+            })
         }
         Ok(Err(refused)) => Err(refusal(team, refused)),
-        Err(_) => Err(Refusal::not_run(Code::Unavailable, "the router rejoined; ask again")),
+        Err(_) => Err(rejoined()),
+    }
+}
+
+/// Whether this member may spend what it held as `me`: a member whose term lapsed counts as lost
+/// with all it held, and so does an earlier incarnation.
+fn may_spend(router: &Router, me: &MemberId) -> Result<()> {
+    router.may_act()?;
+    match router.agent.id() == *me {
+        true => Ok(()),
+        false => Err(rejoined()),
     }
 }
 
@@ -287,6 +309,7 @@
         counters: Some(to_wire(ask.counters)),
         want: ask.want,
         need: ask.need,
+        refunds: ask.refunds.iter().map(refund_to_wire).collect(),
     };
     let body = Call::Tokens(request);
     let answer = router.call_home(Kind::Bucket, &slice.team, body, ASK_WITHIN).await;
@@ -298,8 +321,14 @@
     let now = clock::now();
     let effects = match verdict(&answer) {
         Some(verdict) => {
-            let number = ask.number;
-            let grant = Grant { home: answer.home, number, granted: answer.granted, verdict };
+            let grant = Grant {
+                home: answer.home,
+                number: ask.number,
+                at: Tick(answer.at_us),
+                granted: answer.granted,
+                refund: answer.refund,
+                verdict,
+            };
             state.slice.answer(&grant, now)
         }
         None => {
@@ -324,16 +353,29 @@
     }
 }
 
+fn refund_to_wire(refund: &Refund) -> peer::Refund {
+    peer::Refund { number: refund.number, since_us: refund.since.0, tokens: refund.tokens }
+}
+
+/// Refunds as the home takes them.
+pub fn refund_from_wire(refund: &peer::Refund) -> Refund {
+    Refund { number: refund.number, since: Tick(refund.since_us), tokens: refund.tokens }
+}
+
 /// Counters as peers exchange them.
 pub fn to_wire(counters: Counters) -> peer::Counters {
-    let Counters { granted, spent, returned, refunded } = counters;
-    peer::Counters { granted, spent, returned, refunded }
+    let Counters { granted, spent, returned } = counters;
+    peer::Counters { granted, spent, returned }
 }
 
 /// Counters as a peer sent them.
 pub fn from_wire(counters: peer::Counters) -> Counters {
-    let peer::Counters { granted, spent, returned, refunded } = counters;
-    Counters { granted, spent, returned, refunded }
+    let peer::Counters { granted, spent, returned } = counters;
+    Counters { granted, spent, returned }
+}
+
+fn rejoined() -> Refusal {
+    Refusal::not_run(Code::Unavailable, "the router rejoined; ask again")
 }
 
 fn gone(team: &str) -> Refusal {
