Name the recording platform's constructor for what it may return

It gives back the platform itself where no history is kept, which the linter takes for a wrong `new`.

--- a/src/agent/traced.rs
+++ b/src/agent/traced.rs
@@ -39,7 +39,7 @@
 
 impl Traced {
     /// `inner`, recorded in `history` where that is on.
-    pub fn new(inner: Arc<dyn Platform>, history: &Recorder) -> Arc<dyn Platform> {
+    pub fn wrap(inner: Arc<dyn Platform>, history: &Recorder) -> Arc<dyn Platform> {
         if !history.is_on() {
             return inner;
         }
--- a/src/ops/controller.rs
+++ b/src/ops/controller.rs
@@ -41,7 +41,7 @@
 pub async fn start(settings: Settings) -> anyhow::Result<Running> {
     let history = daemon::recorder(&settings.name, &settings.history)?;
     let client = daemon::client(settings.platform)?;
-    let platform = Traced::new(Arc::clone(&client) as Arc<dyn Platform>, &history);
+    let platform = Traced::wrap(Arc::clone(&client) as Arc<dyn Platform>, &history);
     let operators = daemon::reserve(settings.operators)?;
     let agent = Agent::bind(
         agent::Settings {
