--- a/src/agent/drive.rs
+++ b/src/agent/drive.rs
@@ -81,33 +81,14 @@
     }
 
     async fn membership(self: Arc<Self>) {
-        let mut before = (Stage::Joining, false);
         loop {
             sleep(POLL_EVERY).await;
             let effects = self.machine.lock().poll(clock::now());
             self.carry_out(effects);
             self.look();
-            before = self.note_standing(before);
         }
     }
 
-    /// Logs when this member has joined and when its term has lapsed.
-    fn note_standing(&self, before: (Stage, bool)) -> (Stage, bool) {
-        let (id, epoch, stage, acts) = {
-            let machine = self.machine.lock();
-            let acts = machine.may_act(clock::now());
-            (machine.id().clone(), machine.epoch(), machine.stage(), acts)
-        };
-        let detail = format_args!("member={}#{} epoch={epoch}", id.name, id.incarnation);
-        if stage == Stage::Member && before.0 != Stage::Member {
-            events::log(Event::Joined, detail);
-        }
-        if stage == Stage::Member && before == (Stage::Member, true) && !acts {
-            events::log(Event::TermLapsed, detail);
-        }
-        (stage, acts)
-    }
-
     /// Brings trust and the outage evidence in step with the rows and the view.
     fn look(&self) {
         let (names, id, view) = {
