Judge a request's service time by its size, too

One estimate for all requests of a model refused a short request with a short deadline whenever long ones set the mean. The careful estimate is now the smaller of the model's and the one per reserved token.

Whether another upstream is left for a retry is asked from the sums kept per model, not by a scan over all upstreams. Changes around the dispatcher move to a file of their own.

--- a/crates/coord/src/dispatch/commands.rs
+++ b/crates/coord/src/dispatch/commands.rs
@@ -1,7 +1,9 @@
-//! Commands of the dispatcher: enqueue, release, time, and what changes around it.
+//! Commands of the dispatcher: enqueue, release and time.
 
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use super::Decision;
 use super::Dispatcher;
 use super::Effect;
@@ -9,19 +11,14 @@
 use super::Reason;
 use super::Refusal;
 use super::Release;
-use super::ReplicaState;
 use super::Request;
 use super::RequestKey;
 use super::Slot;
 use super::SlotKey;
 use super::Start;
-use super::Upstream;
-use super::UpstreamStatus;
 use super::Waiting;
 use crate::keys::ModelKey;
-use crate::keys::TeamKey;
 use crate::keys::UpstreamKey;
-use crate::keys::ZoneKey;
 use crate::time::Tick;
 
 /// Lanes of a queue that are tried when the first can't start.
@@ -100,7 +97,7 @@
         if let Some(model) = self.models.get_mut(&slot.model) {
             model.queue.refund(slot.team, slot.cost.saturating_sub(release.used));
             if release.outcome == Outcome::Done {
-                model.service.note(now.since(slot.started));
+                model.service.note(now.since(slot.started), slot.cost);
             }
         }
         self.drop_slot(release.slot, now);
@@ -127,124 +124,13 @@
         effects
     }
 
-    /// Sets a team's weight; teams not set have weight 1.
-    pub fn set_team(&mut self, team: TeamKey, weight: u32) {
-        self.teams.insert(team, weight.max(1));
-    }
-
-    /// Drains or restores an availability zone.
-    pub fn set_zone(&mut self, zone: ZoneKey, drained: bool, now: Tick) -> Vec<Effect> {
-        let changed =
-            if drained { self.drained.insert(zone) } else { self.drained.swap_remove(&zone) };
-        if !changed {
-            return Vec::new();
-        }
-        let inside = |upstream: &Upstream| upstream.status.zone == zone;
-        let keys = self.upstreams.iter().filter(|(_, upstream)| inside(upstream));
-        let keys: Vec<UpstreamKey> = keys.map(|(key, _)| *key).collect();
-        let mut effects = Vec::new();
-        for key in keys {
-            let models = self.models_of(key);
-            self.note_loading(key, &models, now);
-            self.restore(key, !drained, now);
-            self.note_wanting(&models);
-            self.serve_upstream(key, now, &mut effects);
-        }
-        effects
-    }
-
-    /// Takes an upstream's state over, a new one's too.
-    pub fn set_upstream(
-        &mut self,
-        key: UpstreamKey,
-        status: UpstreamStatus,
-        now: Tick,
-    ) -> Vec<Effect> {
-        let settings = self.settings;
-        let fresh = || Upstream::new(&settings, status.clone(), now);
-        let upstream = self.upstreams.entry(key).or_insert_with(fresh);
-        let back = upstream.status.leaving && !status.leaving;
-        let restarted = upstream.status.incarnation != status.incarnation;
-        let before = std::mem::replace(&mut upstream.status, status);
-        upstream.bound.set_most(upstream.status.slots, upstream.status.fresh);
-        let models: Vec<ModelKey> = before.models.into_keys().collect();
-        self.note_loading(key, &models, now);
-        self.restore(key, back || restarted, now);
-        self.note_wanting(&models);
-        let mut effects = Vec::new();
-        self.serve_upstream(key, now, &mut effects);
-        effects
-    }
-
-    /// Forgets an upstream that is gone. Its slots stay until they're released.
-    pub fn remove_upstream(&mut self, key: UpstreamKey, now: Tick) {
-        let Some(upstream) = self.upstreams.get(&key) else {
-            return;
-        };
-        let models = Default::default();
-        let status = UpstreamStatus { leaving: true, models, ..upstream.status.clone() };
-        let effects = self.set_upstream(key, status, now);
-        self.outbox.extend(effects);
-        self.upstreams.swap_remove(&key);
-    }
-
-    /// Takes placement's estimate of a model's wake.
-    pub fn set_wake(&mut self, model: ModelKey, span: Duration) {
-        self.models.entry(model).or_default().wake = Some(span);
-    }
-
-    /// Brings an upstream up to date; one that comes back is fresh.
-    fn restore(&mut self, key: UpstreamKey, fresh: bool, now: Tick) {
-        let settings = self.settings;
-        if let Some(upstream) = self.upstreams.get_mut(&key) {
-            if fresh {
-                upstream.reset(&settings, now);
-            }
-        }
-        self.refile(key);
-    }
-
-    /// Notes where the upstream's models are loading.
-    fn note_loading(&mut self, key: UpstreamKey, before: &[ModelKey], now: Tick) {
-        for model in before {
-            if let Some(model) = self.models.get_mut(model) {
-                model.loading.swap_remove(&key);
-            }
-        }
-        let Some(upstream) = self.upstreams.get(&key) else {
-            return;
-        };
-        if upstream.status.leaving || self.drained.contains(&upstream.status.zone) {
-            return;
-        }
-        for (model, state) in &upstream.status.models {
-            if let ReplicaState::Loading(span) = state {
-                self.models.entry(*model).or_default().loading.insert(key, now + *span);
-            }
-        }
-    }
-
-    fn models_of(&self, key: UpstreamKey) -> Vec<ModelKey> {
-        let upstream = self.upstreams.get(&key);
-        upstream.map_or_else(Vec::new, |upstream| upstream.status.models.keys().copied().collect())
-    }
-
-    /// Finds out whether models want a replica, after replicas of them went.
-    fn note_wanting(&mut self, models: &[ModelKey]) {
-        for key in models {
-            if self.models.get(key).is_some_and(|model| !model.queue.is_empty()) {
-                self.wanting.insert(*key);
-            }
-        }
-    }
-
     fn refuse_early(&mut self, request: &Request, now: Tick) -> Option<Refusal> {
         let key = request.key;
         let refuse = |wait: Duration, reason| {
             Some(Refusal { request: key, wait: wait.max(WAIT_LEAST), reason })
         };
         let model = self.models.entry(request.model).or_default();
-        let service = model.service.careful();
+        let service = model.service.careful(request.cost);
         let latest = now + request.deadline.saturating_sub(service);
         let model = &self.models[&request.model];
         let wait = self.start_wait(model, request.team, latest, now);
@@ -266,7 +152,7 @@
         let team = request.team;
         let weight = self.teams.get(&team).copied().unwrap_or(1);
         let model = self.models.entry(request.model).or_default();
-        let latest = now + request.deadline.saturating_sub(model.service.careful());
+        let latest = now + request.deadline.saturating_sub(model.service.careful(request.cost));
         let deadline = now + request.deadline;
         self.next += 1;
         let number = self.next;
@@ -399,13 +285,13 @@
 
     /// Whether an open upstream that didn't fail the request has its model loaded.
     fn has_other(&self, request: &Request) -> bool {
-        let loaded = |upstream: &Upstream| {
-            upstream.status.models.get(&request.model) == Some(&ReplicaState::Loaded)
-                && !upstream.status.leaving
-                && !self.drained.contains(&upstream.status.zone)
+        let Some(model) = self.models.get(&request.model) else {
+            return false;
         };
-        let mut others = self.upstreams.iter().filter(|(key, _)| !request.avoid.contains(*key));
-        others.any(|(_, upstream)| loaded(upstream))
+        let avoided: IndexSet<&UpstreamKey> = request.avoid.iter().collect();
+        let avoided = avoided.into_iter().filter_map(|key| self.upstreams.get(key));
+        let failed: u32 = avoided.map(|upstream| upstream.filed_bound(request.model)).sum();
+        model.bound > failed
     }
 
     fn start(&mut self, key: RequestKey, upstream: UpstreamKey, now: Tick) -> Option<Start> {
--- a/crates/coord/src/dispatch/estimate.rs
+++ b/crates/coord/src/dispatch/estimate.rs
@@ -21,6 +21,9 @@
 /// Deviations above the mean that a careful estimate adds.
 const CAREFUL: f64 = 3.0;
 
+/// Spans per token are kept in this many parts of a microsecond.
+const TOKEN_SCALE: u32 = 1000;
+
 impl Estimate {
     /// Takes a sample.
     pub(super) fn note(&mut self, span: Duration) {
@@ -46,6 +49,34 @@
     }
 }
 
+/// Span of a model's requests from start to end, as a whole and per reserved token.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Service {
+    whole: Estimate,
+    token: Estimate,
+}
+
+impl Service {
+    /// Takes a request's span.
+    pub(super) fn note(&mut self, span: Duration, cost: u64) {
+        self.whole.note(span);
+        self.token.note(span * TOKEN_SCALE / u32::try_from(cost.max(1)).unwrap_or(u32::MAX));
+    }
+
+    /// The mean span; zero without samples.
+    pub(super) fn mean(&self) -> Duration {
+        self.whole.mean()
+    }
+
+    /// A span that most requests of this cost stay below: short requests aren't judged by the long
+    /// ones, and long ones not by what they reserve beyond their use.
+    pub(super) fn careful(&self, cost: u64) -> Duration {
+        let cost = u32::try_from(cost).unwrap_or(u32::MAX);
+        let by_token = self.token.careful().saturating_mul(cost) / TOKEN_SCALE;
+        self.whole.careful().min(by_token)
+    }
+}
+
 impl Model {
     /// Span from the start of one request to the start of the next, when all slots are in use.
     fn pace(&self, start: u32) -> Duration {
--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod bound;
 mod budget;
 mod caps;
+mod changes;
 mod commands;
 mod estimate;
 mod inventory;
@@ -30,7 +31,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use self::estimate::Estimate;
+use self::estimate::Service;
 use self::queue::FairQueue;
 use self::upstreams::Upstream;
 use crate::keys::AdapterKey;
@@ -312,8 +313,8 @@
     free: BTreeSet<(u32, UpstreamKey)>,
     /// Last upstream of each prefix.
     prefixes: IndexMap<u64, UpstreamKey>,
-    /// Span of a request from start to end.
-    service: Estimate,
+    /// How long its requests take.
+    service: Service,
     /// Σ bounds and slots in use of the open upstreams on which it's loaded.
     bound: u32,
     occupied: u32,
--- a/crates/coord/src/dispatch/upstreams.rs
+++ b/crates/coord/src/dispatch/upstreams.rs
@@ -144,6 +144,12 @@
         Some(Filing { load, bound, occupied, free: occupied < bound })
     }
 
+    /// What the upstream adds to a model's bound.
+    pub(super) fn filed_bound(&self, model: ModelKey) -> u32 {
+        let filing = self.filing.filter(|_| self.filed.contains(&model));
+        filing.map_or(0, |filing| filing.bound)
+    }
+
     fn loaded(&self) -> impl Iterator<Item = ModelKey> + '_ {
         let loaded = |state: &ReplicaState| *state == ReplicaState::Loaded;
         let models = self.status.models.iter();
--- a/crates/coord/tests/dispatch/slots.rs
+++ b/crates/coord/tests/dispatch/slots.rs
@@ -346,3 +346,23 @@
     }
     insta::assert_snapshot!(turns);
 }
+
+#[test]
+fn a_short_request_is_not_refused_because_others_are_long() {
+    let mut home = Dispatcher::new(DispatchSettings::default(), 1, &[], Tick(0));
+    home.set_upstream(UpstreamKey(0), status(0), Tick(0));
+    let mut now = Tick(0);
+    for number in 0..10 {
+        let long = request(number, 0, 1000, Duration::from_secs(60));
+        let Decision::Start(start) = home.enqueue(long, now) else {
+            panic!("request {number} didn't start");
+        };
+        now = now + Duration::from_secs(20);
+        let (outcome, token_gap) = (Outcome::Done, Some(Duration::from_millis(20)));
+        let slot = start.slot;
+        home.release(&Release { slot, outcome, first_token: None, token_gap, used: 1000 }, now);
+    }
+    let short = |number, cost| request(number, 0, cost, Duration::from_secs(2));
+    assert!(matches!(home.enqueue(short(10, 20), now), Decision::Start(_)));
+    assert!(matches!(home.enqueue(short(11, 1000), now), Decision::Refuse(_)));
+}
