--- a/crates/coord/src/placement/effects.rs
+++ b/crates/coord/src/placement/effects.rs
@@ -45,6 +45,31 @@
     pub grounds: Vec<String>,
 }
 
+impl Change {
+    /// Whether a row for `model` on `upstream` is written or deleted.
+    pub fn touches(&self, model: &str, upstream: &str) -> bool {
+        let put = self.puts.iter().any(|row| row.model == model && row.upstream == upstream);
+        put || self.deletes.iter().any(|key| key.model == model && key.upstream == upstream)
+    }
+
+    /// Writes a row with this commit's token, unless the commit touches it already.
+    pub(super) fn put(&mut self, row: IntentRow, why: &str) {
+        if self.touches(&row.model, &row.upstream) {
+            return;
+        }
+        self.grounds.push(format!("{}: {:?}, {why}", row.key(), row.phase));
+        self.puts.push(IntentRow { fence: self.fence, ..row });
+    }
+
+    pub(super) fn delete(&mut self, row: IntentRow, why: &str) {
+        if self.touches(&row.model, &row.upstream) {
+            return;
+        }
+        self.grounds.push(format!("{}: forgotten, {why}", row.key()));
+        self.deletes.push(row.key());
+    }
+}
+
 /// What became of a [`Change`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
--- a/crates/coord/src/placement/mod.rs
+++ b/crates/coord/src/placement/mod.rs
@@ -15,7 +15,8 @@
 //!
 //! [`facts`] holds what the register says, [`row`] what the table holds, [`ledger`] the intents with
 //! their memory accounts, [`gaps`] the keep-alive rule, [`choice`] the choice of upstream;
-//! `commands` and `queries` are the two sides of the planner.
+//! `commands` and `queries` are the two sides of the planner. `steps` puts a commit together from
+//! what `settle`, `release` and `place` want written, and sends the orders that the table covers.
 
 pub mod adapters;
 pub mod choice;
@@ -26,10 +27,13 @@
 pub mod gaps;
 pub mod ledger;
 pub mod observe;
+mod place;
 mod planner;
 mod queries;
+mod release;
 pub mod row;
 pub mod settings;
+mod settle;
 mod steps;
 
 pub use effects::Answer;
