--- /dev/null
+++ b/src/router/generate/cost.rs
@@ -0,0 +1,41 @@
+//! Tokens that a request takes at most.
+
+use crate::router::refusal::Code;
+use crate::router::refusal::Refusal;
+use crate::router::refusal::Result;
+use crate::router::request::Generation;
+use crate::router::Target;
+
+/// Tokens generated at most where the caller names no limit.
+pub(super) const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Tokens that a request takes at most.
+#[derive(Clone, Copy)]
+pub(super) struct Cost {
+    pub(super) prompt: u32,
+    pub(super) output: u32,
+}
+
+impl Cost {
+    pub(super) fn total(self) -> u32 {
+        self.prompt + self.output
+    }
+}
+
+pub(super) fn cost(target: &Target, wish: &Generation) -> Result<Cost> {
+    let base = &target.base;
+    let output = wish
+        .max_tokens
+        .map_or_else(|| u64::from(DEFAULT_MAX_TOKENS).min(base.output_tokens), u64::from);
+    if output > base.output_tokens {
+        let message = format!("`max_tokens` may be {} for this model", base.output_tokens);
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    let prompt = base.prompt_bound(wish.prompt_bytes());
+    let (total, most) = (prompt + output, base.context_tokens);
+    if total > most {
+        let message = format!("prompt and output may take {total} tokens, the model takes {most}");
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    Ok(Cost { prompt: prompt as u32, output: output as u32 })
+}
--- a/src/router/generate.rs
+++ b/src/router/generate/job.rs
@@ -1,16 +1,10 @@
-//! One generation request, from its parsed body to its last token.
-//!
-//! The work runs in a task of its own, which sends [`Piece`]s. What comes first decides the
-//! answer's status: a refusal before the first token is an HTTP error, one after it an explicit
-//! error event in the stream. An answer that breaks off at an upstream goes on at another from the
-//! last token that came, so the caller sees one whole answer.
+//! The work behind one generation: its tokens, its slots, and the attempts at upstreams.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use corianderyoke_coord::membership::Kind as HomeKind;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_history::Event as Recorded;
@@ -24,239 +18,58 @@
 use tokio::time::timeout;
 
 use crate::router::attempt::Attempt as Sent;
-use crate::router::format::Format;
-use crate::router::http::Answer;
-use crate::router::http::Parts;
+use crate::router::generate::cost::Cost;
+use crate::router::generate::Piece;
+use crate::router::generate::READ_WITHIN;
 use crate::router::limit;
 use crate::router::limit::Reservation;
 use crate::router::open::Cut;
-use crate::router::open::Grant;
 use crate::router::open::Ticket;
 use crate::router::refusal::Code;
 use crate::router::refusal::Outcome;
 use crate::router::refusal::Refusal;
 use crate::router::refusal::Result;
-use crate::router::request;
 use crate::router::request::Generation;
-use crate::router::request::Kind;
 use crate::router::start;
 use crate::router::start::Slot;
 use crate::router::start::Wish;
 use crate::router::start::DISPATCH;
 use crate::router::Router;
-use crate::router::Target;
 use crate::util::clock;
 use crate::util::events;
 use crate::util::events::Event;
 
-/// Pieces of an answer held for a caller that reads slowly.
-const PIECES_HELD: usize = 256;
-/// Longest time for which a caller may leave a full buffer unread.
-const READ_WITHIN: Duration = Duration::from_secs(30);
-
-/// Tokens generated at most where the caller names no limit.
-const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Longest wait for an adapter to be loaded.
-const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
-
-/// A part of an answer.
-#[derive(Clone, Debug, PartialEq)]
-enum Piece {
-    Token(String),
-    Done { reason: String, prompt_tokens: u32, tokens: u32 },
-    Failed(Refusal),
-}
-
-/// Serves a call of `kind`.
-pub async fn serve(router: &Arc<Router>, kind: Kind, parts: Parts) -> Result<Answer> {
-    let arrived = clock::now();
-    let caller = router.authenticate(&parts)?;
-    let wish = request::parse(kind, &parts.body)?;
-    let target = router.target(&caller, &wish.model)?;
-    let deadline = arrived + wish.deadline.unwrap_or(target.deadline).min(target.longest);
-    let cost = cost(&target, &wish)?;
-    let (key, team) = (caller.key.clone(), caller.team.clone());
-    let grant = Grant { key, team, target: wish.model.clone() };
-    let ticket = router.enter(grant)?;
-    router.record(|| Recorded::Call {
-        request: parts.id.clone(),
-        key: Some(caller.key.clone()),
-        open: false,
-        deadline_us: deadline.since(arrived).as_micros() as u64,
-    });
-    let watched = parts.caller.map(|caller| router.hangups.watch(caller, ticket.cutter()));
-    let format = Format::new(kind, &parts.id, &wish.model);
-    let stream = wish.stream;
-    let id = parts.id.clone();
-    let job = Job {
-        router: Arc::clone(router),
-        id: parts.id,
-        team: caller.team,
-        wish,
-        cost,
-        model: target.model,
-        adapter: target.adapter,
-        deadline,
-        ticket,
-        sent: AtomicBool::new(false),
-    };
-    let (pieces, mut coming) = mpsc::channel(PIECES_HELD);
-    tokio::spawn(job.run(pieces));
-    let first = coming.recv().await.unwrap_or_else(|| Piece::Failed(lost()));
-    if let Piece::Failed(refusal) = first {
-        return Err(refusal);
-    }
-    router.record(|| Recorded::CallStarted { request: id.clone() });
-    if stream {
-        drop(watched);
-        let ends = Ends { router: Arc::clone(router), id };
-        return Ok(Answer::Events(events_of(format, first, coming, ends)));
-    }
-    let answer = collect(format, first, coming).await;
-    drop(watched);
-    answer
-}
-
-/// Tokens that a request takes at most.
-#[derive(Clone, Copy)]
-struct Cost {
-    prompt: u32,
-    output: u32,
-}
-
-impl Cost {
-    fn total(self) -> u32 {
-        self.prompt + self.output
-    }
-}
-
-fn cost(target: &Target, wish: &Generation) -> Result<Cost> {
-    let base = &target.base;
-    let output = wish
-        .max_tokens
-        .map_or_else(|| u64::from(DEFAULT_MAX_TOKENS).min(base.output_tokens), u64::from);
-    if output > base.output_tokens {
-        let message = format!("`max_tokens` may be {} for this model", base.output_tokens);
-        return Err(Refusal::not_run(Code::BadRequest, message));
-    }
-    let prompt = base.prompt_bound(wish.prompt_bytes());
-    let (total, most) = (prompt + output, base.context_tokens);
-    if total > most {
-        let message = format!("prompt and output may take {total} tokens, the model takes {most}");
-        return Err(Refusal::not_run(Code::BadRequest, message));
-    }
-    Ok(Cost { prompt: prompt as u32, output: output as u32 })
-}
-
-/// The refusal for a task that ended without a last piece.
-fn lost() -> Refusal {
-    Refusal::not_run(Code::UpstreamFailed, "the answer was lost inside the router")
-        .with_outcome(Outcome::Unknown)
-}
-
-async fn collect(
-    format: Format,
-    first: Piece,
-    mut coming: mpsc::Receiver<Piece>,
-) -> Result<Answer> {
-    let mut text = String::new();
-    let mut piece = first;
-    loop {
-        match piece {
-            Piece::Token(token) => text.push_str(&token),
-            Piece::Done { reason, prompt_tokens, tokens } => {
-                let body = format.whole(&text, &reason, prompt_tokens, tokens);
-                return Ok(Answer::json(&body));
-            }
-            Piece::Failed(refusal) => return Err(refusal),
-        }
-        piece = coming.recv().await.unwrap_or_else(|| Piece::Failed(lost()));
-    }
-}
-
-/// Records how a stream ended.
-struct Ends {
-    router: Arc<Router>,
-    id: String,
-}
-
-impl Ends {
-    fn sent(&self, whole: bool) {
-        self.router.record(|| Recorded::Answer { request: self.id.clone(), whole });
-    }
-
-    fn gone(&self) {
-        self.router.record(|| Recorded::CallerGone { request: self.id.clone() });
-    }
-}
-
-fn events_of(
-    format: Format,
-    first: Piece,
-    mut coming: mpsc::Receiver<Piece>,
-    ends: Ends,
-) -> mpsc::Receiver<Bytes> {
-    let (events, outgoing) = mpsc::channel(1);
-    tokio::spawn(async move {
-        let mut piece = first;
-        loop {
-            let whole = matches!(piece, Piece::Done { .. });
-            let (event, last) = event_of(&format, piece);
-            let sent = timeout(READ_WITHIN, events.send(event)).await;
-            if !matches!(sent, Ok(Ok(()))) {
-                return ends.gone();
-            }
-            if last {
-                return ends.sent(whole);
-            }
-            piece = tokio::select! {
-                piece = coming.recv() => piece.unwrap_or_else(|| Piece::Failed(lost())),
-                // The caller went away: dropping `coming` cancels the work.
-                () = events.closed() => return ends.gone(),
-            };
-        }
-    });
-    outgoing
-}
-
-fn event_of(format: &Format, piece: Piece) -> (Bytes, bool) {
-    match piece {
-        Piece::Token(token) => (format.token(&token), false),
-        Piece::Done { reason, prompt_tokens, tokens } => {
-            (format.last(&reason, prompt_tokens, tokens), true)
-        }
-        Piece::Failed(refusal) => (format.error(&refusal), true),
-    }
-}
+pub(super) const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
 
 /// Everything that one generation needs.
-struct Job {
-    router: Arc<Router>,
-    id: String,
-    team: String,
-    wish: Generation,
-    cost: Cost,
-    model: String,
-    adapter: Option<String>,
-    deadline: Tick,
-    ticket: Ticket,
+pub(super) struct Job {
+    pub(super) router: Arc<Router>,
+    pub(super) id: String,
+    pub(super) team: String,
+    pub(super) wish: Generation,
+    pub(super) cost: Cost,
+    pub(super) model: String,
+    pub(super) adapter: Option<String>,
+    pub(super) deadline: Tick,
+    pub(super) ticket: Ticket,
     /// Whether anything was sent to an upstream.
-    sent: AtomicBool,
+    pub(super) sent: AtomicBool,
 }
 
 /// How far an answer has come over all attempts.
 #[derive(Default)]
-struct Progress {
-    tokens: u32,
-    avoid: Vec<String>,
-    attempts: u32,
+pub(super) struct Progress {
+    pub(super) tokens: u32,
+    pub(super) avoid: Vec<String>,
+    pub(super) attempts: u32,
     /// Whether an attempt may have run.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
 }
 
 impl Progress {
     /// What is known of the work over all attempts.
-    fn outcome(&self) -> Outcome {
+    pub(super) fn outcome(&self) -> Outcome {
         match (self.tokens, self.may_have_run) {
             (0, false) => Outcome::NotRun,
             (0, true) => Outcome::Unknown,
@@ -266,14 +79,14 @@
 }
 
 /// How one attempt at an upstream ended.
-enum Attempt {
+pub(super) enum Attempt {
     Done { reason: String },
     Broken { outcome: Outcome, cause: String },
     CallerGone,
 }
 
 impl Job {
-    async fn run(self, pieces: mpsc::Sender<Piece>) {
+    pub(super) async fn run(self, pieces: mpsc::Sender<Piece>) {
         let cost = self.cost.total();
         let ended = tokio::select! {
             ended = self.work(cost, &pieces) => ended,
@@ -301,7 +114,7 @@
         }
     }
 
-    async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
+    pub(super) async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
         // Dropped early (a cut, a caller gone), the reservation returns what wasn't used.
         let mut reserved =
             limit::reserve(&self.router, &self.id, &self.team, u64::from(cost), self.deadline)
@@ -337,7 +150,7 @@
         }
     }
 
-    fn cut_refusal(&self, cut: Cut) -> Refusal {
+    pub(super) fn cut_refusal(&self, cut: Cut) -> Refusal {
         let refusal = match cut {
             Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
             Cut::CallerGone | Cut::No => {
@@ -354,7 +167,7 @@
         }
     }
 
-    fn start_wish(&self, progress: &Progress) -> Wish {
+    pub(super) fn start_wish(&self, progress: &Progress) -> Wish {
         Wish {
             team: self.team.clone(),
             model: self.model.clone(),
@@ -367,7 +180,7 @@
     }
 
     /// Whether the answer goes on elsewhere; the refusal that ends it otherwise.
-    fn may_resume(&self, progress: &Progress, cause: &str) -> Result<()> {
+    pub(super) fn may_resume(&self, progress: &Progress, cause: &str) -> Result<()> {
         let late = clock::now() >= self.deadline;
         if progress.attempts < self.router.settings.attempts && !late {
             return Ok(());
@@ -378,7 +191,7 @@
     }
 
     /// Has the adapter loaded at an upstream that doesn't hold it yet.
-    async fn ensure_adapter(&self, upstream: &str) -> std::result::Result<(), String> {
+    pub(super) async fn ensure_adapter(&self, upstream: &str) -> std::result::Result<(), String> {
         let Some(adapter) = &self.adapter else {
             return Ok(());
         };
@@ -400,7 +213,7 @@
         }
     }
 
-    async fn attempt(
+    pub(super) async fn attempt(
         &self,
         mut slot: Slot,
         progress: &mut Progress,
@@ -457,7 +270,7 @@
         }
     }
 
-    fn request(&self, progress: &Progress) -> Request {
+    pub(super) fn request(&self, progress: &Progress) -> Request {
         let settings = &self.router.settings;
         Request {
             // Each attempt has an id of its own, so that an answer to another one is told apart.
@@ -478,6 +291,6 @@
 }
 
 /// A refusal that came after an upstream had already worked on the request.
-fn after(refusal: Refusal, progress: &Progress) -> Refusal {
+pub(super) fn after(refusal: Refusal, progress: &Progress) -> Refusal {
     refusal.with_outcome(progress.outcome())
 }
--- /dev/null
+++ b/src/router/home/dispatch/demand.rs
@@ -0,0 +1,80 @@
+//! Ticks the dispatcher and tells placement the demand.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderyoke_coord::membership::Kind;
+use corianderyoke_wire::peer;
+use corianderyoke_wire::peer::request::Body as Call;
+use corianderyoke_wire::peer::response::Body as Answer;
+use indexmap::IndexSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::router::home::serves;
+use crate::router::start::DISPATCH;
+use crate::router::Router;
+use crate::util::clock;
+
+/// Time between two ticks of the dispatcher.
+pub(super) const TICK: Duration = Duration::from_millis(20);
+
+/// Time between two reports of demand for a model.
+pub(super) const DEMAND_EVERY: Duration = Duration::from_millis(200);
+
+/// Longest wait for placement's answer.
+pub(super) const WAKE_WITHIN: Duration = Duration::from_secs(1);
+
+/// Ticks the dispatcher and tells placement the demand, until the task is dropped.
+pub async fn run(router: Arc<Router>) {
+    let mut told = clock::now();
+    loop {
+        let dispatch = &router.homes.dispatch;
+        let urgent = timeout(TICK, dispatch.wanted.notified()).await.is_ok();
+        if !serves(&router, Kind::Dispatch, DISPATCH) {
+            sleep(TICK).await;
+            continue;
+        }
+        dispatch.with(&router, |dispatcher| dispatcher.tick(clock::now()));
+        if urgent || clock::now().since(told) >= DEMAND_EVERY {
+            told = clock::now();
+            tell_demand(&router, urgent);
+        }
+    }
+}
+
+/// Tells placement what waits and runs; where `urgent`, only models that have no replica.
+pub(super) fn tell_demand(router: &Arc<Router>, urgent: bool) {
+    let Some(register) = router.agent.config() else {
+        return;
+    };
+    let now = clock::now();
+    let names = &router.homes.names;
+    let mut demands = Vec::new();
+    if let Some(state) = router.homes.dispatch.state.lock().as_ref() {
+        let wakes: IndexSet<_> = state.dispatcher.wakes().collect();
+        for model in register.models.keys() {
+            let key = names.models.key(model);
+            let demand = state.dispatcher.demand(key, now);
+            let idle = demand.waiting == 0 && demand.in_use == 0;
+            if !idle && (!urgent || wakes.contains(&key)) {
+                demands.push((model.clone(), demand.waiting as u32, demand.in_use));
+            }
+        }
+    }
+    for (model, waiting, running) in demands {
+        tell_placement(router, model, waiting, running);
+    }
+}
+
+pub(super) fn tell_placement(router: &Arc<Router>, model: String, waiting: u32, running: u32) {
+    let router = Arc::clone(router);
+    tokio::spawn(async move {
+        let call = Call::Wake(peer::WakeRequest { model: model.clone(), waiting, running });
+        let answer = router.call_home(Kind::Placement, DISPATCH, call, WAKE_WITHIN).await;
+        if let Some(Answer::Wake(peer::WakeResponse { ready_ms: ms @ 1.., .. })) = answer {
+            let estimate = Duration::from_millis(ms);
+            router.homes.dispatch.wakes.lock().insert(model, estimate);
+        }
+    });
+}
--- /dev/null
+++ b/src/router/home/dispatch/mod.rs
@@ -0,0 +1,217 @@
+//! The cell's dispatch home at this router: queues, slots, and the demand told to placement.
+//!
+//! [`requests`] answers the routers, [`status`] keeps the dispatcher in step with register and
+//! replicas, and [`demand`] ticks it and tells placement what waits.
+
+mod demand;
+mod requests;
+mod status;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use corianderyoke_coord::dispatch::DispatchSettings;
+use corianderyoke_coord::dispatch::Dispatcher;
+use corianderyoke_coord::dispatch::Effect;
+use corianderyoke_coord::dispatch::HeldSlot;
+use corianderyoke_coord::dispatch::Reason;
+use corianderyoke_coord::dispatch::RequestKey;
+use corianderyoke_coord::dispatch::SlotKey;
+use corianderyoke_coord::dispatch::Start;
+use corianderyoke_coord::keys::MemberKey;
+use corianderyoke_coord::membership::MemberId;
+use corianderyoke_wire::peer;
+use corianderyoke_wire::peer::enqueue_response::Outcome as Enqueued;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+use tokio::sync::Notify;
+
+use self::status::configure;
+use crate::router::Router;
+use crate::util::clock;
+
+pub use self::demand::run;
+pub use self::requests::cancel;
+pub use self::requests::confirm;
+pub use self::requests::enqueue;
+pub use self::requests::release;
+pub use self::status::refresh;
+pub use self::status::replicas;
+
+/// The dispatcher, where this router is the dispatch home.
+#[derive(Default)]
+pub struct Dispatch {
+    state: Mutex<Option<State>>,
+    /// Replicas as placement pushed them last, kept by every router.
+    replicas: Mutex<Replicas>,
+    /// Told when a request has to wait.
+    wanted: Notify,
+    /// Placement's estimates of wakes, by model.
+    wakes: Mutex<IndexMap<String, Duration>>,
+}
+
+pub(super) struct State {
+    dispatcher: Dispatcher,
+    waiting: HashMap<RequestKey, oneshot::Sender<Enqueued>>,
+}
+
+/// What placement pushed last.
+#[derive(Clone, Default)]
+pub(super) struct Replicas {
+    epoch: u64,
+    version: u64,
+    list: Vec<peer::Replica>,
+}
+
+impl Dispatch {
+    /// Whether a dispatcher runs here.
+    pub fn runs(&self) -> bool {
+        self.state.lock().is_some()
+    }
+
+    /// Starts a dispatcher at `epoch` from the parts of all members.
+    pub fn start(&self, router: &Router, epoch: u64, parts: &[(MemberId, peer::TakeoverResponse)]) {
+        for part in parts {
+            if let Some(list) = &part.1.replicas {
+                // A router that joined while no controller acts learns the replicas from the others.
+                self.take(list.clone());
+            }
+        }
+        let now = clock::now();
+        let names = &router.homes.names;
+        let members: Vec<MemberKey> = parts.iter().map(|(id, _)| names.member(id)).collect();
+        let mut dispatcher = Dispatcher::new(DispatchSettings::default(), epoch, &members, now);
+        configure(router, &mut dispatcher, &self.replicas.lock().list);
+        for (id, part) in parts {
+            let member = names.member(id);
+            let held = part.slots.iter().map(|slot| held_slot(router, member, slot));
+            let held: Vec<HeldSlot> = held.collect();
+            dispatcher.adopt(member, &held, now);
+        }
+        *self.state.lock() = Some(State { dispatcher, waiting: HashMap::new() });
+    }
+
+    /// Stops the dispatcher; requests that wait here are told to ask the next home.
+    pub fn stop(&self) {
+        // Dropping the waiting senders answers each open enqueue with "not home".
+        self.state.lock().take();
+    }
+
+    /// Forgets a member whose term has ended.
+    pub fn lapse(&self, router: &Router, member: MemberKey) {
+        self.with(router, |dispatcher| dispatcher.lapse(member, clock::now()));
+    }
+
+    /// Placement's newest list, as it came.
+    pub fn newest(&self) -> peer::ReplicasRequest {
+        let Replicas { epoch, version, list } = self.replicas.lock().clone();
+        peer::ReplicasRequest { epoch, version, replicas: list }
+    }
+
+    /// Takes a list, unless a newer one came already; whether it was taken.
+    fn take(&self, pushed: peer::ReplicasRequest) -> bool {
+        let mut held = self.replicas.lock();
+        if (pushed.epoch, pushed.version) < (held.epoch, held.version) {
+            return false;
+        }
+        let peer::ReplicasRequest { epoch, version, replicas: list } = pushed;
+        *held = Replicas { epoch, version, list };
+        true
+    }
+
+    /// Replicas as placement pushed them last.
+    pub fn replica_list(&self) -> Vec<peer::Replica> {
+        self.replicas.lock().list.clone()
+    }
+
+    /// Whether an adapter is known to be loaded on an upstream.
+    pub fn has_adapter(&self, upstream: &str, model: &str, adapter: &str) -> bool {
+        let replicas = self.replicas.lock();
+        let mut list = replicas.list.iter();
+        let here = |r: &&peer::Replica| r.upstream == upstream && r.model == model;
+        list.find(here).is_some_and(|r| r.adapters.iter().any(|name| name == adapter))
+    }
+
+    /// Notes an adapter that was just loaded, ahead of placement's next push.
+    pub fn note_adapter(&self, upstream: &str, model: &str, adapter: &str) {
+        let mut replicas = self.replicas.lock();
+        let mut list = replicas.list.iter_mut();
+        if let Some(found) = list.find(|r| r.upstream == upstream && r.model == model) {
+            if !found.adapters.iter().any(|name| name == adapter) {
+                found.adapters.push(adapter.to_owned());
+            }
+        }
+    }
+
+    /// Where a request for `model` would go, as `(upstream, slots in use, bound)`.
+    pub fn standing(&self, router: &Router, model: &str) -> Option<Vec<(String, u32, u32)>> {
+        let state = self.state.lock();
+        let dispatcher = &state.as_ref()?.dispatcher;
+        let replicas = self.replicas.lock();
+        let here = replicas.list.iter().filter(|replica| replica.model == model);
+        let rows = here.map(|replica| {
+            let key = router.homes.names.upstreams.key(&replica.upstream);
+            (replica.upstream.clone(), dispatcher.in_use(key), dispatcher.bound(key))
+        });
+        Some(rows.collect())
+    }
+
+    fn with(&self, router: &Router, change: impl FnOnce(&mut Dispatcher) -> Vec<Effect>) {
+        let mut state = self.state.lock();
+        if let Some(state) = state.as_mut() {
+            let effects = change(&mut state.dispatcher);
+            state.tell(router, effects);
+        }
+    }
+}
+
+impl State {
+    fn tell(&mut self, router: &Router, effects: Vec<Effect>) {
+        for effect in effects {
+            let (request, outcome) = match effect {
+                Effect::Start(start) => (start.request, started(router, start)),
+                Effect::Refuse(refusal) => (refusal.request, late(refusal.wait, refusal.reason)),
+            };
+            // A start that nobody hears of is handed out when the router asks again, and freed
+            // when the router doesn't report it as held.
+            if let Some(tell) = self.waiting.remove(&request) {
+                let _ = tell.send(outcome);
+            }
+        }
+    }
+}
+
+pub(super) fn started(router: &Router, start: Start) -> Enqueued {
+    let slot = peer::SlotKey { home: start.slot.home, number: start.slot.number };
+    let upstream = router.homes.names.upstreams.name(start.upstream);
+    Enqueued::Start(peer::Start { slot: Some(slot), upstream })
+}
+
+pub(super) fn late(wait: Duration, reason: Reason) -> Enqueued {
+    let reason = match reason {
+        Reason::Busy => "busy",
+        Reason::Waking => "waking",
+        Reason::Late => "late",
+        Reason::Full => "full",
+        Reason::RetryBudget => "retry_budget",
+    };
+    Enqueued::Late(peer::Late { wait_ms: wait.as_millis() as u64, reason: reason.to_owned() })
+}
+
+pub(super) fn slot_key(slot: peer::SlotKey) -> SlotKey {
+    SlotKey { home: slot.home, number: slot.number }
+}
+
+pub(super) fn held_slot(router: &Router, member: MemberKey, held: &peer::HeldSlot) -> HeldSlot {
+    let names = &router.homes.names;
+    HeldSlot {
+        slot: slot_key(held.slot.unwrap_or_default()),
+        request: RequestKey { router: member, number: held.number },
+        upstream: names.upstreams.key(&held.upstream),
+        model: names.models.key(&held.model),
+        team: names.teams.key(&held.team),
+        cost: held.cost,
+        deadline: Duration::from_millis(held.deadline_ms),
+    }
+}
--- /dev/null
+++ b/src/router/service/mod.rs
@@ -0,0 +1,141 @@
+//! Calls to plain services. Calls that may not be repeated go through the ledger of claims.
+//!
+//! This module admits a call. [`repeat`] sends calls that may be sent again; [`once`] carries out
+//! what the ledger decides for the others, with the claims' rows in [`rows`].
+
+mod once;
+mod repeat;
+mod rows;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderyoke_coord::register::Register;
+use corianderyoke_coord::register::Resource;
+use corianderyoke_coord::register::Service;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_history::Event as Recorded;
+use corianderyoke_upstream::service::Call;
+
+use self::once::once;
+use self::repeat::repeatable;
+use crate::router::http::Answer;
+use crate::router::http::Parts;
+use crate::router::open::Cut;
+use crate::router::open::Grant;
+use crate::router::refusal::Code;
+use crate::router::refusal::Outcome;
+use crate::router::refusal::Refusal;
+use crate::router::refusal::Result;
+use crate::router::Caller;
+use crate::router::Router;
+use crate::util::clock;
+
+pub use self::once::run;
+pub use self::once::Calls;
+pub use self::rows::row_key;
+
+/// Header by which a caller names a call.
+pub(super) const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest idempotency key in bytes.
+pub(super) const MAX_KEY_BYTES: usize = 200;
+
+/// Wait told to callers of a call that is still open.
+pub(super) const OPEN_RETRY: Duration = Duration::from_secs(1);
+
+/// Serves a call of any method to `rest`, the service's name with the path behind it.
+pub async fn serve(router: &Arc<Router>, rest: &str, parts: Parts) -> Result<Answer> {
+    let arrived = clock::now();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let register = router.register()?;
+    let (caller, service) = admit(router, &register, name, &parts)?;
+    if parts.body.len() as u64 > service.body_bytes {
+        let message = format!("service `{name}` takes at most {} bytes", service.body_bytes);
+        return Err(Refusal::not_run(Code::TooLarge, message));
+    }
+    let target = format!("service/{name}");
+    let grant = Grant { key: caller.key.clone(), team: caller.team.clone(), target };
+    let ticket = router.enter(grant)?;
+    let deadline = arrived + Duration::from_millis(register.rules.deadline_ms);
+    router.record(|| Recorded::Call {
+        request: parts.id.clone(),
+        key: (!caller.key.is_empty()).then(|| caller.key.clone()),
+        open: service.open,
+        deadline_us: deadline.since(arrived).as_micros() as u64,
+    });
+    let call = call(&parts, path, &caller, deadline);
+    let safe = matches!(parts.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+    let answer = if service.repeatable || safe {
+        repeatable(router, name, &call, &caller.team, &ticket, deadline).await
+    } else {
+        once(router, name, call, ticket, &caller, deadline, &parts).await
+    };
+    if answer.is_ok() {
+        router.metrics.called(&caller.team);
+    }
+    answer
+}
+
+pub(super) fn admit(
+    router: &Router,
+    register: &Register,
+    name: &str,
+    parts: &Parts,
+) -> Result<(Caller, Service)> {
+    let missing = || {
+        let message = format!("service `{name}` doesn't exist for this team");
+        Refusal::not_run(Code::NotFound, message)
+    };
+    let service = register.services.get(name);
+    if let Some(service) = service.filter(|service| service.open) {
+        let none = Caller { key: String::new(), team: String::new(), secret: String::new() };
+        let keyed = parts.header("authorization").is_some() || parts.header("x-api-key").is_some();
+        let caller = if keyed { router.authenticate(parts)? } else { none };
+        return Ok((caller, service.clone()));
+    }
+    let caller = router.authenticate(parts)?;
+    let service = service.ok_or_else(missing)?;
+    if !register.may_use(&caller.team, Resource::Service(name)) {
+        return Err(missing());
+    }
+    Ok((caller, service.clone()))
+}
+
+pub(super) fn idempotency_key(parts: &Parts) -> Result<String> {
+    let key = parts.header(KEY_HEADER).unwrap_or_default();
+    let fits = (1..=MAX_KEY_BYTES).contains(&key.len());
+    if !fits || !key.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/') {
+        let message = "a call that may not be repeated needs an `idempotency-key` header of 1 to \
+                       200 printable characters without blanks or slashes";
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    Ok(key.to_owned())
+}
+
+pub(super) fn call(parts: &Parts, path: &str, caller: &Caller, deadline: Tick) -> Call {
+    let query = if parts.query.is_empty() { String::new() } else { format!("?{}", parts.query) };
+    Call {
+        id: parts.id.clone(),
+        method: parts.method.clone(),
+        path: format!("/{path}{query}"),
+        headers: parts.headers.iter().cloned().collect(),
+        body: parts.body.to_vec(),
+        timeout: deadline.since(clock::now()),
+        secret: caller.secret.clone(),
+    }
+}
+
+pub(super) fn cut_refusal(cut: Cut) -> Refusal {
+    let refusal = match cut {
+        Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
+        _ => Refusal::not_run(Code::Unavailable, "the call was cut"),
+    };
+    refusal.with_outcome(Outcome::Unknown)
+}
+
+pub(super) fn whole(answer: corianderyoke_upstream::service::Answer) -> Answer {
+    let headers = answer.headers.into_iter().collect();
+    Answer::Whole { status: answer.status, headers, body: Bytes::from(answer.body) }
+}
--- /dev/null
+++ b/src/router/service/rows.rs
@@ -0,0 +1,89 @@
+//! Rows of table `claims`.
+
+use corianderyoke_coord::idempotency::Claim;
+use corianderyoke_coord::idempotency::ClaimKey;
+use corianderyoke_coord::idempotency::Effect;
+use corianderyoke_coord::idempotency::Event as Reported;
+use corianderyoke_coord::idempotency::Found;
+use corianderyoke_platform::Commit;
+use corianderyoke_platform::Condition;
+use corianderyoke_platform::Error as StoreError;
+use corianderyoke_platform::Row;
+use corianderyoke_platform::Transaction;
+use corianderyoke_platform::Write;
+
+use crate::router::claims::Access;
+use crate::router::Router;
+
+/// Table of claims.
+pub(super) const CLAIMS: &str = "claims";
+
+/// Records the beginning of an access to a claim's row.
+pub(super) fn access(router: &Router, effect: &Effect) -> Option<Access> {
+    let call = match effect {
+        Effect::Insert { call, .. } | Effect::Replace { call, .. } => call,
+        Effect::Remove { call, .. } | Effect::ReadBack { call, .. } => call,
+        Effect::Answer { .. } | Effect::Prepare { .. } | Effect::Send { .. } => return None,
+    };
+    // A call goes on after its caller was answered, so the table of open calls isn't asked.
+    let (attempt, digest) = router.ledger.traced.lock().get(call).cloned()?;
+    Access::begin(router, effect, &attempt, &digest)
+}
+
+/// Key of a claim's row.
+pub fn row_key(key: &ClaimKey) -> String {
+    format!("{}/{}", key.team, key.key)
+}
+
+pub(super) fn at(key: &str, version: u64) -> Condition {
+    Condition::Version { table: CLAIMS.to_owned(), key: key.to_owned(), version }
+}
+
+pub(super) fn put(key: &str, claim: &Claim) -> Write {
+    // A claim holds strings and numbers only, which JSON can hold.
+    let value = serde_json::to_string(claim).unwrap_or_default();
+    Write::Put { table: CLAIMS.to_owned(), key: key.to_owned(), value }
+}
+
+pub(super) async fn write(router: &Router, condition: Condition, write: Write) -> Reported {
+    let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
+    match router.platform.transact(&transaction).await {
+        Ok(Commit::Done { version }) => Reported::Written { version },
+        Ok(Commit::Refused { found, .. }) => Reported::Refused { found: found.and_then(parse) },
+        Err(StoreError::Unknown(_)) => Reported::NoAnswer,
+        Err(StoreError::Unavailable(_) | StoreError::Invalid(_)) => Reported::Unavailable,
+    }
+}
+
+pub(super) async fn read(router: &Router, key: &str) -> Reported {
+    match router.platform.get(CLAIMS, key).await {
+        Ok(row) => Reported::Read { found: row.and_then(parse) },
+        Err(_) => Reported::Unavailable,
+    }
+}
+
+pub(super) fn parse(row: Row) -> Option<Found> {
+    let claim = serde_json::from_str(&row.value).ok()?;
+    Some(Found { claim, version: row.version })
+}
+
+/// Marks a kept body that isn't text.
+pub(super) const BINARY_MARK: &str = "\u{0}hex:";
+
+pub(super) fn encode(body: &[u8]) -> String {
+    match std::str::from_utf8(body) {
+        Ok(text) if !text.starts_with(BINARY_MARK) => text.to_owned(),
+        _ => {
+            let hex: String = body.iter().map(|byte| format!("{byte:02x}")).collect();
+            format!("{BINARY_MARK}{hex}")
+        }
+    }
+}
+
+pub(super) fn decode(kept: &str) -> Vec<u8> {
+    let Some(hex) = kept.strip_prefix(BINARY_MARK) else {
+        return kept.as_bytes().to_vec();
+    };
+    let pairs = hex.as_bytes().chunks(2).filter_map(|pair| std::str::from_utf8(pair).ok());
+    pairs.filter_map(|pair| u8::from_str_radix(pair, 16).ok()).collect()
+}
