Carry upstreams' bounds over to the next dispatch home

A new home took every upstream for fresh, so each change of home cut a warm fleet to a few slots for the warm-up. A start now tells its router the upstream's bound, and the router reports it with its slots. Without the take-over the test of it sees 2 slots where 12 were told.

--- a/crates/coord/src/dispatch/bound.rs
+++ b/crates/coord/src/dispatch/bound.rs
@@ -49,6 +49,15 @@
         self.slots = self.slots.min(f64::from(most));
     }
 
+    /// Takes over what a home before had found out.
+    pub(super) fn restore(&mut self, slots: u32, now: Tick) {
+        self.slots = f64::from(slots.clamp(1, self.most.max(1)));
+        if slots > self.fresh {
+            self.warm = now;
+            self.slow_start = false;
+        }
+    }
+
     /// Raises the bound to what a home before had granted; more than a fresh upstream gets shows
     /// that it's warm.
     pub(super) fn raise(&mut self, slots: u32, now: Tick) {
--- a/crates/coord/src/dispatch/commands.rs
+++ b/crates/coord/src/dispatch/commands.rs
@@ -319,7 +319,7 @@
             }
             model.prefixes.insert(prefix, upstream);
         }
-        Some(Start { request: key, slot, upstream })
+        self.start_of(key)
     }
 
     /// An upstream that was unused for long may have turned cold: it starts again with few slots.
--- a/crates/coord/src/dispatch/inventory.rs
+++ b/crates/coord/src/dispatch/inventory.rs
@@ -9,6 +9,7 @@
 use super::RetryBudget;
 use super::Slot;
 use super::SlotKey;
+use super::ToldBound;
 use crate::keys::MemberKey;
 use crate::keys::UpstreamKey;
 use crate::time::Tick;
@@ -65,14 +66,35 @@
             orphan: false,
         };
         self.take_slot(held.slot, slot, now);
-        // What the home before had granted is known to be borne.
+        // What the home before had granted is known to be borne, unless it told otherwise.
         if let Some(upstream) = self.upstreams.get_mut(&held.upstream) {
-            let in_use = upstream.in_use;
-            upstream.bound.raise(in_use, now);
+            if upstream.told.is_none() {
+                upstream.bound.raise(upstream.in_use, now);
+            }
         }
         self.refile(held.upstream);
     }
 
+    /// Takes the bounds over that a member was told, so that upstreams which the home before knew
+    /// as warm aren't fresh for this one. Without effect once the member was adopted.
+    pub fn adopt_bounds(&mut self, member: MemberKey, told: &[ToldBound], now: Tick) {
+        if !self.missing.contains(&member) {
+            return;
+        }
+        let idle = self.settings.idle;
+        for told in told.iter().filter(|told| told.age < idle) {
+            let Some(upstream) = self.upstreams.get_mut(&told.upstream) else {
+                continue;
+            };
+            if upstream.told.is_some_and(|slot| slot >= told.slot) {
+                continue;
+            }
+            upstream.told = Some(told.slot);
+            upstream.bound.restore(told.bound, now);
+            self.refile(told.upstream);
+        }
+    }
+
     /// A router's term has ended. Its waiting requests go; its slots stay counted until their
     /// deadlines, since a paused router's requests may still run.
     pub fn lapse(&mut self, router: MemberKey, now: Tick) -> Vec<Effect> {
--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -146,6 +146,21 @@
     pub slot: SlotKey,
     /// Where it runs.
     pub upstream: UpstreamKey,
+    /// Slots that the upstream may use now; its router keeps it for the next home.
+    pub bound: u32,
+}
+
+/// The bound of an upstream as a router was last told with a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ToldBound {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// The slot that started; the latest counts.
+    pub slot: SlotKey,
+    /// Slots that the upstream might use then.
+    pub bound: u32,
+    /// How long ago that was.
+    pub age: Duration,
 }
 
 /// A request that didn't run and won't.
--- a/crates/coord/src/dispatch/queries.rs
+++ b/crates/coord/src/dispatch/queries.rs
@@ -68,7 +68,7 @@
     pub fn start_of(&self, request: RequestKey) -> Option<Start> {
         let slot = self.started.get(&request)?;
         let upstream = self.slots.get(slot)?.upstream;
-        Some(Start { request, slot: *slot, upstream })
+        Some(Start { request, slot: *slot, upstream, bound: self.bound(upstream) })
     }
 
     /// Whether an adapter is loaded on an upstream.
--- a/crates/coord/src/dispatch/upstreams.rs
+++ b/crates/coord/src/dispatch/upstreams.rs
@@ -12,6 +12,7 @@
 use super::Outcome;
 use super::Release;
 use super::ReplicaState;
+use super::SlotKey;
 use super::UpstreamStatus;
 use crate::keys::ModelKey;
 use crate::keys::TeamKey;
@@ -52,6 +53,8 @@
     pub(super) teams: IndexMap<TeamKey, u32>,
     /// Requests that the load report shows beyond `in_use`, after a change of home.
     pub(super) foreign: u32,
+    /// Latest slot of which a router was told the bound under a home before.
+    pub(super) told: Option<SlotKey>,
     /// When a slot was last granted or released.
     pub(super) used: Tick,
     best: IndexMap<ModelKey, Best>,
@@ -67,6 +70,7 @@
             in_use: 0,
             teams: IndexMap::new(),
             foreign: 0,
+            told: None,
             used: now,
             best: IndexMap::new(),
             filing: None,
--- a/crates/coord/tests/dispatch/slots.rs
+++ b/crates/coord/tests/dispatch/slots.rs
@@ -12,7 +12,9 @@
 use corianderyoke_coord::dispatch::Release;
 use corianderyoke_coord::dispatch::ReplicaState;
 use corianderyoke_coord::dispatch::Request;
+use corianderyoke_coord::dispatch::SlotKey;
 use corianderyoke_coord::dispatch::Start;
+use corianderyoke_coord::dispatch::ToldBound;
 use corianderyoke_coord::dispatch::UpstreamStatus;
 use corianderyoke_coord::keys::AdapterKey;
 use corianderyoke_coord::keys::MemberKey;
@@ -185,6 +187,18 @@
         mine.map(slot).collect()
     }
 
+    /// Bounds that a router was told with what it runs.
+    fn told(&self, router: MemberKey) -> Vec<ToldBound> {
+        let mine = self.running.keys().filter(|start| start.request.router == router);
+        let told = |start: &Start| ToldBound {
+            upstream: start.upstream,
+            slot: start.slot,
+            bound: start.bound,
+            age: Duration::ZERO,
+        };
+        mine.map(told).collect()
+    }
+
     fn confirm(&mut self, router: MemberKey) {
         if self.lapsed.contains(&router) {
             return;
@@ -211,6 +225,10 @@
         let settings = DispatchSettings::default();
         self.home = Dispatcher::new(settings, self.epoch, &members, self.now);
         self.set_upstreams();
+        for member in &members {
+            let told = self.told(*member);
+            self.home.adopt_bounds(*member, &told, self.now);
+        }
         for member in &members {
             let held = self.held(*member);
             self.home.adopt(*member, &held, self.now);
@@ -366,3 +384,23 @@
     assert!(matches!(home.enqueue(short(10, 20), now), Decision::Start(_)));
     assert!(matches!(home.enqueue(short(11, 1000), now), Decision::Refuse(_)));
 }
+
+#[test]
+fn a_new_home_goes_on_with_the_bounds_that_routers_were_told() {
+    let members = [MemberKey(1), MemberKey(2)];
+    let mut home = Dispatcher::new(DispatchSettings::default(), 2, &members, Tick(0));
+    for upstream in 0..3 {
+        home.set_upstream(UpstreamKey(upstream), status(0), Tick(0));
+    }
+    let told = |upstream, number, bound, age| ToldBound {
+        upstream: UpstreamKey(upstream),
+        slot: SlotKey { home: 1, number },
+        bound,
+        age: Duration::from_secs(age),
+    };
+    home.adopt_bounds(MemberKey(1), &[told(0, 9, 12, 1), told(1, 4, 12, 5)], Tick(0));
+    home.adopt_bounds(MemberKey(2), &[told(1, 8, 2, 2), told(2, 1, 12, 100)], Tick(0));
+    // The latest word counts, and none that is as old as an idle upstream.
+    let bounds = [0, 1, 2].map(|upstream| home.bound(UpstreamKey(upstream)));
+    assert_eq!(bounds, [12, 2, 2]);
+}
--- a/src/router/home/dispatch.rs
+++ b/src/router/home/dispatch.rs
@@ -17,6 +17,7 @@
 use corianderyoke_coord::dispatch::RequestKey;
 use corianderyoke_coord::dispatch::SlotKey;
 use corianderyoke_coord::dispatch::Start;
+use corianderyoke_coord::dispatch::ToldBound;
 use corianderyoke_coord::dispatch::UpstreamStatus;
 use corianderyoke_coord::keys::MemberKey;
 use corianderyoke_coord::membership::Kind;
@@ -95,6 +96,11 @@
         let members: Vec<MemberKey> = parts.iter().map(|(id, _)| names.member(id)).collect();
         let mut dispatcher = Dispatcher::new(DispatchSettings::default(), epoch, &members, now);
         configure(router, &mut dispatcher, &self.replicas.lock().list);
+        for (id, part) in parts {
+            let told = part.bounds.iter().map(|told| told_bound(router, told));
+            let told: Vec<ToldBound> = told.collect();
+            dispatcher.adopt_bounds(names.member(id), &told, now);
+        }
         for (id, part) in parts {
             let member = names.member(id);
             let held = part.slots.iter().map(|slot| held_slot(router, member, slot));
@@ -197,7 +203,7 @@
 fn started(router: &Router, start: Start) -> Enqueued {
     let slot = peer::SlotKey { home: start.slot.home, number: start.slot.number };
     let upstream = router.homes.names.upstreams.name(start.upstream);
-    Enqueued::Start(peer::Start { slot: Some(slot), upstream })
+    Enqueued::Start(peer::Start { slot: Some(slot), upstream, bound: start.bound })
 }
 
 fn late(wait: Duration, reason: Reason) -> Enqueued {
@@ -228,6 +234,15 @@
     }
 }
 
+fn told_bound(router: &Router, told: &peer::ToldBound) -> ToldBound {
+    ToldBound {
+        upstream: router.homes.names.upstreams.key(&told.upstream),
+        slot: slot_key(told.slot.unwrap_or_default()),
+        bound: told.bound,
+        age: Duration::from_millis(told.age_ms),
+    }
+}
+
 /// Takes a request of member `from` in and answers once it may start or won't.
 pub async fn enqueue(
     router: &Arc<Router>,
--- a/src/router/home/takeover.rs
+++ b/src/router/home/takeover.rs
@@ -143,8 +143,9 @@
     }
     router.homes.dispatch.stop();
     let slots = router.held.inventory();
+    let bounds = router.held.bounds();
     let replicas = Some(router.homes.dispatch.newest());
-    peer::TakeoverResponse { ready: true, teams, slots, replicas }
+    peer::TakeoverResponse { ready: true, teams, slots, replicas, bounds }
 }
 
 fn to_wire_handover(router: &Router, handed: Handover) -> peer::Handover {
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -55,6 +55,16 @@
 #[derive(Default)]
 pub struct Held {
     slots: Mutex<IndexMap<u64, (peer::SlotKey, String, Wish)>>,
+    /// Bounds of upstreams as last told, with the slot that was told with them.
+    bounds: Mutex<IndexMap<String, Bound>>,
+}
+
+/// Bound of an upstream as told with a start.
+#[derive(Clone, Copy)]
+struct Bound {
+    slot: peer::SlotKey,
+    slots: u32,
+    told: Tick,
 }
 
 impl Held {
@@ -74,6 +84,25 @@
         held.collect()
     }
 
+    /// Bounds of upstreams as a new dispatch home takes them over.
+    pub fn bounds(&self) -> Vec<peer::ToldBound> {
+        let now = clock::now();
+        let bounds = self.bounds.lock();
+        let told = bounds.iter().map(|(upstream, bound)| peer::ToldBound {
+            upstream: upstream.clone(),
+            slot: Some(bound.slot),
+            bound: bound.slots,
+            age_ms: now.since(bound.told).as_millis() as u64,
+        });
+        told.collect()
+    }
+
+    fn note_bound(&self, start: &peer::Start) {
+        let slot = start.slot.unwrap_or_default();
+        let bound = Bound { slot, slots: start.bound, told: clock::now() };
+        self.bounds.lock().insert(start.upstream.clone(), bound);
+    }
+
     /// Keys of all slots held.
     pub fn keys(&self) -> Vec<peer::SlotKey> {
         self.slots.lock().values().map(|(slot, _, _)| *slot).collect()
@@ -204,6 +233,7 @@
 fn slot(router: &Arc<Router>, number: u64, start: peer::Start, wish: Wish) -> Result<Slot> {
     let key = start.slot.unwrap_or_default();
     let now = clock::now();
+    router.held.note_bound(&start);
     router.held.slots.lock().insert(number, (key, start.upstream.clone(), wish));
     let slot = Slot {
         upstream: start.upstream,
