--- a/src/router/home/dispatch/mod.rs
+++ b/src/router/home/dispatch/mod.rs
@@ -18,6 +18,7 @@
 use corianderyoke_coord::dispatch::RequestKey;
 use corianderyoke_coord::dispatch::SlotKey;
 use corianderyoke_coord::dispatch::Start;
+use corianderyoke_coord::dispatch::ToldBound;
 use corianderyoke_coord::keys::MemberKey;
 use corianderyoke_coord::membership::MemberId;
 use corianderyoke_wire::peer;
@@ -83,6 +84,11 @@
         let members: Vec<MemberKey> = parts.iter().map(|(id, _)| names.member(id)).collect();
         let mut dispatcher = Dispatcher::new(DispatchSettings::default(), epoch, &members, now);
         configure(router, &mut dispatcher, &self.replicas.lock().list);
+        for (id, part) in parts {
+            let told = part.bounds.iter().map(|told| told_bound(router, told));
+            let told: Vec<ToldBound> = told.collect();
+            dispatcher.adopt_bounds(names.member(id), &told, now);
+        }
         for (id, part) in parts {
             let member = names.member(id);
             let held = part.slots.iter().map(|slot| held_slot(router, member, slot));
@@ -185,7 +191,7 @@
 pub(super) fn started(router: &Router, start: Start) -> Enqueued {
     let slot = peer::SlotKey { home: start.slot.home, number: start.slot.number };
     let upstream = router.homes.names.upstreams.name(start.upstream);
-    Enqueued::Start(peer::Start { slot: Some(slot), upstream })
+    Enqueued::Start(peer::Start { slot: Some(slot), upstream, bound: start.bound })
 }
 
 pub(super) fn late(wait: Duration, reason: Reason) -> Enqueued {
@@ -215,3 +221,12 @@
         deadline: Duration::from_millis(held.deadline_ms),
     }
 }
+
+fn told_bound(router: &Router, told: &peer::ToldBound) -> ToldBound {
+    ToldBound {
+        upstream: router.homes.names.upstreams.key(&told.upstream),
+        slot: slot_key(told.slot.unwrap_or_default()),
+        bound: told.bound,
+        age: Duration::from_millis(told.age_ms),
+    }
+}
