Ask an upstream anew when a sender of its orders is known to have ended

A row lingered because its controller was dead; its last load order arrived after the upstream had been seen without the model; then came the evidence that the controller had ended, and the old answer was taken as proof that nothing was loaded. The row went, the replica stayed.

Ruled out: the commits' order and the count of our own open orders; the trace shows each commit conditional and in turn, and the order in question was the dead controller's.

Before: the minimal case failed each time. After: an answer counts only when it was asked for after the evidence; the case is a test in guards.rs, which fails without the change.

--- a/crates/coord/src/placement/commands.rs
+++ b/crates/coord/src/placement/commands.rs
@@ -349,9 +349,19 @@
     /// The driver says so only on the evidence by which a member is removed for good: the
     /// platform's list has dropped its instance for longer than the list lags, or a newer
     /// incarnation answers on its address.
-    pub fn sender_ended(&mut self, sender: &str) {
-        if sender != self.me && self.ended.insert(sender.to_owned()) {
-            self.work.extend(self.ledger.iter().map(|(pair, _)| pair));
+    ///
+    /// An order of its may have arrived just before, so upstreams are asked anew before any of its
+    /// intents is forgotten.
+    pub fn sender_ended(&mut self, now: Tick, sender: &str) {
+        if sender == self.me || !self.ended.insert(sender.to_owned()) {
+            return;
+        }
+        let named = self.ledger.iter().filter(|(_, intent)| intent.senders.contains(sender));
+        let named: Vec<Pair> = named.map(|(pair, _)| pair).collect();
+        for pair in named {
+            self.ledger.update(pair, |intent| intent.quiet = now);
+            self.work.insert(pair);
+            self.look_by(pair.1, now);
         }
     }
 
--- a/crates/coord/tests/placement/guards.rs
+++ b/crates/coord/tests/placement/guards.rs
@@ -115,6 +115,18 @@
     assert!(commits(&planner.poll(ms(210)))[0].deletes.len() == 1);
 }
 
+#[test]
+fn an_answer_from_before_the_end_of_a_sender_proves_nothing() {
+    let mut planner = planner(ms(0), Phase::Lingering, &["c0#1"]);
+    see(&mut planner, ms(1), None);
+    commit(&mut planner, ms(10));
+    see(&mut planner, ms(20), None);
+    planner.sender_ended(ms(30), "c0#1");
+    assert_eq!(commits(&planner.poll(ms(31))), []);
+    see(&mut planner, ms(40), None);
+    assert_eq!(commits(&planner.poll(ms(50)))[0].deletes.len(), 1);
+}
+
 #[test]
 fn a_replica_that_went_cold_is_ordered_again_only_under_its_senders_name() {
     let mut planner = planner(ms(0), Phase::Decided, &[ME]);
--- a/crates/coord/tests/placement/world.rs
+++ b/crates/coord/tests/placement/world.rs
@@ -210,7 +210,7 @@
         for name in &self.dead {
             if self.net.iter().all(|message| message.node != *name) {
                 for node in &mut self.nodes {
-                    node.planner.sender_ended(name);
+                    node.planner.sender_ended(self.now, name);
                 }
             }
         }
--- a/src/controller/run.rs
+++ b/src/controller/run.rs
@@ -105,7 +105,7 @@
         planner.tune(planner_settings(&register.rules));
         planner.configure(now, &facts);
         for sender in self.ended_senders(&planner, round, now) {
-            planner.sender_ended(&sender);
+            planner.sender_ended(now, &sender);
         }
     }
 
