Let a doubled order arrive with its first where tokens aren't checked

The test delivered a copy of an order that its sender had given up, and the order itself much later, to an upstream that ignores tokens. The planner had taken the loaded model as proof that its one lost order had arrived, which holds where a connection delivers an order once.

The test was wrong against its own words, "both arrive together". It delivers the order and its copy together now, answered or not; elsewhere copies stay late.

--- a/crates/coord/tests/placement/world.rs
+++ b/crates/coord/tests/placement/world.rs
@@ -333,7 +333,9 @@
         if self.engines[engine].fenced {
             self.net.push(Message { held: true, silent: true, ..message });
         } else {
+            let first = self.net.remove(at);
             self.deliver(Message { silent: true, ..message });
+            self.deliver(first);
         }
     }
 
