--- a/crates/coord/tests/placement/world.rs
+++ b/crates/coord/tests/placement/world.rs
@@ -210,7 +210,7 @@
         for name in &self.dead {
             if self.net.iter().all(|message| message.node != *name) {
                 for node in &mut self.nodes {
-                    node.planner.sender_ended(name);
+                    node.planner.sender_ended(self.now, name);
                 }
             }
         }
@@ -333,7 +333,9 @@
         if self.engines[engine].fenced {
             self.net.push(Message { held: true, silent: true, ..message });
         } else {
+            let first = self.net.remove(at);
             self.deliver(Message { silent: true, ..message });
+            self.deliver(first);
         }
     }
 
