Keep members' rows by cell

Cause: each member read the rows of all cells each second; at 510 daemons that is 510 scans of 510 rows. Rows of a cell now stand together and a scan reads only these.

--- a/src/agent/store.rs
+++ b/src/agent/store.rs
@@ -37,17 +37,22 @@
     match op {
         Op::Scan => scan(platform, history, cell).await,
         Op::Put { expect, row } => {
-            let put = put(MEMBERS, name, &*row);
-            let conditions = vec![condition(MEMBERS, name, expect)];
+            let key = member_key(cell, name);
+            let put = put(MEMBERS, &key, &*row);
+            let conditions = vec![condition(MEMBERS, &key, expect)];
             answer(transact(platform, conditions, vec![put]).await)
         }
         Op::Change { expect, view, guards, delete } => {
             let mut conditions = vec![condition(VIEW, cell, expect)];
-            let guards =
-                guards.iter().map(|(key, version)| condition(MEMBERS, key, Some(*version)));
+            let guards = guards
+                .iter()
+                .map(|(name, version)| condition(MEMBERS, &member_key(cell, name), Some(*version)));
             conditions.extend(guards);
             let mut writes = vec![put(VIEW, cell, &*view)];
-            let delete = delete.map(|key| Write::Delete { table: MEMBERS.to_owned(), key });
+            let delete = delete.map(|name| Write::Delete {
+                table: MEMBERS.to_owned(),
+                key: member_key(cell, &name),
+            });
             writes.extend(delete);
             let change = Traced { history, cell, began_us: Recorder::now_us(), to: view.epoch };
             change.begin();
@@ -97,6 +102,11 @@
     }
 }
 
+/// Key of a member's row: rows of one cell stand together.
+fn member_key(cell: &str, name: &str) -> String {
+    format!("{cell}/{name}")
+}
+
 fn condition(table: &str, key: &str, expect: Option<u64>) -> Condition {
     let (table, key) = (table.to_owned(), key.to_owned());
     match expect {
@@ -130,7 +140,9 @@
 
 /// Member rows, then the view, which may know members that joined between the two reads.
 async fn scan(platform: &dyn Platform, history: &Recorder, cell: &str) -> Answer {
-    let Ok(rows) = platform.scan(MEMBERS, "", "").await else {
+    // The character after the slash ends the range, so that only this cell's rows are read.
+    let (from, to) = (format!("{cell}/"), format!("{cell}0"));
+    let Ok(rows) = platform.scan(MEMBERS, &from, &to).await else {
         return Answer::Unavailable;
     };
     let began_us = Recorder::now_us();
@@ -148,7 +160,8 @@
 
 fn member(row: Row) -> Option<(String, Stored)> {
     let value: MemberRow = serde_json::from_str(&row.value).ok()?;
-    Some((row.key, Stored { row: value, version: row.version }))
+    let name = row.key.rsplit('/').next()?.to_owned();
+    Some((name, Stored { row: value, version: row.version }))
 }
 
 fn read_view(row: Row) -> Option<View> {
--- a/src/ops/config/members.rs
+++ b/src/ops/config/members.rs
@@ -124,7 +124,9 @@
     let rows = platform.scan(MEMBERS_TABLE, "", "").await?;
     let members = rows.into_iter().map(|row| {
         let member = decode(MEMBERS_TABLE, &row.key, &row.value)?;
-        Ok((row.key, member))
+        // A row stands under its cell's name and the member's.
+        let name = row.key.rsplit('/').next().unwrap_or_default().to_owned();
+        Ok((name, member))
     });
     members.collect()
 }
