--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod bound;
 mod budget;
 mod caps;
+mod changes;
 mod commands;
 mod estimate;
 mod inventory;
@@ -30,7 +31,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use self::estimate::Estimate;
+use self::estimate::Service;
 use self::queue::FairQueue;
 use self::upstreams::Upstream;
 use crate::keys::AdapterKey;
@@ -145,6 +146,21 @@
     pub slot: SlotKey,
     /// Where it runs.
     pub upstream: UpstreamKey,
+    /// Slots that the upstream may use now; its router keeps it for the next home.
+    pub bound: u32,
+}
+
+/// The bound of an upstream as a router was last told with a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ToldBound {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// The slot that started; the latest counts.
+    pub slot: SlotKey,
+    /// Slots that the upstream might use then.
+    pub bound: u32,
+    /// How long ago that was.
+    pub age: Duration,
 }
 
 /// A request that didn't run and won't.
@@ -312,8 +328,8 @@
     free: BTreeSet<(u32, UpstreamKey)>,
     /// Last upstream of each prefix.
     prefixes: IndexMap<u64, UpstreamKey>,
-    /// Span of a request from start to end.
-    service: Estimate,
+    /// How long its requests take.
+    service: Service,
     /// Σ bounds and slots in use of the open upstreams on which it's loaded.
     bound: u32,
     occupied: u32,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,5 +10,6 @@
 mod membership;
 mod operators;
 mod parsing;
+mod placement;
 mod samples;
 mod whole_path;
