Look for callers that went away only behind requests that wait

Cause: a profile of a router under 60 requests/s showed a sixth of its samples in the kernel printing its table of sockets (established_get_first, tcp4_seq_show, vsnprintf), read four times a second while any request was open. The table lists every socket of the machine.

--- a/src/router/hangup.rs
+++ b/src/router/hangup.rs
@@ -14,12 +14,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderyoke_coord::time::Tick;
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
 use crate::router::open::Cut;
 use crate::router::open::Cutter;
+use crate::util::clock;
 
+/// A request is looked for once it has waited this long: the tables list every socket of the
+/// machine, so reading them for requests that are answered at once would cost more than it saves.
+const LOOK_AFTER: Duration = Duration::from_millis(500);
 /// Time between two looks at the kernel's tables.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// Where the kernel lists its TCP sockets.
@@ -30,14 +35,21 @@
 /// Waiting requests by the address of their caller.
 #[derive(Default)]
 pub struct Hangups {
-    waiting: Mutex<HashMap<SocketAddr, Cutter>>,
+    waiting: Mutex<HashMap<SocketAddr, Waiting>>,
+}
+
+/// One request that waits for its answer to begin.
+#[derive(Clone)]
+struct Waiting {
+    cutter: Cutter,
+    since: Tick,
 }
 
 impl Hangups {
     /// Watches the connection from `caller` until the guard is dropped.
     pub fn watch(self: &Arc<Self>, caller: SocketAddr, cutter: Cutter) -> Watched {
         let caller = plain(caller);
-        self.waiting.lock().insert(caller, cutter);
+        self.waiting.lock().insert(caller, Waiting { cutter, since: clock::now() });
         Watched { caller, hangups: Arc::clone(self) }
     }
 
@@ -45,16 +57,17 @@
     pub async fn run(self: Arc<Self>) {
         loop {
             sleep(LOOK_EVERY).await;
-            if !self.waiting.lock().is_empty() {
-                self.look();
-            }
+            self.look();
         }
     }
 
     fn look(&self) {
         // The set is taken first: a request that starts to wait after the tables were read must
         // not be taken for one whose connection is missing from them.
-        let waiting = self.waiting.lock().clone();
+        let waiting = self.long_waiting();
+        if waiting.is_empty() {
+            return;
+        }
         let Some(established) = established() else {
             return;
         };
@@ -64,6 +77,13 @@
             }
         }
     }
+
+    fn long_waiting(&self) -> Vec<(SocketAddr, Cutter)> {
+        let now = clock::now();
+        let waiting = self.waiting.lock();
+        let long = waiting.iter().filter(|(_, waiting)| now.since(waiting.since) >= LOOK_AFTER);
+        long.map(|(caller, waiting)| (*caller, waiting.cutter.clone())).collect()
+    }
 }
 
 /// Keeps a caller's connection watched.
