--- a/src/router/generate/cost.rs
+++ b/src/router/generate/cost.rs
@@ -7,7 +7,7 @@
 use crate::router::Target;
 
 /// Tokens generated at most where the caller names no limit.
-pub(super) const DEFAULT_MAX_TOKENS: u32 = 256;
+const DEFAULT_MAX_TOKENS: u32 = 256;
 
 /// Tokens that a request takes at most.
 #[derive(Clone, Copy)]
--- a/src/router/generate/job.rs
+++ b/src/router/generate/job.rs
@@ -40,7 +40,7 @@
 use crate::util::events::Event;
 
 /// Longest wait for an adapter to be loaded.
-pub(super) const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
+const ADAPTER_WITHIN: Duration = Duration::from_secs(5);
 
 /// Everything that one generation needs.
 pub(super) struct Job {
@@ -59,17 +59,17 @@
 
 /// How far an answer has come over all attempts.
 #[derive(Default)]
-pub(super) struct Progress {
-    pub(super) tokens: u32,
-    pub(super) avoid: Vec<String>,
-    pub(super) attempts: u32,
+struct Progress {
+    tokens: u32,
+    avoid: Vec<String>,
+    attempts: u32,
     /// Whether an attempt may have run.
-    pub(super) may_have_run: bool,
+    may_have_run: bool,
 }
 
 impl Progress {
     /// What is known of the work over all attempts.
-    pub(super) fn outcome(&self) -> Outcome {
+    fn outcome(&self) -> Outcome {
         match (self.tokens, self.may_have_run) {
             (0, false) => Outcome::NotRun,
             (0, true) => Outcome::Unknown,
@@ -79,7 +79,7 @@
 }
 
 /// How one attempt at an upstream ended.
-pub(super) enum Attempt {
+enum Attempt {
     Done { reason: String },
     Broken { outcome: Outcome, cause: String },
     CallerGone,
@@ -114,7 +114,7 @@
         }
     }
 
-    pub(super) async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
+    async fn work(&self, cost: u32, pieces: &mpsc::Sender<Piece>) -> Result<u64> {
         // Dropped early (a cut, a caller gone), the reservation returns what wasn't used.
         let mut reserved =
             limit::reserve(&self.router, &self.id, &self.team, u64::from(cost), self.deadline)
@@ -150,7 +150,7 @@
         }
     }
 
-    pub(super) fn cut_refusal(&self, cut: Cut) -> Refusal {
+    fn cut_refusal(&self, cut: Cut) -> Refusal {
         let refusal = match cut {
             Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
             Cut::CallerGone | Cut::No => {
@@ -167,7 +167,7 @@
         }
     }
 
-    pub(super) fn start_wish(&self, progress: &Progress) -> Wish {
+    fn start_wish(&self, progress: &Progress) -> Wish {
         Wish {
             team: self.team.clone(),
             model: self.model.clone(),
@@ -180,7 +180,7 @@
     }
 
     /// Whether the answer goes on elsewhere; the refusal that ends it otherwise.
-    pub(super) fn may_resume(&self, progress: &Progress, cause: &str) -> Result<()> {
+    fn may_resume(&self, progress: &Progress, cause: &str) -> Result<()> {
         let late = clock::now() >= self.deadline;
         if progress.attempts < self.router.settings.attempts && !late {
             return Ok(());
@@ -191,7 +191,7 @@
     }
 
     /// Has the adapter loaded at an upstream that doesn't hold it yet.
-    pub(super) async fn ensure_adapter(&self, upstream: &str) -> std::result::Result<(), String> {
+    async fn ensure_adapter(&self, upstream: &str) -> std::result::Result<(), String> {
         let Some(adapter) = &self.adapter else {
             return Ok(());
         };
@@ -213,7 +213,7 @@
         }
     }
 
-    pub(super) async fn attempt(
+    async fn attempt(
         &self,
         mut slot: Slot,
         progress: &mut Progress,
@@ -270,7 +270,7 @@
         }
     }
 
-    pub(super) fn request(&self, progress: &Progress) -> Request {
+    fn request(&self, progress: &Progress) -> Request {
         let settings = &self.router.settings;
         Request {
             // Each attempt has an id of its own, so that an answer to another one is told apart.
@@ -291,6 +291,6 @@
 }
 
 /// A refusal that came after an upstream had already worked on the request.
-pub(super) fn after(refusal: Refusal, progress: &Progress) -> Refusal {
+fn after(refusal: Refusal, progress: &Progress) -> Refusal {
     refusal.with_outcome(progress.outcome())
 }
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -37,14 +37,14 @@
 use crate::util::clock;
 
 /// Pieces of an answer held for a caller that reads slowly.
-pub(super) const PIECES_HELD: usize = 256;
+const PIECES_HELD: usize = 256;
 
 /// Longest time for which a caller may leave a full buffer unread.
-pub(super) const READ_WITHIN: Duration = Duration::from_secs(30);
+const READ_WITHIN: Duration = Duration::from_secs(30);
 
 /// A part of an answer.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) enum Piece {
+enum Piece {
     Token(String),
     Done { reason: String, prompt_tokens: u32, tokens: u32 },
     Failed(Refusal),
@@ -101,7 +101,7 @@
 }
 
 /// The refusal for a task that ended without a last piece.
-pub(super) fn lost() -> Refusal {
+fn lost() -> Refusal {
     Refusal::not_run(Code::UpstreamFailed, "the answer was lost inside the router")
         .with_outcome(Outcome::Unknown)
 }
--- a/src/router/generate/stream.rs
+++ b/src/router/generate/stream.rs
@@ -42,11 +42,11 @@
 }
 
 impl Ends {
-    pub(super) fn sent(&self, whole: bool) {
+    fn sent(&self, whole: bool) {
         self.router.record(|| Recorded::Answer { request: self.id.clone(), whole });
     }
 
-    pub(super) fn gone(&self) {
+    fn gone(&self) {
         self.router.record(|| Recorded::CallerGone { request: self.id.clone() });
     }
 }
@@ -80,7 +80,7 @@
     outgoing
 }
 
-pub(super) fn event_of(format: &Format, piece: Piece) -> (Bytes, bool) {
+fn event_of(format: &Format, piece: Piece) -> (Bytes, bool) {
     match piece {
         Piece::Token(token) => (format.token(&token), false),
         Piece::Done { reason, prompt_tokens, tokens } => {
--- a/src/router/home/dispatch/demand.rs
+++ b/src/router/home/dispatch/demand.rs
@@ -17,13 +17,13 @@
 use crate::util::clock;
 
 /// Time between two ticks of the dispatcher.
-pub(super) const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(20);
 
 /// Time between two reports of demand for a model.
-pub(super) const DEMAND_EVERY: Duration = Duration::from_millis(200);
+const DEMAND_EVERY: Duration = Duration::from_millis(200);
 
 /// Longest wait for placement's answer.
-pub(super) const WAKE_WITHIN: Duration = Duration::from_secs(1);
+const WAKE_WITHIN: Duration = Duration::from_secs(1);
 
 /// Ticks the dispatcher and tells placement the demand, until the task is dropped.
 pub async fn run(router: Arc<Router>) {
@@ -44,7 +44,7 @@
 }
 
 /// Tells placement what waits and runs; where `urgent`, only models that have no replica.
-pub(super) fn tell_demand(router: &Arc<Router>, urgent: bool) {
+fn tell_demand(router: &Arc<Router>, urgent: bool) {
     let Some(register) = router.agent.config() else {
         return;
     };
--- a/src/router/home/dispatch/mod.rs
+++ b/src/router/home/dispatch/mod.rs
@@ -52,14 +52,14 @@
     wakes: Mutex<IndexMap<String, Duration>>,
 }
 
-pub(super) struct State {
+struct State {
     dispatcher: Dispatcher,
     waiting: HashMap<RequestKey, oneshot::Sender<Enqueued>>,
 }
 
 /// What placement pushed last.
 #[derive(Clone, Default)]
-pub(super) struct Replicas {
+struct Replicas {
     epoch: u64,
     version: u64,
     list: Vec<peer::Replica>,
@@ -188,13 +188,13 @@
     }
 }
 
-pub(super) fn started(router: &Router, start: Start) -> Enqueued {
+fn started(router: &Router, start: Start) -> Enqueued {
     let slot = peer::SlotKey { home: start.slot.home, number: start.slot.number };
     let upstream = router.homes.names.upstreams.name(start.upstream);
     Enqueued::Start(peer::Start { slot: Some(slot), upstream, bound: start.bound })
 }
 
-pub(super) fn late(wait: Duration, reason: Reason) -> Enqueued {
+fn late(wait: Duration, reason: Reason) -> Enqueued {
     let reason = match reason {
         Reason::Busy => "busy",
         Reason::Waking => "waking",
@@ -205,11 +205,11 @@
     Enqueued::Late(peer::Late { wait_ms: wait.as_millis() as u64, reason: reason.to_owned() })
 }
 
-pub(super) fn slot_key(slot: peer::SlotKey) -> SlotKey {
+fn slot_key(slot: peer::SlotKey) -> SlotKey {
     SlotKey { home: slot.home, number: slot.number }
 }
 
-pub(super) fn held_slot(router: &Router, member: MemberKey, held: &peer::HeldSlot) -> HeldSlot {
+fn held_slot(router: &Router, member: MemberKey, held: &peer::HeldSlot) -> HeldSlot {
     let names = &router.homes.names;
     HeldSlot {
         slot: slot_key(held.slot.unwrap_or_default()),
--- a/src/router/home/dispatch/requests.rs
+++ b/src/router/home/dispatch/requests.rs
@@ -28,7 +28,7 @@
 use crate::util::clock;
 
 /// Slack beyond a request's deadline before its enqueue is given up.
-pub(super) const ANSWER_SLACK: Duration = Duration::from_millis(200);
+const ANSWER_SLACK: Duration = Duration::from_millis(200);
 
 /// Takes a request of member `from` in and answers once it may start or won't.
 pub async fn enqueue(
@@ -40,7 +40,7 @@
     peer::EnqueueResponse { outcome: Some(outcome) }
 }
 
-pub(super) async fn wait_for(
+async fn wait_for(
     router: &Arc<Router>,
     from: &MemberId,
     wish: peer::EnqueueRequest,
@@ -74,7 +74,7 @@
     timeout(limit, told).await.ok()?.ok()
 }
 
-pub(super) fn request(router: &Router, from: &MemberId, wish: &peer::EnqueueRequest) -> Request {
+fn request(router: &Router, from: &MemberId, wish: &peer::EnqueueRequest) -> Request {
     let names = &router.homes.names;
     Request {
         key: RequestKey { router: names.member(from), number: wish.number },
--- a/src/router/home/dispatch/status.rs
+++ b/src/router/home/dispatch/status.rs
@@ -16,7 +16,7 @@
 use crate::util::clock;
 
 /// Assumed span of a load under way.
-pub(super) const LOADING_SPAN: Duration = Duration::from_secs(5);
+const LOADING_SPAN: Duration = Duration::from_secs(5);
 
 /// Takes placement's list of replicas, unless a newer one came already.
 pub fn replicas(router: &Router, pushed: peer::ReplicasRequest) {
@@ -59,7 +59,7 @@
     effects
 }
 
-pub(super) fn statuses(
+fn statuses(
     router: &Router,
     register: &Register,
     replicas: &[peer::Replica],
--- a/src/router/service/mod.rs
+++ b/src/router/service/mod.rs
@@ -37,13 +37,13 @@
 pub use self::rows::row_key;
 
 /// Header by which a caller names a call.
-pub(super) const KEY_HEADER: &str = "idempotency-key";
+const KEY_HEADER: &str = "idempotency-key";
 
 /// Longest idempotency key in bytes.
-pub(super) const MAX_KEY_BYTES: usize = 200;
+const MAX_KEY_BYTES: usize = 200;
 
 /// Wait told to callers of a call that is still open.
-pub(super) const OPEN_RETRY: Duration = Duration::from_secs(1);
+const OPEN_RETRY: Duration = Duration::from_secs(1);
 
 /// Serves a call of any method to `rest`, the service's name with the path behind it.
 pub async fn serve(router: &Arc<Router>, rest: &str, parts: Parts) -> Result<Answer> {
@@ -78,7 +78,7 @@
     answer
 }
 
-pub(super) fn admit(
+fn admit(
     router: &Router,
     register: &Register,
     name: &str,
@@ -103,7 +103,7 @@
     Ok((caller, service.clone()))
 }
 
-pub(super) fn idempotency_key(parts: &Parts) -> Result<String> {
+fn idempotency_key(parts: &Parts) -> Result<String> {
     let key = parts.header(KEY_HEADER).unwrap_or_default();
     let fits = (1..=MAX_KEY_BYTES).contains(&key.len());
     if !fits || !key.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/') {
@@ -114,7 +114,7 @@
     Ok(key.to_owned())
 }
 
-pub(super) fn call(parts: &Parts, path: &str, caller: &Caller, deadline: Tick) -> Call {
+fn call(parts: &Parts, path: &str, caller: &Caller, deadline: Tick) -> Call {
     let query = if parts.query.is_empty() { String::new() } else { format!("?{}", parts.query) };
     Call {
         id: parts.id.clone(),
@@ -127,7 +127,7 @@
     }
 }
 
-pub(super) fn cut_refusal(cut: Cut) -> Refusal {
+fn cut_refusal(cut: Cut) -> Refusal {
     let refusal = match cut {
         Cut::Revoked => Refusal::not_run(Code::Unauthorized, "the key was revoked"),
         _ => Refusal::not_run(Code::Unavailable, "the call was cut"),
@@ -135,7 +135,7 @@
     refusal.with_outcome(Outcome::Unknown)
 }
 
-pub(super) fn whole(answer: corianderyoke_upstream::service::Answer) -> Answer {
+fn whole(answer: corianderyoke_upstream::service::Answer) -> Answer {
     let headers = answer.headers.into_iter().collect();
     Answer::Whole { status: answer.status, headers, body: Bytes::from(answer.body) }
 }
--- a/src/router/service/once.rs
+++ b/src/router/service/once.rs
@@ -60,28 +60,28 @@
 use crate::util::events::Event;
 
 /// Header that marks an answer as kept from an earlier call.
-pub(super) const REPLAYED_HEADER: &str = "idempotency-replayed";
+const REPLAYED_HEADER: &str = "idempotency-replayed";
 
 /// Time between two looks at calls that wait for the store.
-pub(super) const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(50);
 
 /// The calls of this router that may not be repeated.
 pub struct Calls {
-    pub(super) ledger: Mutex<Ledger>,
-    pub(super) open: Mutex<IndexMap<CallKey, Arc<Running>>>,
+    ledger: Mutex<Ledger>,
+    open: Mutex<IndexMap<CallKey, Arc<Running>>>,
     /// Attempt and digest of every call, kept for the history where one is written.
     pub(super) traced: Mutex<IndexMap<CallKey, (String, String)>>,
 }
 
 /// One claimed call while it runs.
-pub(super) struct Running {
-    pub(super) call: Call,
-    pub(super) service: String,
-    pub(super) team: String,
-    pub(super) deadline: Tick,
-    pub(super) ticket: Ticket,
-    pub(super) place: Mutex<Option<Place>>,
-    pub(super) tell: Mutex<Option<oneshot::Sender<Told>>>,
+struct Running {
+    call: Call,
+    service: String,
+    team: String,
+    deadline: Tick,
+    ticket: Ticket,
+    place: Mutex<Option<Place>>,
+    tell: Mutex<Option<oneshot::Sender<Told>>>,
 }
 
 impl Calls {
@@ -132,11 +132,11 @@
     }
 }
 
-pub(super) fn unknown(message: &str) -> Refusal {
+fn unknown(message: &str) -> Refusal {
     Refusal::not_run(Code::OutcomeUnknown, message).with_outcome(Outcome::Unknown)
 }
 
-pub(super) fn digest(name: &str, parts: &Parts) -> String {
+fn digest(name: &str, parts: &Parts) -> String {
     let mut hasher = Sha256::new();
     for part in [parts.method.as_str(), name, parts.path.as_str(), parts.query.as_str()] {
         hasher.update((part.len() as u64).to_be_bytes());
@@ -146,7 +146,7 @@
     hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-pub(super) fn answer_of(name: &str, told: Told) -> Result<Answer> {
+fn answer_of(name: &str, told: Told) -> Result<Answer> {
     match told {
         Told::Ran { outcome, replayed } => {
             let mut headers = outcome.headers;
@@ -186,7 +186,7 @@
     }
 }
 
-pub(super) fn carry_out(router: &Arc<Router>, effects: Vec<Effect>) {
+fn carry_out(router: &Arc<Router>, effects: Vec<Effect>) {
     for effect in effects {
         match effect {
             Effect::Answer { call, answer } => tell(router, call, answer),
@@ -198,7 +198,7 @@
     }
 }
 
-pub(super) fn tell(router: &Router, call: CallKey, answer: Told) {
+fn tell(router: &Router, call: CallKey, answer: Told) {
     let Some(running) = router.ledger.open.lock().swap_remove(&call) else {
         return;
     };
@@ -214,7 +214,7 @@
 }
 
 /// Carries one effect out and reports what came of it.
-pub(super) async fn step(router: &Arc<Router>, effect: Effect) {
+async fn step(router: &Arc<Router>, effect: Effect) {
     let access = access(router, &effect);
     let (call, reported) = match effect {
         Effect::Insert { call, key, claim } => {
@@ -245,7 +245,7 @@
 }
 
 /// Finds the claimed call a place, or withdraws it before anything was sent.
-pub(super) fn prepare(router: &Router, call: CallKey) -> Reported {
+fn prepare(router: &Router, call: CallKey) -> Reported {
     let Some(running) = router.ledger.open.lock().get(&call).cloned() else {
         return Reported::Withdrawn;
     };
@@ -259,7 +259,7 @@
 }
 
 /// Sends the call, once.
-pub(super) async fn send(router: &Router, call: CallKey) -> Reported {
+async fn send(router: &Router, call: CallKey) -> Reported {
     let Some(running) = router.ledger.open.lock().get(&call).cloned() else {
         return Reported::NotSent;
     };
--- a/src/router/service/rows.rs
+++ b/src/router/service/rows.rs
@@ -62,13 +62,13 @@
     }
 }
 
-pub(super) fn parse(row: Row) -> Option<Found> {
+fn parse(row: Row) -> Option<Found> {
     let claim = serde_json::from_str(&row.value).ok()?;
     Some(Found { claim, version: row.version })
 }
 
 /// Marks a kept body that isn't text.
-pub(super) const BINARY_MARK: &str = "\u{0}hex:";
+const BINARY_MARK: &str = "\u{0}hex:";
 
 pub(super) fn encode(body: &[u8]) -> String {
     match std::str::from_utf8(body) {
