Take no token gap below 5 ms as a sign of overload

With slots cut on lasting evidence, `experiment overhead` at 1,000 requests/s still had a p99 of 2,035 and 2,273 ms (load averages 33 and 24): engines that need 4 slots were at 2 to 6 of 32. Cause: the stand-ins' tokens take 1 ms, and a pause of a process on a busy machine doubles that, which halves the slots. First tokens have had a floor for the same reason; token gaps get one of 5 ms, below any accelerator's time for a token.

The dispatch tests pass unchanged.

--- a/crates/coord/src/dispatch/upstreams.rs
+++ b/crates/coord/src/dispatch/upstreams.rs
@@ -28,6 +28,9 @@
 /// First tokens below this are never a sign, since they vary with the prompt.
 const FIRST_TOKEN_FLOOR: Duration = Duration::from_millis(250);
 
+/// Token gaps below this are never a sign: pauses of the processes between make up much of them.
+const TOKEN_GAP_FLOOR: Duration = Duration::from_millis(5);
+
 /// A span of a model's requests on an upstream, in microseconds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Span {
@@ -114,6 +117,8 @@
     fn sign(&mut self, settings: &DispatchSettings, model: ModelKey, release: &Release) -> Sign {
         let best = self.best.entry(model).or_default();
         let gap = best.token_gap.note(release.token_gap);
+        let slow_gap = release.token_gap.is_some_and(|span| span > TOKEN_GAP_FLOOR);
+        let gap = if slow_gap { gap } else { Ratios::default() };
         let first = best.first_token.note(release.first_token);
         let slow_first = release.first_token.is_some_and(|span| span > FIRST_TOKEN_FLOOR);
         // First tokens wait for prefills, so they only tell when they are far off.
