--- a/crates/coord/src/register/strict.rs
+++ b/crates/coord/src/register/strict.rs
@@ -98,6 +98,7 @@
         "u8" | "u16" | "u32" | "u64" | "usize" => "a whole number, 0 or more",
         "f64" => "a number",
         "a boolean" => "true or false",
+        "invalid socket address syntax" => "an address such as 127.0.0.1:7400",
         other => other,
     }
     .to_owned()
--- a/src/router/hangup.rs
+++ b/src/router/hangup.rs
@@ -4,8 +4,6 @@
 //! caller hangs up. The kernel's table of TCP sockets tells: the connection of a caller that is
 //! gone is no longer established. One reader looks for all waiting requests together.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::fs::read_to_string;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -15,6 +13,8 @@
 use std::time::Duration;
 
 use corianderyoke_coord::time::Tick;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
@@ -35,7 +35,7 @@
 /// Waiting requests by the address of their caller.
 #[derive(Default)]
 pub struct Hangups {
-    waiting: Mutex<HashMap<SocketAddr, Waiting>>,
+    waiting: Mutex<IndexMap<SocketAddr, Waiting>>,
 }
 
 /// One request that waits for its answer to begin.
@@ -94,13 +94,13 @@
 
 impl Drop for Watched {
     fn drop(&mut self) {
-        self.hangups.waiting.lock().remove(&self.caller);
+        self.hangups.waiting.lock().swap_remove(&self.caller);
     }
 }
 
 /// Remote ends of all established connections; `None` where the kernel shows no table.
-fn established() -> Option<HashSet<SocketAddr>> {
-    let mut remotes = HashSet::new();
+fn established() -> Option<IndexSet<SocketAddr>> {
+    let mut remotes = IndexSet::new();
     let mut tables = 0;
     for table in TABLES {
         let Ok(text) = read_to_string(table) else {
--- a/src/router/home/dispatch/mod.rs
+++ b/src/router/home/dispatch/mod.rs
@@ -7,7 +7,6 @@
 mod requests;
 mod status;
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use corianderyoke_coord::dispatch::DispatchSettings;
@@ -54,7 +53,7 @@
 
 struct State {
     dispatcher: Dispatcher,
-    waiting: HashMap<RequestKey, oneshot::Sender<Enqueued>>,
+    waiting: IndexMap<RequestKey, oneshot::Sender<Enqueued>>,
 }
 
 /// What placement pushed last.
@@ -95,7 +94,7 @@
             let held: Vec<HeldSlot> = held.collect();
             dispatcher.adopt(member, &held, now);
         }
-        *self.state.lock() = Some(State { dispatcher, waiting: HashMap::new() });
+        *self.state.lock() = Some(State { dispatcher, waiting: IndexMap::new() });
     }
 
     /// Stops the dispatcher; requests that wait here are told to ask the next home.
@@ -181,7 +180,7 @@
             };
             // A start that nobody hears of is handed out when the router asks again, and freed
             // when the router doesn't report it as held.
-            if let Some(tell) = self.waiting.remove(&request) {
+            if let Some(tell) = self.waiting.swap_remove(&request) {
                 let _ = tell.send(outcome);
             }
         }
