--- a/src/agent/settings.rs
+++ b/src/agent/settings.rs
@@ -33,6 +33,20 @@
     pub poll_every: Duration,
 }
 
+/// Renewals and scans in one term.
+const ROUNDS_A_TERM: u32 = 3;
+
+/// Spans of a membership whose members act for `term` after a renewal.
+pub fn membership(term: Duration) -> membership::Settings {
+    let round = term / ROUNDS_A_TERM;
+    membership::Settings {
+        term,
+        renew_every: round,
+        scan_every: round,
+        ..membership::Settings::default()
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
--- a/src/controller/settings.rs
+++ b/src/controller/settings.rs
@@ -17,6 +17,10 @@
     pub name: String,
     /// Availability zone of the instance.
     pub zone: String,
+    /// Cell that the instance belongs to; its members share one view.
+    pub cell: String,
+    /// Time for which a member may act after a renewal, in milliseconds; the same in a whole cell.
+    pub term_ms: u64,
     /// Address of the platform's services.
     pub platform: SocketAddr,
     /// Address for operators.
@@ -32,7 +36,7 @@
 impl Settings {
     /// What is wrong with the values.
     pub fn check(&self) -> Vec<Problem> {
-        daemon_problems(&self.name, &self.log)
+        daemon_problems(&self.name, &self.log, &self.cell, self.term_ms)
     }
 }
 
@@ -42,6 +46,8 @@
         Settings {
             name: "controller-1".to_owned(),
             zone: String::new(),
+            cell: "cell-1".to_owned(),
+            term_ms: 3_000,
             platform: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
             operators: any,
             peers: any,
--- a/src/ops/controller.rs
+++ b/src/ops/controller.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use corianderyoke_coord::membership::Role;
 use corianderyoke_coord::membership::RowState;
@@ -14,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use crate::agent;
+use crate::agent::settings::membership;
 use crate::agent::traced::Traced;
 use crate::agent::traffic::Traffic;
 use crate::agent::Agent;
@@ -48,6 +50,8 @@
             name: settings.name.clone(),
             role: Role::Controller,
             zone: settings.zone.clone(),
+            cell: settings.cell.clone(),
+            membership: membership(Duration::from_millis(settings.term_ms)),
             peers: settings.peers,
             operators: operators.to_string(),
             history,
--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::agent;
+use crate::agent::settings::membership;
 use crate::agent::traced::Traced;
 use crate::agent::traffic::Traffic;
 use crate::agent::Agent;
@@ -69,6 +70,8 @@
             name: settings.name.clone(),
             role: Role::Router,
             zone: settings.zone.clone(),
+            cell: settings.cell.clone(),
+            membership: membership(Duration::from_millis(settings.term_ms)),
             peers: settings.peers,
             callers: callers.to_string(),
             operators: operators.to_string(),
--- a/src/router/settings.rs
+++ b/src/router/settings.rs
@@ -17,6 +17,10 @@
     pub name: String,
     /// Availability zone of the instance.
     pub zone: String,
+    /// Cell that the instance belongs to; its members share one view.
+    pub cell: String,
+    /// Time for which a member may act after a renewal, in milliseconds; the same in a whole cell.
+    pub term_ms: u64,
     /// Address of the platform's services.
     pub platform: SocketAddr,
     /// Address for callers.
@@ -42,7 +46,7 @@
 impl Settings {
     /// What is wrong with the values.
     pub fn check(&self) -> Vec<Problem> {
-        let mut problems = daemon_problems(&self.name, &self.log);
+        let mut problems = daemon_problems(&self.name, &self.log, &self.cell, self.term_ms);
         if self.attempts == 0 {
             problems.push(Problem::new("attempts", "0", "1 or more"));
         }
@@ -62,6 +66,8 @@
         Settings {
             name: "router-1".to_owned(),
             zone: String::new(),
+            cell: "cell-1".to_owned(),
+            term_ms: 3_000,
             platform: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
             callers: any,
             operators: any,
--- a/src/util/start.rs
+++ b/src/util/start.rs
@@ -1,5 +1,6 @@
 //! What all daemons' command lines have in common.
 
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -12,6 +13,9 @@
 use crate::util::exit::Exit;
 use crate::util::settings;
 
+/// Terms that a member can have, in milliseconds.
+const TERM_MS: RangeInclusive<u64> = 1_500..=60_000;
+
 /// Options of a process that runs until it is told to stop.
 #[derive(Args, Clone, Debug)]
 pub struct Options {
@@ -54,12 +58,18 @@
 }
 
 /// What is wrong with the settings that every daemon has.
-pub fn daemon_problems(name: &str, log: &str) -> Vec<Problem> {
+pub fn daemon_problems(name: &str, log: &str, cell: &str, term_ms: u64) -> Vec<Problem> {
     let mut problems = Vec::new();
     let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if name.is_empty() || !name.chars().all(plain) {
-        let allowed = "letters, digits, `-`, `_` and `.`, at least one";
-        problems.push(Problem::new("name", name, allowed));
+    for (key, value) in [("name", name), ("cell", cell)] {
+        if value.is_empty() || !value.chars().all(plain) {
+            let allowed = "letters, digits, `-`, `_` and `.`, at least one";
+            problems.push(Problem::new(key, value, allowed));
+        }
+    }
+    if !TERM_MS.contains(&term_ms) {
+        let allowed = format!("{} to {}", TERM_MS.start(), TERM_MS.end());
+        problems.push(Problem::new("term_ms", term_ms, allowed));
     }
     if log.parse::<LevelFilter>().is_err() {
         problems.push(Problem::new("log", log, "off, error, warn, info, debug or trace"));
