Look a request's grant up again once it can be cut

Cause: a request whose key was looked up just before a revocation came into force, and which entered the table of open requests just after, wasn't cut by it and could run on. Before, the new test's request entered; after, it is refused as not run. On an open route a caller's key needs no grant, which the check behind revocations had asked for.

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -249,13 +249,20 @@
     ///
     /// # Errors
     ///
-    /// A refusal where too many are open.
+    /// A refusal where too many are open, or the register no longer lets it run.
     pub fn enter(&self, grant: Grant) -> Result<Ticket> {
-        let ticket = self.open.enter(grant, self.settings.open_requests);
-        ticket.ok_or_else(|| {
+        let ticket = self.open.enter(grant.clone(), self.settings.open_requests);
+        let ticket = ticket.ok_or_else(|| {
             let refusal = Refusal::not_run(Code::Overloaded, "too many requests are open here");
             refusal.with_retry(RETRY_SOON)
-        })
+        })?;
+        // A revision that came into force after the key was looked up cut only what was in the
+        // table by then, so the grant is looked up again now that the request is in it.
+        if !watch::allowed(&*self.register()?, &grant) {
+            let message = "the key isn't known or was revoked";
+            return Err(Refusal::not_run(Code::Unauthorized, message));
+        }
+        Ok(ticket)
     }
 
     /// Forgets what the last incarnation held and was the home of: all of it is lost by now.
--- a/src/router/watch.rs
+++ b/src/router/watch.rs
@@ -61,11 +61,14 @@
 }
 
 /// Whether `register` still lets a request run.
-fn allowed(register: &Register, grant: &Grant) -> bool {
+pub fn allowed(register: &Register, grant: &Grant) -> bool {
     if let Some(name) = grant.target.strip_prefix("service/") {
+        let known = register.caller(&grant.key).is_some();
         let open = register.services.get(name).is_some_and(|service| service.open);
-        let may = || register.may_use(&grant.team, Resource::Service(name));
-        return open && grant.key.is_empty() || register.caller(&grant.key).is_some() && may();
+        return match open {
+            true => grant.key.is_empty() || known,
+            false => known && register.may_use(&grant.team, Resource::Service(name)),
+        };
     }
     let target = register.target(&grant.target);
     let may = target.is_some_and(|target| register.may_use(&grant.team, target.resource()));
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -6,6 +6,9 @@
 use corianderyoke::ops::bench::cell::Cell;
 use corianderyoke::ops::bench::cell::Plan;
 use corianderyoke::ops::config::commands;
+use corianderyoke::router::open::Grant;
+use corianderyoke::router::refusal::Code;
+use corianderyoke::router::refusal::Outcome;
 use corianderyoke_platform::faults::Fault as StoreFault;
 use corianderyoke_platform::faults::Order;
 use corianderyoke_standin::engine;
@@ -204,3 +207,19 @@
     assert_eq!(cell.services[0].ledger().effects, 0);
     cell.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_enters_after_its_key_was_revoked_is_refused() {
+    let (cell, key) = cell(1, Duration::from_millis(2)).await;
+    let router = &cell.routers[0].router;
+    let name = router.agent.config().unwrap().authenticate(&key).unwrap().key.to_owned();
+    let (team, target) = ("depots".to_owned(), "summary".to_owned());
+    let grant = Grant { key: name.clone(), team, target };
+    assert!(router.enter(grant.clone()).is_ok());
+    let revoked = commands::revoke(&*cell.store, &name, &author("revoke")).await.unwrap();
+    cell.in_force(revoked.revision.0).await.unwrap();
+    let refusal = router.enter(grant).err().expect("the key was revoked");
+    assert_eq!((refusal.code, refusal.outcome), (Code::Unauthorized, Outcome::NotRun));
+    assert!(router.open.is_empty());
+    cell.stop().await;
+}
