Refuse bodies that break off, however short

Cause: Rocket reads the first 15 bytes of a body before any handler and takes a connection that breaks there for the body's end, so an order cut to a few bytes was sent to its service: the new test got 200 and an effect. Bodies are now compared with their declared length, and one without a length has to be longer than what Rocket reads ahead. After: refused, no effect.

--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -45,6 +45,8 @@
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 /// Most bytes of a body.
 const MAX_BODY_BYTES: u64 = 1024 * 1024;
+/// Bytes of a body that Rocket reads ahead.
+const PEEKED_BYTES: usize = 16;
 /// Longest time in which a whole body has to arrive.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 /// Query parameters by which callers wrongly send keys.
@@ -261,10 +263,24 @@
         Err(_) => Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
         Ok(Err(e)) => Err(Refusal::not_run(Code::BadRequest, format!("the body broke off: {e}"))),
         Ok(Ok(body)) if !body.is_complete() => Err(too_large()),
-        Ok(Ok(body)) => Ok(Bytes::from(body.into_inner())),
+        Ok(Ok(body)) => whole_body(declared, Bytes::from(body.into_inner())),
     }
 }
 
+/// Refuses a body that broke off. Rocket reads the first bytes of a body before any handler and
+/// takes a connection that breaks there for the body's end.
+fn whole_body(declared: Option<u64>, body: Bytes) -> Result<Bytes> {
+    let broken = match declared {
+        Some(length) => body.len() as u64 != length,
+        None => !body.is_empty() && body.len() < PEEKED_BYTES,
+    };
+    if broken {
+        let message = "the body broke off; a body this short needs a content-length";
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    Ok(body)
+}
+
 fn respond<'r>(request: &'r Request<'_>, answer: Answer, id: &str) -> Response<'r> {
     let mut response = match answer {
         Answer::Whole { status, headers, body } => whole(status, headers, body),
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -3,14 +3,22 @@
 use std::fmt::Write;
 use std::io::Read;
 use std::io::Write as _;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::time::Duration;
 
 use corianderyoke::ops::bench::cell::Cell;
 use corianderyoke::ops::bench::cell::Plan;
 use corianderyoke_standin::engine;
 use corianderyoke_standin::engine::settings::Tier;
 
+/// A connection on which nothing comes for this long has said all.
+const QUIET: Duration = Duration::from_secs(15);
+
+/// Time for a request to reach a service, if it does.
+const SETTLE: Duration = Duration::from_millis(500);
+
 const REGISTER: &str = r#"
 [models.summary]
 bytes = 16_000_000_000
@@ -46,9 +54,12 @@
 fn raw(address: SocketAddr, text: &str) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
     stream.write_all(text.as_bytes()).unwrap();
-    let mut answer = String::new();
-    // A server that refuses early may reset the connection after its answer.
-    let _ = stream.read_to_string(&mut answer);
+    stream.set_read_timeout(Some(QUIET)).unwrap();
+    let mut answer = Vec::new();
+    // A server that refuses early may reset the connection after its answer, or wait for the rest
+    // of the body; what was read stays.
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8(answer).unwrap();
     let status = answer.lines().next().unwrap_or("no answer").to_owned();
     let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
     format!("{status}\n  {}", without_id(body))
@@ -134,3 +145,50 @@
     assert!(counted.iter().any(|line| line.contains("bad_request")), "{counted:?}");
     cell.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_comes_too_slowly_is_refused() {
+    let (cell, key) = cell().await;
+    let address = cell.callers(1);
+    let text = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: h\r\nconnection: close\r\nauthorization: Bearer \
+         {key}\r\ncontent-length: 100\r\n\r\n{{\"model\":\"summary\",\"prompt\":"
+    );
+    let told = tokio::task::spawn_blocking(move || raw(address, &text)).await.unwrap();
+    let expected = "HTTP/1.1 408 Request Timeout\n  {\"error\":{\"code\":\"request_timeout\",\
+                    \"message\":\"the body came too slowly\",\"outcome\":\"not_run\"}}";
+    assert_eq!(told, expected);
+    assert!(cell.engines[0].ledger().requests.is_empty());
+    cell.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_breaks_off_is_refused_however_short() {
+    let (cell, key) = cell().await;
+    let address = cell.callers(0);
+    for (length, sent) in
+        [("content-length: 12", "{\"bin\":"), ("transfer-encoding: chunked", "4\r\n{\"b\"")]
+    {
+        let text = format!(
+            "POST /services/orders/new HTTP/1.1\r\nhost: h\r\nconnection: close\r\nauthorization: \
+             Bearer {key}\r\nidempotency-key: k1\r\n{length}\r\n\r\n{sent}"
+        );
+        let told = tokio::task::spawn_blocking(move || broken_off(address, &text)).await.unwrap();
+        assert!(told.is_empty() || told.starts_with("HTTP/1.1 400 "), "{told}");
+    }
+    assert_eq!(cell.services[0].ledger().effects, 0);
+    cell.stop().await;
+}
+
+/// Sends bytes, ends its side of the connection, and returns what comes back.
+fn broken_off(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    stream.set_read_timeout(Some(QUIET)).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    // The server may still work on the request when it has closed the connection.
+    std::thread::sleep(SETTLE);
+    String::from_utf8(answer).unwrap()
+}
