--- a/tests/testsuite/daemons.rs
+++ b/tests/testsuite/daemons.rs
@@ -38,6 +38,28 @@
     }
 }
 
+#[test]
+fn help_of_each_subcommand() {
+    let folder = folder("");
+    let subcommands = [
+        (STANDIN, &["platform", "engine", "service"][..]),
+        (BENCH, &["demo", "check", "run", "experiment"]),
+    ];
+    for (binary, names) in subcommands {
+        for name in names {
+            let help = run(binary, folder.path(), &[name, "--help"]);
+            insta::assert_snapshot!(format!("help_of_{name}"), help);
+        }
+    }
+}
+
+#[test]
+fn standins_check_their_settings_too() {
+    let folder = folder("memory_byte = 3\nfencing = 1\nlisten = \"here\"\n");
+    let arguments = ["engine", "--config", "settings.toml", "--check"];
+    insta::assert_snapshot!("engine_bad", run(STANDIN, folder.path(), &arguments));
+}
+
 #[test]
 fn versions_agree() {
     let folder = folder("");
