--- a/crates/coord/src/dispatch/budget.rs
+++ b/crates/coord/src/dispatch/budget.rs
@@ -7,18 +7,30 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     ratio: f64,
+    most: f64,
     credit: f64,
 }
 
 impl RetryBudget {
     /// A full budget that gains `ratio` retries with each admitted request.
     pub fn new(ratio: f64) -> Self {
-        RetryBudget { ratio, credit: MOST }
+        RetryBudget { ratio, most: MOST, credit: MOST }
+    }
+
+    /// The same budget, full, with `most` retries saved up at most.
+    pub fn with_most(self, most: f64) -> Self {
+        RetryBudget { most, credit: most, ..self }
+    }
+
+    /// Changes how many retries may be saved up, and keeps what is left of them.
+    pub fn set_most(&mut self, most: f64) {
+        self.most = most;
+        self.credit = self.credit.min(most);
     }
 
     /// Counts an admitted first try.
     pub fn admit(&mut self) {
-        self.credit = (self.credit + self.ratio).min(MOST);
+        self.credit = (self.credit + self.ratio).min(self.most);
     }
 
     /// Takes one retry out, if there is one.
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod placement;
 pub mod pools;
 pub mod register;
+pub mod serving;
 pub mod time;
--- /dev/null
+++ b/crates/coord/src/serving/caps.rs
@@ -0,0 +1,113 @@
+//! A team's cap over the whole fleet.
+//!
+//! Every daemon keeps the whole team's bucket: it takes its own requests out as it admits them and
+//! those of the others as they tell their totals. What a total says is never taken twice, and a
+//! lost message is made good by the next. Daemons that are known but silent may be serving behind
+//! a cut, so a daemon gains only the part of the rate that belongs to those it hears.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::serving::desired::Cap;
+use crate::time::Tick;
+
+/// Part of the tolerated excess that a bucket may hold on top of its burst; the rest covers what
+/// the daemons admit before they hear of each other.
+const SLACK_SHARE: f64 = 0.25;
+/// Part of the burst that a bucket holds where nothing is known of what was admitted before.
+const START_SHARE: f64 = 0.5;
+/// Shortest advice on when to come back, in seconds: below it callers only add load.
+const SHORTEST_WAIT: f64 = 0.2;
+
+/// What a daemon told of a team: tokens admitted since its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Told {
+    incarnation: u64,
+    total: i64,
+}
+
+/// One team's bucket.
+#[derive(Clone, Debug)]
+pub struct TeamBucket {
+    cap: Cap,
+    slack: f64,
+    level: f64,
+    at: Tick,
+    total: i64,
+    told: IndexMap<String, Told>,
+}
+
+impl TeamBucket {
+    /// A bucket at the start of a daemon. `full` says that the whole fleet starts for the first
+    /// time, so nothing was admitted before; `slack` is the excess that is tolerated over the
+    /// whole fleet, in tokens.
+    pub fn new(cap: Cap, slack: f64, full: bool, now: Tick) -> Self {
+        let share = if full { 1.0 } else { START_SHARE };
+        TeamBucket {
+            cap,
+            slack,
+            level: cap.burst * share,
+            at: now,
+            total: 0,
+            told: IndexMap::new(),
+        }
+    }
+
+    /// Sets the cap of a new desired state.
+    pub fn set_cap(&mut self, cap: Cap) {
+        self.cap = cap;
+        self.level = self.level.min(self.most());
+    }
+
+    /// Admits a request of `tokens`, or says how long the team has to wait for it. `share` is the
+    /// part of the fleet that this daemon hears, from 0 to 1.
+    pub fn admit(&mut self, tokens: u64, share: f64, now: Tick) -> Result<(), Duration> {
+        self.refill(share, now);
+        let tokens = tokens as f64;
+        // A request above the burst can never find its tokens; it goes once the bucket is full.
+        let needed = tokens.min(self.cap.burst);
+        if self.level >= needed {
+            self.level -= tokens;
+            self.total += tokens as i64;
+            return Ok(());
+        }
+        let rate = (self.cap.rate * share).max(1.0);
+        let wait = ((needed - self.level) / rate).max(SHORTEST_WAIT);
+        Err(Duration::from_secs_f64(wait))
+    }
+
+    /// Gives back the tokens of an admitted request that never ran.
+    pub fn refund(&mut self, tokens: u64) {
+        self.level = (self.level + tokens as f64).min(self.most());
+        self.total -= tokens as i64;
+    }
+
+    /// Tokens admitted here since the daemon's start, less those given back.
+    pub fn total(&self) -> i64 {
+        self.total
+    }
+
+    /// Takes out what another daemon admitted since it last told its total.
+    pub fn hear(&mut self, daemon: &str, incarnation: u64, total: i64) {
+        let told = Told { incarnation, total };
+        let before = self.told.insert(daemon.to_owned(), told);
+        let since = match before {
+            Some(before) if before.incarnation == incarnation => total - before.total,
+            // What a daemon admitted before it was first heard lies further back than its start.
+            Some(_) => total,
+            None => 0,
+        };
+        self.level = (self.level - since as f64).min(self.most());
+    }
+
+    fn most(&self) -> f64 {
+        self.cap.burst + self.slack * SLACK_SHARE
+    }
+
+    fn refill(&mut self, share: f64, now: Tick) {
+        let gained = self.cap.rate * share * now.since(self.at).as_secs_f64();
+        self.level = (self.level + gained).min(self.most());
+        self.at = now;
+    }
+}
--- /dev/null
+++ b/crates/coord/src/serving/choice.rs
@@ -0,0 +1,180 @@
+//! Which engine a request goes to.
+//!
+//! The engine with the least expected time to the first token is taken: what it has to read of the
+//! prompt, what it reads for others before, how many run beside, and the way there. Daemons that
+//! know nothing of each other's requests still send requests that share a prompt to the same
+//! engine, since the first choice for a shared part is a rendezvous hash.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::hash::hash;
+use crate::hash::mix;
+use crate::keys::AdapterKey;
+use crate::keys::ModelKey;
+use crate::keys::UpstreamKey;
+use crate::time::Tick;
+
+/// Time for which a part that was read counts as kept.
+const KEPT_SPAN: Duration = Duration::from_secs(40);
+/// Parts remembered at most; the oldest are forgotten first.
+const MOST_PARTS: usize = 8_192;
+
+/// Figures for the expected time to a first token.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceSettings {
+    /// Prompt tokens that an engine reads in a millisecond, until something better is known.
+    pub read_rate: f64,
+    /// Milliseconds that each running request adds to a first token.
+    pub beside_ms: f64,
+    /// Milliseconds that the way to another zone counts as, transport included.
+    pub away_ms: f64,
+    /// Part of an engine's token memory that may be taken.
+    pub memory_share: f64,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> Self {
+        ChoiceSettings { read_rate: 30.0, beside_ms: 4.0, away_ms: 12.0, memory_share: 0.95 }
+    }
+}
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// Identity of the text.
+    pub id: u64,
+    /// Length in tokens.
+    pub tokens: u64,
+}
+
+/// What a request needs of an engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Need {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens that the answer has at most.
+    pub output: u64,
+    /// The prompt's parts in order; the last is the request's own.
+    pub parts: Vec<Part>,
+}
+
+/// What runs at an engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that run or wait there.
+    pub running: u32,
+    /// Prompt tokens that it still has to read.
+    pub unread: u64,
+    /// Tokens of all prompts and answers there.
+    pub tokens: u64,
+}
+
+/// An engine that a request may go to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// The engine.
+    pub key: UpstreamKey,
+    /// What runs there, as far as this daemon knows.
+    pub load: Load,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Token memory; 0 where it isn't known.
+    pub capacity: u64,
+    /// Prompt tokens that it has read already.
+    pub kept: u64,
+    /// Whether it is in this daemon's zone.
+    pub near: bool,
+}
+
+/// The candidate with the least expected time to a first token, among those with room.
+pub fn choose(
+    settings: &ChoiceSettings,
+    need: &Need,
+    candidates: &[Candidate],
+) -> Option<Candidate> {
+    let open = candidates.iter().filter(|candidate| candidate.has_room(settings, need));
+    let best = open.min_by(|a, b| {
+        let (a, b) = (a.expected_ms(settings, need), b.expected_ms(settings, need));
+        a.total_cmp(&b)
+    });
+    best.copied()
+}
+
+impl Candidate {
+    fn has_room(&self, settings: &ChoiceSettings, need: &Need) -> bool {
+        let most = (self.capacity as f64 * settings.memory_share) as u64;
+        let fits = self.load.tokens + need.prompt + need.output <= most;
+        self.load.running < self.slots && (self.capacity == 0 || fits || self.load.running == 0)
+    }
+
+    fn expected_ms(&self, settings: &ChoiceSettings, need: &Need) -> f64 {
+        let unread = need.prompt.saturating_sub(self.kept) + self.load.unread;
+        let away = if self.near { 0.0 } else { settings.away_ms };
+        let beside = settings.beside_ms * f64::from(self.load.running);
+        unread as f64 / settings.read_rate + beside + away
+    }
+}
+
+/// The engine that requests with a shared prompt go to first: the same at every daemon. Engines
+/// are given by key and name.
+pub fn home<'a>(
+    shared: u64,
+    engines: impl Iterator<Item = (UpstreamKey, &'a str)>,
+) -> Option<UpstreamKey> {
+    engines.max_by_key(|(_, id)| mix(hash(shared, id.bytes()))).map(|(key, _)| key)
+}
+
+/// The part of a prompt that other requests share: all parts but the last, as one number.
+pub fn shared(need: &Need) -> Option<u64> {
+    let (_, shared) = need.parts.split_last()?;
+    shared.last().map(|part| part.id)
+}
+
+/// Whose weights read a part.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Reader {
+    /// The engine.
+    pub engine: UpstreamKey,
+    /// The model.
+    pub model: ModelKey,
+    /// The adapter, if any.
+    pub adapter: Option<AdapterKey>,
+}
+
+/// Which engines have read which parts of prompts, as far as this daemon sent them there.
+#[derive(Clone, Debug, Default)]
+pub struct Prefixes {
+    read: IndexMap<(Reader, u64), Tick>,
+}
+
+impl Prefixes {
+    /// Records that a prompt was sent to be read.
+    pub fn sent(&mut self, reader: Reader, need: &Need, now: Tick) {
+        for part in &need.parts {
+            // The order of the map is that of last use, so that the oldest come first.
+            self.read.shift_remove(&(reader, part.id));
+            self.read.insert((reader, part.id), now);
+        }
+        let excess = self.read.len().saturating_sub(MOST_PARTS);
+        self.read.drain(..excess);
+    }
+
+    /// Tokens at the beginning of a prompt that an engine has read.
+    pub fn kept(&self, reader: Reader, need: &Need, now: Tick) -> u64 {
+        let mut tokens = 0;
+        for part in &need.parts {
+            match self.read.get(&(reader, part.id)) {
+                Some(&at) if now.since(at) < KEPT_SPAN => tokens += part.tokens,
+                _ => break,
+            }
+        }
+        tokens
+    }
+
+    /// Forgets what an engine has read, since it lost it.
+    pub fn forget(&mut self, engine: UpstreamKey) {
+        self.read.retain(|(reader, _), _| reader.engine != engine);
+    }
+}
--- /dev/null
+++ b/crates/coord/src/serving/engines.rs
@@ -0,0 +1,416 @@
+//! Engines as the platform lists them, and what their answers showed since.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::keys::AdapterKey;
+use crate::keys::Interner;
+use crate::keys::ModelKey;
+use crate::keys::UpstreamKey;
+use crate::keys::ZoneKey;
+use crate::time::Tick;
+
+/// Time after a platform outage within which entries that lapsed meanwhile come back; the platform
+/// states about two seconds, and a fifth of a second covers the feed.
+const RETURN_SPAN: Duration = Duration::from_millis(2_200);
+/// Time for which an engine is passed over after its first failure; doubles with each further one.
+const SUSPECT_SPAN: Duration = Duration::from_millis(400);
+/// Longest time for which failures keep an engine passed over.
+const SUSPECT_MOST: Duration = Duration::from_secs(5);
+/// Time for which word of an adapter outlives an entry that was written before it.
+const WORD_SPAN: Duration = Duration::from_millis(2_500);
+
+/// Whether an engine takes new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// Takes requests.
+    Ready,
+    /// Leaves: finishes what it runs.
+    Draining,
+}
+
+/// An engine's entry as the platform lists it, by names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Identity; a new start is mostly a new one.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address for requests and orders.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub stage: Stage,
+    /// How much longer it is cold, from when the entry was written.
+    pub cold: Duration,
+    /// Its start, in milliseconds since 1970 by its own clock, where it tells it.
+    pub born: Option<u64>,
+    /// Adapters by model, for each model held.
+    pub models: IndexMap<String, Vec<String>>,
+    /// Models whose weights lie in host memory.
+    pub in_memory: Vec<String>,
+    /// Models whose weights lie on disk.
+    pub on_disk: Vec<String>,
+}
+
+/// What an engine says of itself when it is asked, by names.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Whether a load or unload of a model is under way.
+    pub busy: bool,
+    /// Orders accepted since its start.
+    pub orders: u64,
+    /// Adapters by model, for each model held.
+    pub models: IndexMap<String, Vec<String>>,
+}
+
+/// An engine as this daemon knows it.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Identity.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneKey,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub stage: Stage,
+    /// When it is warm.
+    pub warm_at: Tick,
+    /// Orders accepted since its start, once it was asked; its entry doesn't tell.
+    pub orders: Option<u64>,
+    /// Start by its own clock.
+    pub born: Option<u64>,
+    /// Models held, each with its adapters.
+    pub models: IndexMap<ModelKey, IndexSet<AdapterKey>>,
+    /// Models whose weights lie in host memory.
+    pub in_memory: IndexSet<ModelKey>,
+    /// Models whose weights lie on disk.
+    pub on_disk: IndexSet<ModelKey>,
+    /// Model that it was told to unload and still counts as memory.
+    pub unloading: Option<ModelKey>,
+    /// When its entry went while the platform was away, if it did.
+    missing: Option<Tick>,
+    /// Adapters that the order holder spoke of, and when; they may be newer than the entry.
+    word: IndexMap<AdapterKey, (ModelKey, bool, Tick)>,
+    suspect: Suspicion,
+}
+
+/// Failures in a row, and until when they keep an engine passed over.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suspicion {
+    failures: u32,
+    until: Tick,
+}
+
+/// Names behind the keys of engines and what they hold.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Engine identities.
+    pub engines: Interner<UpstreamKey>,
+    /// Models.
+    pub models: Interner<ModelKey>,
+    /// Adapters, as `model/adapter`.
+    pub adapters: Interner<AdapterKey>,
+    /// Availability zones.
+    pub zones: Interner<ZoneKey>,
+}
+
+impl Names {
+    /// The key of a model's adapter.
+    pub fn adapter(&mut self, model: &str, adapter: &str) -> AdapterKey {
+        self.adapters.intern(&format!("{model}/{adapter}"))
+    }
+
+    fn adapters(&mut self, model: &str, adapters: &[String]) -> IndexSet<AdapterKey> {
+        adapters.iter().map(|adapter| self.adapter(model, adapter)).collect()
+    }
+}
+
+/// All engines that may be alive.
+#[derive(Clone, Debug, Default)]
+pub struct Engines {
+    /// Names behind the keys.
+    pub names: Names,
+    listed: IndexMap<UpstreamKey, Engine>,
+    drained: IndexSet<ZoneKey>,
+    recovering: Option<Tick>,
+}
+
+/// What a change of an engine's entry meant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The engine is new here.
+    Added,
+    /// The engine started again under its old identity.
+    Restarted,
+    /// Something of it changed.
+    Updated,
+    /// It left, or is leaving.
+    Left,
+    /// Nothing that matters.
+    Same,
+}
+
+impl Engines {
+    /// Takes an engine's entry over.
+    pub fn list(&mut self, entry: Entry, now: Tick) -> Change {
+        let key = self.names.engines.intern(&entry.id);
+        let mut engine = self.engine(entry, now);
+        let Some(old) = self.listed.get(&key) else {
+            self.listed.insert(key, engine);
+            return Change::Added;
+        };
+        let restarted = engine.address != old.address
+            || (engine.born.is_some() && old.born.is_some() && engine.born != old.born);
+        if restarted {
+            self.listed.insert(key, engine);
+            return Change::Restarted;
+        }
+        engine.suspect = old.suspect;
+        engine.unloading = old.unloading.filter(|model| engine.models.contains_key(model));
+        engine.orders = old.orders;
+        for (&adapter, &(model, held, at)) in &old.word {
+            if now.since(at) < WORD_SPAN {
+                engine.say(model, adapter, held, at);
+            }
+        }
+        let change = match (old.stage, engine.stage) {
+            (Stage::Ready, Stage::Draining) => Change::Left,
+            _ if old.models == engine.models && old.on_disk == engine.on_disk => Change::Same,
+            _ => Change::Updated,
+        };
+        self.listed.insert(key, engine);
+        change
+    }
+
+    /// An engine's entry is gone. Right after an outage of the platform the engine may still live,
+    /// and is kept until it had its time to come back.
+    pub fn unlist(&mut self, id: &str, now: Tick) -> Change {
+        let Some(key) = self.names.engines.key(id) else { return Change::Same };
+        if self.recovering.is_some_and(|until| now < until) {
+            if let Some(engine) = self.listed.get_mut(&key) {
+                engine.missing = Some(now);
+            }
+            return Change::Same;
+        }
+        match self.listed.shift_remove(&key) {
+            Some(_) => Change::Left,
+            None => Change::Same,
+        }
+    }
+
+    /// The platform answers again after an outage.
+    pub fn recover(&mut self, now: Tick) {
+        self.recovering = Some(now + RETURN_SPAN);
+    }
+
+    /// Forgets engines that had their time to come back after an outage; gives them.
+    pub fn expire(&mut self, now: Tick) -> Vec<UpstreamKey> {
+        if self.recovering.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        self.recovering = None;
+        let gone = self.listed.iter().filter(|(_, engine)| engine.missing.is_some());
+        let gone: Vec<UpstreamKey> = gone.map(|(&key, _)| key).collect();
+        for key in &gone {
+            self.listed.shift_remove(key);
+        }
+        gone
+    }
+
+    /// Sets the zones that are drained.
+    pub fn drain_zones<'a>(&mut self, zones: impl IntoIterator<Item = &'a str>) {
+        let zones = zones.into_iter().map(|zone| self.names.zones.intern(zone));
+        self.drained = zones.collect();
+    }
+
+    /// Drains a zone, or takes it back.
+    pub fn drain_zone(&mut self, zone: &str, drained: bool) {
+        let zone = self.names.zones.intern(zone);
+        if drained {
+            self.drained.insert(zone);
+        } else {
+            self.drained.swap_remove(&zone);
+        }
+    }
+
+    /// Whether a zone is drained.
+    pub fn is_drained(&self, zone: ZoneKey) -> bool {
+        self.drained.contains(&zone)
+    }
+
+    /// Records that an engine's answer failed.
+    pub fn fail(&mut self, key: UpstreamKey, now: Tick) {
+        let Some(engine) = self.listed.get_mut(&key) else { return };
+        let doublings = engine.suspect.failures.min(8);
+        engine.suspect.failures += 1;
+        let span = SUSPECT_SPAN * (1 << doublings);
+        engine.suspect.until = now + span.min(SUSPECT_MOST);
+    }
+
+    /// Records that an engine answered well.
+    pub fn succeed(&mut self, key: UpstreamKey) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.suspect = Suspicion::default();
+        }
+    }
+
+    /// Records that an engine holds an adapter now, or no longer.
+    pub fn say(
+        &mut self,
+        key: UpstreamKey,
+        model: ModelKey,
+        adapter: AdapterKey,
+        held: bool,
+        now: Tick,
+    ) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.say(model, adapter, held, now);
+        }
+    }
+
+    /// Records that an engine refused a request since it doesn't hold its model.
+    pub fn miss_model(&mut self, key: UpstreamKey, model: ModelKey) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.models.swap_remove(&model);
+        }
+    }
+
+    /// Takes over what an engine said of itself when it was asked.
+    pub fn report(&mut self, key: UpstreamKey, report: &Report) {
+        let mut held = IndexMap::new();
+        for (model, adapters) in &report.models {
+            held.insert(self.names.models.intern(model), self.names.adapters(model, adapters));
+        }
+        let Some(engine) = self.listed.get_mut(&key) else { return };
+        engine.unloading = engine.unloading.filter(|model| report.busy && held.contains_key(model));
+        engine.models = held;
+        engine.orders = Some(report.orders);
+        engine.word.clear();
+    }
+
+    /// Counts an order that an engine accepted.
+    pub fn accept(&mut self, key: UpstreamKey) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.orders = engine.orders.map(|count| count + 1);
+        }
+    }
+
+    /// Records that an engine was told to unload a model: it takes no more requests for it.
+    pub fn unload_model(&mut self, key: UpstreamKey, model: ModelKey) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.unloading = Some(model);
+        }
+    }
+
+    /// Records that an engine began to hold a model.
+    pub fn hold_model(&mut self, key: UpstreamKey, model: ModelKey) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.models.entry(model).or_default();
+        }
+    }
+
+    /// An engine by key.
+    pub fn get(&self, key: UpstreamKey) -> Option<&Engine> {
+        self.listed.get(&key)
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Engine)> {
+        self.listed.iter().map(|(&key, engine)| (key, engine))
+    }
+
+    /// How many engines are listed.
+    pub fn len(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Whether no engine is listed.
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty()
+    }
+
+    /// Engines of a service that new requests may go to. Engines that failed lately come only
+    /// where there is no other.
+    pub fn usable(&self, service: &str, now: Tick) -> Vec<UpstreamKey> {
+        let open = self.listed.iter().filter(|(_, engine)| {
+            engine.service == service
+                && engine.stage == Stage::Ready
+                && !self.drained.contains(&engine.zone)
+        });
+        let (sound, suspect): (Vec<_>, Vec<_>) =
+            open.partition(|(_, engine)| engine.suspect.until <= now);
+        let chosen = if sound.is_empty() { suspect } else { sound };
+        chosen.into_iter().map(|(&key, _)| key).collect()
+    }
+
+    fn engine(&mut self, entry: Entry, now: Tick) -> Engine {
+        let names = &mut self.names;
+        let mut models = IndexMap::new();
+        for (model, adapters) in &entry.models {
+            models.insert(names.models.intern(model), names.adapters(model, adapters));
+        }
+        let mut keys = |list: &[String]| -> IndexSet<ModelKey> {
+            list.iter().map(|model| names.models.intern(model)).collect()
+        };
+        let in_memory = keys(&entry.in_memory);
+        let on_disk = keys(&entry.on_disk);
+        Engine {
+            zone: names.zones.intern(&entry.zone),
+            id: entry.id,
+            service: entry.service,
+            address: entry.address,
+            slots: entry.slots,
+            stage: entry.stage,
+            warm_at: now + entry.cold,
+            orders: None,
+            born: entry.born,
+            models,
+            in_memory,
+            on_disk,
+            unloading: None,
+            missing: None,
+            word: IndexMap::new(),
+            suspect: Suspicion::default(),
+        }
+    }
+}
+
+impl Engine {
+    /// Whether it holds a model, and the adapter where one is asked for.
+    pub fn holds(&self, model: ModelKey, adapter: Option<AdapterKey>) -> bool {
+        if self.unloading == Some(model) {
+            return false;
+        }
+        match (self.models.get(&model), adapter) {
+            (Some(held), Some(adapter)) => held.contains(&adapter),
+            (held, _) => held.is_some(),
+        }
+    }
+
+    /// Whether it is still cold.
+    pub fn is_cold(&self, now: Tick) -> bool {
+        now < self.warm_at
+    }
+
+    fn say(&mut self, model: ModelKey, adapter: AdapterKey, held: bool, at: Tick) {
+        self.word.insert(adapter, (model, held, at));
+        let Some(adapters) = self.models.get_mut(&model) else { return };
+        if held {
+            adapters.insert(adapter);
+        } else {
+            adapters.swap_remove(&adapter);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/serving/roster.rs
@@ -0,0 +1,127 @@
+//! Which daemons exist and which of them are alive.
+//!
+//! A daemon writes one row when it starts and tells all others of itself a few times a second.
+//! Rows say who may exist; only word from a daemon says that it is alive.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::time::Tick;
+
+/// Time without word after which a daemon isn't named to callers any longer: several messages in
+/// a row must have been lost.
+pub const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// A daemon, as its row or its own word describes it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Daemon {
+    /// Instance name.
+    pub name: String,
+    /// Start of the process; a later one replaces an earlier one.
+    pub incarnation: u64,
+    /// Address for the other daemons.
+    pub peers: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// Whether a daemon may be named to callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fitness {
+    /// Serves.
+    Ready,
+    /// Can't serve yet, or not now.
+    Unready,
+    /// Was told to stop.
+    Leaving,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    daemon: Daemon,
+    heard: Option<Tick>,
+    fitness: Fitness,
+    since: Tick,
+}
+
+/// All daemons but this one.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    others: IndexMap<String, Known>,
+}
+
+impl Roster {
+    /// Takes the daemons of all rows over; those without a row that are silent are forgotten.
+    pub fn rows(&mut self, rows: Vec<Daemon>, now: Tick) {
+        self.others.retain(|name, known| {
+            known.is_heard(now) || rows.iter().any(|daemon| daemon.name == *name)
+        });
+        for daemon in rows {
+            let newer = self
+                .others
+                .get(&daemon.name)
+                .is_none_or(|known| known.daemon.incarnation < daemon.incarnation);
+            if newer {
+                let known = Known { daemon, heard: None, fitness: Fitness::Unready, since: now };
+                self.others.insert(known.daemon.name.clone(), known);
+            }
+        }
+    }
+
+    /// Takes word from a daemon; whether it is new here or started again.
+    pub fn hear(&mut self, daemon: Daemon, fitness: Fitness, now: Tick) -> bool {
+        let before = self.others.get(&daemon.name);
+        if before.is_some_and(|known| known.daemon.incarnation > daemon.incarnation) {
+            return false;
+        }
+        let new = before.is_none_or(|known| {
+            known.heard.is_none() || known.daemon.incarnation < daemon.incarnation
+        });
+        let known = Known { daemon, heard: Some(now), fitness, since: now };
+        self.others.insert(known.daemon.name.clone(), known);
+        new
+    }
+
+    /// Daemons that callers may be sent to.
+    pub fn ready(&self, now: Tick) -> impl Iterator<Item = &Daemon> {
+        let fit = move |known: &&Known| known.fitness == Fitness::Ready && known.is_heard(now);
+        self.others.values().filter(fit).map(|known| &known.daemon)
+    }
+
+    /// Daemons heard lately.
+    pub fn heard(&self, now: Tick) -> impl Iterator<Item = &Daemon> {
+        self.others.values().filter(move |known| known.is_heard(now)).map(|known| &known.daemon)
+    }
+
+    /// All daemons that may exist.
+    pub fn known(&self) -> impl Iterator<Item = &Daemon> {
+        self.others.values().map(|known| &known.daemon)
+    }
+
+    /// Daemons of which nothing was heard for `span`.
+    pub fn silent(&self, span: Duration, now: Tick) -> impl Iterator<Item = &Daemon> {
+        let quiet = move |known: &&Known| now.since(known.heard.unwrap_or(known.since)) > span;
+        self.others.values().filter(quiet).map(|known| &known.daemon)
+    }
+
+    /// Part of the fleet that this daemon hears, itself included.
+    pub fn share(&self, now: Tick) -> f64 {
+        let heard = self.heard(now).count() + 1;
+        heard as f64 / (self.others.len() + 1) as f64
+    }
+
+    /// How many daemons may exist, this one included.
+    pub fn size(&self) -> usize {
+        self.others.len() + 1
+    }
+}
+
+impl Known {
+    fn is_heard(&self, now: Tick) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < SILENCE)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/call.rs
@@ -0,0 +1,250 @@
+//! One request of a caller on its way through the daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderyoke_adapter::headers;
+use corianderyoke_adapter::headers::RequestFacts;
+use corianderyoke_coord::keys::AdapterKey;
+use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::serving::choice::Need;
+use corianderyoke_coord::serving::desired::Desired;
+use corianderyoke_coord::serving::desired::Route;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+
+use crate::metrics::AnswerLabels;
+use crate::refusal::Refusal;
+use crate::state::Shared;
+
+/// Time that an answer needs on its way back to the caller; it leaves that much earlier.
+const WAY_BACK: Duration = Duration::from_millis(25);
+
+/// What a request asks of a model engine.
+#[derive(Clone, Debug)]
+pub struct Generation {
+    /// Model.
+    pub model: ModelKey,
+    /// Adapter of it.
+    pub adapter: Option<AdapterKey>,
+    /// Prompt and answer.
+    pub need: Need,
+}
+
+/// A request with all that was found out about it.
+#[derive(Debug)]
+pub struct Call {
+    /// What all tasks share.
+    pub shared: Arc<Shared>,
+    /// Identity of this sending of the request.
+    pub id: String,
+    /// When it came.
+    pub arrived: Tick,
+    /// When the caller stops waiting.
+    pub patience: Tick,
+    /// When the caller must have an answer.
+    pub due: Tick,
+    /// The desired state that it is handled by.
+    pub desired: Arc<Desired>,
+    /// Its route.
+    pub route: Route,
+    /// Service that it goes to.
+    pub service: String,
+    /// Team of the caller.
+    pub team: Option<String>,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u8,
+    /// What it asks of a model engine, if it does.
+    pub generation: Option<Generation>,
+    /// Last event that the caller has of a stream that broke off.
+    pub last_event: Option<u64>,
+    /// Method towards the engine.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers that go on to the engine.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Tokens taken from the team's cap.
+    charged: u64,
+    record: Record,
+}
+
+/// What the log says of a request once it is over.
+#[derive(Debug)]
+pub struct Record {
+    shared: Arc<Shared>,
+    id: String,
+    route: String,
+    arrived: Tick,
+    outcome: Option<(u16, &'static str)>,
+    /// Engine that answered.
+    engine: String,
+    sent: u32,
+}
+
+impl Record {
+    /// The record of a request that just came.
+    pub fn begin(shared: &Arc<Shared>, id: &str) -> Self {
+        shared.state().open += 1;
+        shared.metrics.open.inc();
+        Record {
+            shared: Arc::clone(shared),
+            id: id.to_owned(),
+            route: String::new(),
+            arrived: clock::now(),
+            outcome: None,
+            engine: String::new(),
+            sent: 0,
+        }
+    }
+
+    /// The request ends with `refusal`.
+    pub fn refuse(&mut self, refusal: Refusal) {
+        self.outcome = Some((refusal.status().as_u16(), refusal.cause()));
+    }
+
+    /// The request ends with an engine's answer.
+    pub fn answer(&mut self, status: u16, cause: &'static str) {
+        self.outcome = Some((status, cause));
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let whole = clock::now().since(self.arrived);
+        let (event, status, cause) = match self.outcome {
+            Some((status, cause @ ("engine" | "engine_failure"))) => {
+                (Event::Answered, status, cause)
+            }
+            Some((status, cause @ "broken_off")) => (Event::Broken, status, cause),
+            Some((status, cause)) => (Event::Refused, status, cause),
+            None => (Event::Cancelled, 0, "caller_left"),
+        };
+        events::log(
+            event,
+            format_args!(
+                "id={} route={} status={status} cause={cause} engine={} sent={} ms={}",
+                self.id,
+                self.route,
+                self.engine,
+                self.sent,
+                whole.as_millis()
+            ),
+        );
+        let metrics = &self.shared.metrics;
+        metrics.answers.get_or_create(&AnswerLabels { status, cause }).inc();
+        metrics.whole.observe(whole.as_secs_f64());
+        metrics.open.dec();
+        let mut state = self.shared.state();
+        state.open = state.open.saturating_sub(1);
+    }
+}
+
+/// The parts of a request that go on to an engine.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What the routing decided about a request.
+#[derive(Debug)]
+pub struct Routed {
+    /// The desired state that it is handled by.
+    pub desired: Arc<Desired>,
+    /// Its route.
+    pub route: Route,
+    /// Service that it goes to.
+    pub service: String,
+    /// Team of the caller.
+    pub team: Option<String>,
+    /// Tokens taken from the team's cap.
+    pub charged: u64,
+}
+
+impl Call {
+    /// A request that was routed and read.
+    pub fn new(
+        shared: &Arc<Shared>,
+        mut record: Record,
+        facts: RequestFacts,
+        routed: Routed,
+        out: Outgoing,
+    ) -> Self {
+        let Routed { desired, route, service, team, charged } = routed;
+        record.route.clone_from(&route.name);
+        let arrived = record.arrived;
+        let patience = arrived + facts.patience.unwrap_or(route.limit);
+        let due = Tick(patience.0.saturating_sub(WAY_BACK.as_micros() as u64));
+        let due = due.min(arrived + route.limit);
+        let team_rank = team.as_deref().and_then(|name| desired.team(name)).and_then(|t| t.rank);
+        let generation = facts.model.as_deref().map(|model| {
+            let names = &mut shared.state().engines.names;
+            Generation {
+                model: names.models.intern(model),
+                adapter: facts.adapter.as_deref().map(|name| names.adapter(model, name)),
+                need: facts.need.clone().unwrap_or_default(),
+            }
+        });
+        Call {
+            shared: Arc::clone(shared),
+            id: facts.id,
+            arrived,
+            patience,
+            due,
+            rank: team_rank.unwrap_or(route.rank),
+            desired,
+            route,
+            service,
+            team,
+            generation,
+            last_event: facts.last_event,
+            method: out.method,
+            uri: out.uri,
+            headers: headers::forwarded(&out.headers),
+            body: out.body,
+            charged,
+            record,
+        }
+    }
+
+    /// Records that the request was sent to an engine; gives how often it was sent so far.
+    pub fn sent(&mut self, engine: &str) -> u32 {
+        engine.clone_into(&mut self.record.engine);
+        self.record.sent += 1;
+        self.record.sent
+    }
+
+    /// Gives the tokens of a request that didn't run back to its team.
+    pub fn refund(&mut self) {
+        let tokens = std::mem::take(&mut self.charged);
+        let Some(team) = &self.team else { return };
+        if let Some(bucket) = self.shared.state().caps.get_mut(team) {
+            bucket.refund(tokens);
+        }
+    }
+
+    /// Records the end of the request.
+    pub fn record(&mut self) -> &mut Record {
+        &mut self.record
+    }
+
+    /// Time left until the caller must have an answer.
+    pub fn left(&self) -> Duration {
+        self.due.since(clock::now())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/attempt.rs
@@ -0,0 +1,340 @@
+//! The attempts of one call: which engine next, and what an engine's head means.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderyoke_adapter::headers;
+use corianderyoke_adapter::headers::Added;
+use corianderyoke_adapter::headers::AnswerFacts;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
+use http::header;
+use http::response::Parts;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::call::Call;
+use crate::forward::pick;
+use crate::forward::pick::Pick;
+use crate::forward::pick::Target;
+use crate::forward::wait::Missing;
+use crate::forward::wait::WaitGuard;
+use crate::forward::Closing;
+use crate::forward::End;
+use crate::pool::Error;
+use crate::pool::Lane;
+use crate::refusal::Refusal;
+use crate::state::RunGuard;
+
+/// Longest pause before a waiting request looks for an engine again without being told.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// Least time that an attempt needs to be of use.
+const LEAST_LEFT: Duration = Duration::from_millis(15);
+/// Largest body of an engine's refusal that is read to keep its connection, in bytes.
+const MOST_REFUSAL: usize = 65_536;
+/// Objectives after which a repeatable request that wasn't answered is sent elsewhere.
+const PATIENCE: f64 = 1.5;
+/// Least time that an engine is given to answer a repeatable request.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// Advice on when to come back where no engine is there.
+const NO_ENGINE_WAIT: Duration = Duration::from_millis(500);
+
+/// An engine's answer whose body is still to come.
+#[derive(Debug)]
+pub struct Live {
+    /// Status and headers.
+    pub head: Parts,
+    /// What they say.
+    pub facts: AnswerFacts,
+    /// Body.
+    pub body: Incoming,
+    /// The connection.
+    pub lane: Lane,
+    /// The engine.
+    pub target: Target,
+    /// Counts the request at the engine.
+    pub guard: RunGuard,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug)]
+enum Failure {
+    /// It didn't run, and the engine can be asked again.
+    Refused,
+    /// It didn't run, and another engine has to be found.
+    Misplaced,
+    /// It may have run.
+    Broken(&'static str),
+}
+
+/// A call with the attempts made for it.
+#[derive(Debug)]
+pub struct Attempts {
+    /// The call.
+    pub call: Call,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Engines that may have worked on it.
+    sent: Vec<UpstreamKey>,
+    /// Engines that failed or refused it.
+    failed: Vec<UpstreamKey>,
+    /// Whether it may have run.
+    may_have_run: bool,
+    failure: Option<Box<(Parts, Bytes)>>,
+}
+
+impl Attempts {
+    /// A call of which nothing was sent yet.
+    pub fn new(call: Call) -> Self {
+        Attempts {
+            last_event: call.last_event,
+            call,
+            sent: Vec::new(),
+            failed: Vec::new(),
+            may_have_run: false,
+            failure: None,
+        }
+    }
+
+    /// The head of the next answer that isn't a refusal, or how the call ends.
+    pub async fn next(&mut self) -> Result<Live, End> {
+        loop {
+            if self.may_have_run && !self.call.route.repeat.may_repeat() {
+                return Err(self.end(Refusal::Unknown));
+            }
+            let (target, guard) = self.target().await?;
+            if !self.sent.is_empty() && !self.take_retry() {
+                return Err(self.end(Refusal::NoEngine(NO_ENGINE_WAIT)));
+            }
+            match self.send(&target, guard).await {
+                Ok(live) => return Ok(live),
+                Err(failure) => self.failed(&target, failure),
+            }
+        }
+    }
+
+    /// An answer that had begun broke off.
+    pub fn broke(&mut self, target: &Target, cause: &'static str) {
+        self.failed(target, Failure::Broken(cause));
+    }
+
+    /// Whether an engine's own failure is worth another attempt; it is kept in case that fails.
+    pub fn fails_over(&mut self, target: &Target, head: &Parts, bytes: &Bytes) -> bool {
+        let may = self.call.route.repeat.may_repeat()
+            && self.sent.len() < self.call.route.attempts as usize
+            && self.call.left() > LEAST_LEFT * 4;
+        if may {
+            self.may_have_run = true;
+            self.failed.push(target.key);
+            self.failure = Some(Box::new((head.clone(), bytes.clone())));
+        }
+        may
+    }
+
+    /// How long an engine may take for its answer.
+    pub fn patience_for_answer(&self) -> Duration {
+        let left = self.call.left();
+        let repeat = self.call.route.repeat;
+        let is_last = self.sent.len() >= self.call.route.attempts as usize;
+        if !repeat.may_repeat() || is_last {
+            return left;
+        }
+        left.min(self.call.route.aim.mul_f64(PATIENCE).max(LEAST_PATIENCE))
+    }
+
+    fn end(&mut self, refusal: Refusal) -> End {
+        if let Some(failure) = self.failure.take() {
+            return End::Failed(failure);
+        }
+        let refusal = match (self.may_have_run, refusal) {
+            (true, Refusal::NotInTime) => Refusal::TimedOut,
+            (true, Refusal::NoEngine(_) | Refusal::Stopping) => Refusal::Unknown,
+            (_, refusal) => refusal,
+        };
+        End::Refused(refusal)
+    }
+
+    fn take_retry(&mut self) -> bool {
+        let shared = &self.call.shared;
+        let mut state = shared.state();
+        let size = state.roster.size();
+        let allowance = shared.retry_allowance();
+        let budget = state.retries.entry(self.call.service.clone());
+        let taken = budget.or_insert_with(|| allowance.budget(size)).take();
+        if taken {
+            shared.metrics.retries.inc();
+        }
+        taken
+    }
+
+    /// Waits for an engine that the call may go to.
+    async fn target(&mut self) -> Result<(Target, RunGuard), End> {
+        let mut waiting: Option<WaitGuard> = None;
+        loop {
+            let shared = std::sync::Arc::clone(&self.call.shared);
+            let changed = shared.changed.notified();
+            let left = self.call.left();
+            if left < LEAST_LEFT {
+                return Err(self.end(Refusal::NotInTime));
+            }
+            let exhausted = self.sent.len() >= self.call.route.attempts as usize;
+            let sent = self.sent.clone();
+            let allowed = |key| !exhausted || sent.contains(&key);
+            let missing = match pick::pick(&self.call, allowed, &self.failed, clock::now()) {
+                Pick::Go(target, guard) => return Ok((target, guard)),
+                Pick::NoEngine if exhausted => {
+                    return Err(self.end(Refusal::NoEngine(NO_ENGINE_WAIT)));
+                }
+                Pick::NoModel => Some(Missing::Model),
+                Pick::NoAdapter => Some(Missing::Adapter),
+                Pick::NoEngine | Pick::Full => None,
+            };
+            if waiting.as_ref().map(|guard| guard.missing) != missing {
+                waiting = missing.and_then(|missing| WaitGuard::begin(&self.call, missing));
+            }
+            // Either it was told, or it looks again by itself.
+            let _ = timeout(left.min(LOOK_AGAIN), changed).await;
+        }
+    }
+
+    async fn send(&mut self, target: &Target, guard: RunGuard) -> Result<Live, Failure> {
+        let repeat = self.call.route.repeat;
+        let shared = std::sync::Arc::clone(&self.call.shared);
+        let sure = !repeat.may_repeat();
+        let lane = shared.pool.lane(&target.id, target.address, sure).await;
+        let mut lane = lane.map_err(|_| {
+            shared.state().engines.fail(target.key, clock::now());
+            Failure::Misplaced
+        })?;
+        let Some(request) = self.request(target) else { return Err(Failure::Misplaced) };
+        let count = self.call.sent(&target.id);
+        if !self.sent.contains(&target.key) {
+            self.sent.push(target.key);
+        }
+        events::log(
+            Event::Sent,
+            format_args!(
+                "id={} engine={} nth={count} running={} kept={} left_ms={} revision={}",
+                self.call.id,
+                target.id,
+                target.running,
+                target.kept,
+                self.call.left().as_millis(),
+                self.call.desired.revision
+            ),
+        );
+        let limit = self.patience_for_answer();
+        let response = match timeout(limit, lane.send(request)).await {
+            Err(_) => return Err(Failure::Broken("no_answer_in_time")),
+            Ok(Err(Error::Connect(_))) => return Err(Failure::Misplaced),
+            Ok(Err(Error::Broken(_))) => return Err(Failure::Broken("connection_failed")),
+            Ok(Ok(response)) => response,
+        };
+        self.judge(response, lane, target, guard).await
+    }
+
+    fn request(&self, target: &Target) -> Option<Request<Full<Bytes>>> {
+        let call = &self.call;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = call.headers.clone();
+        let now = clock::now();
+        let left = call.patience.min(call.arrived + call.route.limit).since(now);
+        let added = Added {
+            engine: &target.id,
+            team: call.team.as_deref(),
+            left,
+            urgency: call.generation.is_some().then(|| call.rank.min(9)),
+            last_event: self.last_event,
+        };
+        headers::add(request.headers_mut(), &added).ok()?;
+        Some(request)
+    }
+
+    /// Tells an answer from a refusal and from what isn't an answer to this request.
+    async fn judge(
+        &mut self,
+        response: Response<Incoming>,
+        lane: Lane,
+        target: &Target,
+        guard: RunGuard,
+    ) -> Result<Live, Failure> {
+        let (mut head, body) = response.into_parts();
+        let facts = headers::answer(&head.headers);
+        let status = head.status.as_u16();
+        let closes = head.headers.get(header::CONNECTION).is_some_and(|value| {
+            value.to_str().is_ok_and(|text| text.eq_ignore_ascii_case("close"))
+        });
+        if facts.not_run || status == 421 {
+            let read = Limited::new(body, MOST_REFUSAL).collect();
+            let read = timeout(LEAST_PATIENCE, read).await;
+            if matches!(read, Ok(Ok(_))) && !closes {
+                self.call.shared.pool.give_back(&target.id, lane, facts.keep);
+            }
+            return Err(if status == 421 {
+                self.misplaced(target, &facts);
+                Failure::Misplaced
+            } else {
+                Failure::Refused
+            });
+        }
+        if facts.id != self.call.id {
+            return Err(Failure::Broken("other_id"));
+        }
+        if head.status.is_success() && !facts.signed {
+            return Err(Failure::Broken("unsigned"));
+        }
+        if closes {
+            head.extensions.insert(Closing);
+        }
+        let target = target.clone();
+        Ok(Live { head, facts, body, lane, target, guard })
+    }
+
+    /// An engine isn't the one expected, or doesn't hold what is asked for.
+    fn misplaced(&self, target: &Target, facts: &AnswerFacts) {
+        let now = clock::now();
+        let mut state = self.call.shared.state();
+        if facts.engine.as_deref().is_some_and(|id| id != target.id) {
+            state.engines.fail(target.key, now);
+            return;
+        }
+        let Some(generation) = &self.call.generation else { return };
+        match generation.adapter {
+            Some(adapter) => {
+                state.engines.say(target.key, generation.model, adapter, false, now);
+            }
+            None => state.engines.miss_model(target.key, generation.model),
+        }
+    }
+
+    fn failed(&mut self, target: &Target, failure: Failure) {
+        let cause = match failure {
+            Failure::Refused => "refused",
+            Failure::Misplaced => "misplaced",
+            Failure::Broken(cause) => cause,
+        };
+        events::log(
+            Event::AttemptFailed,
+            format_args!("id={} engine={} cause={cause}", self.call.id, target.id),
+        );
+        self.failed.push(target.key);
+        match failure {
+            Failure::Refused => {}
+            // It didn't run there, so the engine doesn't count among those it was sent to.
+            Failure::Misplaced => self.sent.retain(|key| *key != target.key),
+            Failure::Broken(_) => {
+                self.may_have_run = true;
+                self.call.shared.state().engines.fail(target.key, clock::now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/relay.rs
@@ -0,0 +1,160 @@
+//! Passes a stream of events on, and goes on at another engine where it breaks off.
+
+use bytes::Bytes;
+use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
+use futures::stream;
+use http::response::Parts;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use tokio::time::timeout;
+
+use crate::body;
+use crate::body::Body;
+use crate::body::BrokenOff;
+use crate::forward::attempt::Attempts;
+use crate::forward::attempt::Live;
+use crate::forward::events::EventBuffer;
+use crate::forward::response;
+use crate::forward::Closing;
+
+/// How the beginning of a stream went.
+pub enum Begun {
+    /// The caller's answer.
+    Stream(Response<Body>),
+    /// It broke off before the first event.
+    Failed(Box<Attempts>),
+}
+
+/// What the next bytes of a stream are.
+enum Next {
+    /// Whole events.
+    Events(Bytes),
+    /// The stream is complete.
+    End,
+    /// It broke off.
+    Broken(&'static str),
+}
+
+/// A stream on its way.
+struct Relay {
+    attempts: Attempts,
+    live: Option<Live>,
+    buffer: EventBuffer,
+}
+
+/// Waits for the first events and begins the caller's answer with them.
+pub async fn begin(attempts: Attempts, live: Live) -> Begun {
+    let head = live.head.clone();
+    let buffer = EventBuffer::after(attempts.last_event);
+    let mut relay = Relay { attempts, live: Some(live), buffer };
+    match relay.next().await {
+        Next::Events(events) => Begun::Stream(relay.response(head, Some(events))),
+        Next::End => {
+            relay.finish();
+            Begun::Stream(relay.response(head, None))
+        }
+        Next::Broken(cause) => {
+            relay.drop_live(cause);
+            Begun::Failed(Box::new(relay.attempts))
+        }
+    }
+}
+
+impl Relay {
+    fn response(self, head: Parts, first: Option<Bytes>) -> Response<Body> {
+        let span = clock::now().since(self.attempts.call.arrived);
+        self.attempts.call.shared.metrics.first.observe(span.as_secs_f64());
+        let pieces = stream::unfold((self, first), |(mut relay, first)| async move {
+            if let Some(first) = first {
+                return Some((Ok(Frame::data(first)), (relay, None)));
+            }
+            let piece = relay.piece().await?;
+            Some((piece.map(Frame::data), (relay, None)))
+        });
+        response(head, body::pieces(pieces))
+    }
+
+    /// The next piece for the caller; `None` at the end.
+    async fn piece(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        self.live.as_ref()?;
+        loop {
+            match self.next().await {
+                Next::Events(events) => return Some(Ok(events)),
+                Next::End => {
+                    self.finish();
+                    return None;
+                }
+                Next::Broken(cause) => {
+                    self.drop_live(cause);
+                    if !self.resume().await {
+                        let record = self.attempts.call.record();
+                        record.answer(200, "broken_off");
+                        return Some(Err(BrokenOff));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Next {
+        let Some(live) = &mut self.live else { return Next::End };
+        loop {
+            let left = self.attempts.call.left();
+            match timeout(left, live.body.frame()).await {
+                Err(_) => return Next::Broken("out_of_time"),
+                Ok(Some(Err(_))) => return Next::Broken("stream_broken"),
+                Ok(None) if self.buffer.is_partial() => return Next::Broken("stream_cut"),
+                Ok(None) => return Next::End,
+                Ok(Some(Ok(frame))) => {
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    if let Some(events) = self.buffer.push(&bytes) {
+                        live.guard.read();
+                        return Next::Events(events);
+                    }
+                }
+            }
+        }
+    }
+
+    fn drop_live(&mut self, cause: &'static str) {
+        if let Some(live) = self.live.take() {
+            self.attempts.broke(&live.target, cause);
+        }
+        self.attempts.last_event = self.buffer.last();
+    }
+
+    /// Goes on at another engine after the last event that was passed on.
+    async fn resume(&mut self) -> bool {
+        if !self.attempts.call.route.repeat.may_repeat() {
+            return false;
+        }
+        let Ok(live) = self.attempts.next().await else { return false };
+        if !live.head.status.is_success() {
+            return false;
+        }
+        events::log(
+            Event::Resumed,
+            format_args!(
+                "id={} engine={} after_event={:?}",
+                self.attempts.call.id, live.target.id, self.attempts.last_event
+            ),
+        );
+        self.attempts.call.shared.metrics.resumed.inc();
+        self.buffer = EventBuffer::after(self.attempts.last_event);
+        self.live = Some(live);
+        true
+    }
+
+    fn finish(&mut self) {
+        let Some(live) = self.live.take() else { return };
+        let shared = &self.attempts.call.shared;
+        if live.head.extensions.get::<Closing>().is_none() {
+            shared.pool.give_back(&live.target.id, live.lane, live.facts.keep);
+        }
+        shared.state().engines.succeed(live.target.key);
+        self.attempts.call.record().answer(200, "engine");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/wait.rs
@@ -0,0 +1,66 @@
+//! Counts requests that wait for a model or an adapter, so that the holder of orders hears of them.
+
+use std::sync::Arc;
+
+use corianderyoke_util::clock;
+
+use crate::call::Call;
+use crate::call::Generation;
+use crate::state::Shared;
+
+/// What a request waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Missing {
+    /// An engine that holds the model.
+    Model,
+    /// An engine that holds the adapter beside its model.
+    Adapter,
+}
+
+/// Counts a waiting request until it is dropped.
+#[derive(Debug)]
+pub struct WaitGuard {
+    shared: Arc<Shared>,
+    generation: Generation,
+    /// What is missing.
+    pub missing: Missing,
+}
+
+impl WaitGuard {
+    /// Counts a request that waits; `None` where it asks for no model.
+    pub fn begin(call: &Call, missing: Missing) -> Option<Self> {
+        let generation = call.generation.clone()?;
+        let shared = Arc::clone(&call.shared);
+        let guard = WaitGuard { shared, generation, missing };
+        guard.count(1);
+        guard.shared.urgent.notify_one();
+        guard.shared.plan.notify_one();
+        Some(guard)
+    }
+
+    fn count(&self, change: i32) {
+        let now = clock::now();
+        let mut state = self.shared.state();
+        let model = self.generation.model;
+        match (self.missing, self.generation.adapter) {
+            (Missing::Adapter, Some(adapter)) => {
+                let entry = state.adapters.entry(adapter).or_insert((model, 0));
+                entry.1 = entry.1.saturating_add_signed(change);
+                if entry.1 == 0 {
+                    state.adapters.swap_remove(&adapter);
+                }
+            }
+            _ => {
+                let entry = state.models.entry(model).or_default();
+                entry.waiting = entry.waiting.saturating_add_signed(change);
+                entry.at = now;
+            }
+        }
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.count(-1);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front.rs
@@ -0,0 +1,195 @@
+//! The callers' address: takes requests in and decides whether they go on.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderyoke_adapter::headers;
+use corianderyoke_adapter::headers::RequestFacts;
+use corianderyoke_coord::serving::caps::TeamBucket;
+use corianderyoke_coord::serving::desired::CallerLimits;
+use corianderyoke_coord::serving::desired::Desired;
+use corianderyoke_coord::serving::desired::Route;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_util::clock;
+use http::header;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::body::Body;
+use crate::call::Call;
+use crate::call::Outgoing;
+use crate::call::Record;
+use crate::call::Routed;
+use crate::forward;
+use crate::refusal::Refusal;
+use crate::state::Shared;
+use crate::state::State;
+
+/// Pause after a failed accept, which mostly means that descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes connections until the task is ended.
+pub async fn run(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(connection(stream, Arc::clone(&shared)))),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, shared: Arc<Shared>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let limits = limits(&shared.state());
+    let service = service_fn(move |request| handle(Arc::clone(&shared), request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // Also the time for which a kept connection may stay idle.
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.head_bytes.max(MOST_BUFFERED))
+        .serve_connection(TokioIo::new(stream), service);
+    // How a connection ended shows in the records of its requests.
+    drop(served.await);
+}
+
+/// Least buffer of a connection; hyper takes no less than 8 KiB.
+const MOST_BUFFERED: usize = 32 << 10;
+
+fn limits(state: &State) -> CallerLimits {
+    state.desired.as_ref().map_or_else(CallerLimits::default, |desired| desired.callers)
+}
+
+async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let facts = headers::facts(request.headers());
+    let mut record = Record::begin(&shared, &facts.id);
+    let mut response = match admit(&shared, &facts, request).await {
+        Ok((routed, out)) => {
+            let call = Call::new(&shared, record, facts, routed, out);
+            forward::serve(call).await
+        }
+        Err(refusal) => {
+            record.refuse(refusal);
+            refusal.response()
+        }
+    };
+    if shared.state().leaving {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+/// Routes a request, reads its body and takes its tokens, or refuses it.
+async fn admit(
+    shared: &Arc<Shared>,
+    facts: &RequestFacts,
+    request: Request<Incoming>,
+) -> Result<(Routed, Outgoing), Refusal> {
+    let arrived = clock::now();
+    let (desired, route, team) = route(shared, facts, &request)?;
+    let service = route.service(seed(&facts.id)).ok_or(Refusal::NoRoute)?.to_owned();
+    let (head, body) = request.into_parts();
+    let patience = facts.patience.unwrap_or(route.limit).min(route.limit);
+    let body = read(body, desired.callers.body_bytes, patience).await?;
+    let charged = charge(shared, facts, &desired, team.as_deref(), arrived)?;
+    count(shared, facts, &service, arrived);
+    let out = Outgoing { method: head.method, uri: head.uri, headers: head.headers, body };
+    Ok((Routed { desired, route, service, team, charged }, out))
+}
+
+fn route(
+    shared: &Shared,
+    facts: &RequestFacts,
+    request: &Request<Incoming>,
+) -> Result<(Arc<Desired>, Route, Option<String>), Refusal> {
+    let desired = {
+        let state = shared.state();
+        if state.closed {
+            return Err(Refusal::Stopping);
+        }
+        state.desired.clone().ok_or(Refusal::NoState)?
+    };
+    let host = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = host.unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let route = desired.route(host, request.uri().path()).ok_or(Refusal::NoRoute)?.clone();
+    let holder = facts.key.as_deref().and_then(|key| desired.holder(key)).map(str::to_owned);
+    let needs_key = desired.teams.is_some() && !route.public;
+    if needs_key && holder.is_none() {
+        return Err(Refusal::UnknownKey);
+    }
+    Ok((desired, route, holder))
+}
+
+async fn read(body: Incoming, most: usize, patience: Duration) -> Result<Bytes, Refusal> {
+    match timeout(patience, Limited::new(body, most).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::BodyBroken),
+        Err(_) => Err(Refusal::NotInTime),
+    }
+}
+
+/// Takes a request's tokens from its team's cap; gives how many.
+fn charge(
+    shared: &Shared,
+    facts: &RequestFacts,
+    desired: &Desired,
+    team: Option<&str>,
+    now: Tick,
+) -> Result<u64, Refusal> {
+    let Some((name, team)) = team.and_then(|name| Some((name, desired.team(name)?))) else {
+        return Ok(0);
+    };
+    let Some(cap) = team.cap else { return Ok(0) };
+    let tokens = facts.need.as_ref().map_or(team.plain_tokens, |need| need.prompt + need.output);
+    let mut state = shared.state();
+    let share = state.roster.share(now);
+    let settings = &shared.settings;
+    let bucket = state.caps.entry(name.to_owned());
+    let bucket = bucket.or_insert_with(|| {
+        TeamBucket::new(cap, settings.bounds.cap_slack, settings.first_start, now)
+    });
+    bucket.admit(tokens, share, now).map_err(Refusal::OverCap)?;
+    Ok(tokens)
+}
+
+/// Counts a request for the retry budget and for the demand of its model.
+fn count(shared: &Shared, facts: &RequestFacts, service: &str, now: Tick) {
+    let mut state = shared.state();
+    let size = state.roster.size();
+    let allowance = shared.retry_allowance();
+    let budget = state.retries.entry(service.to_owned());
+    budget.or_insert_with(|| allowance.budget(size)).admit();
+    if let Some(model) = &facts.model {
+        let model = state.engines.names.models.intern(model);
+        let count = state.models.entry(model).or_default();
+        count.arrivals += 1;
+        count.at = now;
+        state.planner.arrive(model, 1, now);
+    }
+}
+
+/// A number that is the same wherever a request is sent to; ids are hexadecimal.
+fn seed(id: &str) -> u64 {
+    u64::from_str_radix(id, 16).unwrap_or_else(|_| id.bytes().map(u64::from).sum())
+}
--- /dev/null
+++ b/crates/daemon/src/joining.rs
@@ -0,0 +1,149 @@
+//! A daemon's row in the store, and the key that the daemons of one fleet share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderyoke_adapter::store::Outcome;
+use corianderyoke_coord::serving::roster::Daemon;
+use corianderyoke_platform::Condition;
+use corianderyoke_platform::Error;
+use corianderyoke_platform::Transaction;
+use corianderyoke_platform::Write;
+use corianderyoke_util::clock;
+use ring::hmac;
+use ring::rand::SecureRandom;
+use ring::rand::SystemRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::state::Shared;
+
+/// Table of the daemons' rows.
+const DAEMONS: &str = "daemons";
+/// Table of what all daemons share.
+const FLEET: &str = "fleet";
+/// Row of the key under which daemons seal their words.
+const PEER_KEY: &str = "peer-key";
+/// Bytes of that key.
+const KEY_BYTES: usize = 32;
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Time between two reads of all rows; word between daemons is much faster.
+const READ_EVERY: Duration = Duration::from_secs(10);
+/// Time without word after which a daemon's row is removed.
+const GONE: Duration = Duration::from_secs(30);
+
+/// A daemon's row.
+#[derive(Deserialize, Serialize)]
+struct Row {
+    name: String,
+    incarnation: u64,
+    peers: std::net::SocketAddr,
+    callers: std::net::SocketAddr,
+    zone: String,
+}
+
+/// The key under which daemons seal their words; made by the first daemon that asks for it.
+pub async fn peer_key(shared: &Shared) -> hmac::Key {
+    loop {
+        match find_key(shared).await {
+            Ok(Some(key)) => return key,
+            Ok(None) => {}
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn find_key(shared: &Shared) -> Result<Option<hmac::Key>, Error> {
+    if let Some(value) = shared.store.row(FLEET, PEER_KEY).await?.and_then(|row| row.value) {
+        return Ok(Some(hmac::Key::new(hmac::HMAC_SHA256, &value)));
+    }
+    let mut bytes = [0; KEY_BYTES];
+    if SystemRandom::new().fill(&mut bytes).is_err() {
+        return Err(Error::Unavailable("the system gives no random numbers".to_owned()));
+    }
+    let value = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    let (table, key) = (FLEET.to_owned(), PEER_KEY.to_owned());
+    let transaction = Transaction {
+        conditions: vec![Condition::Absent { table: table.clone(), key: key.clone() }],
+        writes: vec![Write::Put { table, key, value }],
+    };
+    // Whoever wrote first, the row now tells.
+    shared.store.transact(&transaction).await.map(|_| None)
+}
+
+/// Writes this daemon's row, then reads those of the others now and then until the task is ended.
+pub async fn run(shared: Arc<Shared>) {
+    while write(&shared).await.is_err() {
+        sleep(PAUSE).await;
+    }
+    loop {
+        match read(&shared).await {
+            Ok(()) => sleep(READ_EVERY).await,
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn write(shared: &Shared) -> Result<(), Error> {
+    let settings = &shared.settings;
+    let row = Row {
+        name: settings.name.clone(),
+        incarnation: shared.incarnation,
+        peers: settings.peers,
+        callers: settings.callers,
+        zone: settings.zone.clone(),
+    };
+    let value = serde_json::to_string(&row).map_err(|e| Error::Invalid(e.to_string()))?;
+    let (table, key) = (DAEMONS.to_owned(), settings.name.clone());
+    let writes = vec![Write::Put { table, key, value }];
+    shared.store.transact(&Transaction { conditions: Vec::new(), writes }).await.map(drop)
+}
+
+async fn read(shared: &Shared) -> Result<(), Error> {
+    let rows = shared.store.rows(DAEMONS).await?;
+    let now = clock::now();
+    let mut daemons = Vec::new();
+    let mut own = false;
+    for row in &rows.rows {
+        let Some(row) = row.value.as_deref().and_then(|v| serde_json::from_slice::<Row>(v).ok())
+        else {
+            continue;
+        };
+        if row.name == shared.settings.name {
+            own = true;
+            continue;
+        }
+        let Row { name, incarnation, peers, callers, zone } = row;
+        daemons.push(Daemon { name, incarnation, peers, callers, zone });
+    }
+    let gone: Vec<(String, u64)> = {
+        let mut state = shared.state();
+        state.roster.rows(daemons, now);
+        let holds = state.lease.token(now).is_some();
+        let silent = state.roster.silent(GONE, now).filter(|_| holds);
+        let named = silent.map(|daemon| daemon.name.clone());
+        named
+            .filter_map(|name| {
+                let row = rows.rows.iter().find(|row| row.key == name)?;
+                Some((name, row.version))
+            })
+            .collect()
+    };
+    shared.urgent.notify_one();
+    if !own {
+        // Somebody took this daemon for gone while it couldn't be heard.
+        write(shared).await?;
+    }
+    for (key, version) in gone {
+        let table = DAEMONS.to_owned();
+        let condition = Condition::Version { table: table.clone(), key: key.clone(), version };
+        let transaction =
+            Transaction { conditions: vec![condition], writes: vec![Write::Delete { table, key }] };
+        match shared.store.transact(&transaction).await? {
+            Outcome::Done(_) | Outcome::Refused(_) => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,45 @@
+//! The daemon's binary.
+
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use corianderyoke_daemon::settings::Settings;
+use corianderyoke_util::events;
+use corianderyoke_util::sink;
+use corianderyoke_util::start;
+
+/// Variable that names the settings file where no option does.
+const SETTINGS: &str = "CORIANDERYOKE_SETTINGS";
+
+/// Serves callers and the directory on one instance
+///
+/// Settings come from the file that --config or the variable CORIANDERYOKE_SETTINGS names. SIGTERM
+/// makes it leave after its last open request.
+#[derive(Parser)]
+#[command(name = "corianderyoke-daemon", version)]
+struct Cli {
+    #[command(flatten)]
+    options: start::Options,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let mut options = Cli::parse().options;
+    if options.config.is_none() {
+        options.config = std::env::var_os(SETTINGS).map(PathBuf::from);
+    }
+    match start::settings(&options, Settings::check) {
+        Ok(Some(settings)) => start::ended(run(settings).await),
+        Ok(None) => ExitCode::SUCCESS,
+        Err(exit) => exit.into(),
+    }
+}
+
+async fn run(settings: Settings) -> anyhow::Result<()> {
+    sink::prepare()?;
+    events::init_buffered(settings.log.parse().unwrap_or(log::LevelFilter::Info));
+    corianderyoke_daemon::run(settings).await
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,290 @@
+//! Word between daemons: one datagram a fifth of a second, and at once where somebody waits.
+//!
+//! Words bear a MAC under a key that lies in the store, so that only daemons of this fleet are
+//! believed. Everything in a word is a total or a state, so a lost one costs only time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderyoke_coord::serving::roster::Daemon;
+use corianderyoke_coord::serving::roster::Fitness;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
+use corianderyoke_wire::word;
+use corianderyoke_wire::word::Word;
+use indexmap::IndexMap;
+use prost::Message;
+use ring::hmac;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::state::PeerWord;
+use crate::state::Shared;
+use crate::state::State;
+
+/// Time between two words while nothing is urgent.
+const EVERY: Duration = Duration::from_millis(200);
+/// Least time between two words.
+const GAP: Duration = Duration::from_millis(8);
+/// Largest datagram that is taken in, in bytes.
+const MOST_BYTES: usize = 60_000;
+/// Bytes of the MAC at the end of a datagram.
+const MAC_BYTES: usize = 32;
+/// Time for which a model's demand is told after it changed.
+const DEMAND_SPAN: Duration = Duration::from_secs(10);
+/// Time for which the effect of an order is told; entries show it by then.
+const EFFECT_SPAN: Duration = Duration::from_millis(2_500);
+
+/// Tells the other daemons of this one until the task is ended.
+pub async fn tell(socket: Arc<UdpSocket>, key: hmac::Key, shared: Arc<Shared>) {
+    let mut number = 0;
+    loop {
+        number += 1;
+        let (bytes, addresses) = {
+            let mut state = shared.state();
+            let now = clock::now();
+            (compose(&shared, &mut state, number, now).encode_to_vec(), addresses(&state))
+        };
+        let datagram = sealed(&key, bytes);
+        for address in addresses {
+            // A datagram that can't be sent is like one that was lost.
+            let _ = socket.send_to(&datagram, address).await;
+        }
+        sleep(GAP).await;
+        // Either somebody waits, or it is time.
+        let _ = timeout(EVERY - GAP, shared.urgent.notified()).await;
+    }
+}
+
+/// Hears the other daemons until the task is ended.
+pub async fn hear(socket: Arc<UdpSocket>, key: hmac::Key, shared: Arc<Shared>) {
+    let mut buffer = vec![0; MOST_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            sleep(GAP).await;
+            continue;
+        };
+        let Some(word) = open(&key, &buffer[..length]) else { continue };
+        let now = clock::now();
+        take(&shared, word, now);
+    }
+}
+
+fn addresses(state: &State) -> Vec<SocketAddr> {
+    state.roster.known().map(|daemon| daemon.peers).collect()
+}
+
+fn sealed(key: &hmac::Key, mut bytes: Vec<u8>) -> Vec<u8> {
+    let tag = hmac::sign(key, &bytes);
+    bytes.extend_from_slice(tag.as_ref());
+    bytes
+}
+
+/// The word in a datagram, if it bears the fleet's MAC.
+fn open(key: &hmac::Key, datagram: &[u8]) -> Option<Word> {
+    let (bytes, tag) = datagram.split_at_checked(datagram.len().checked_sub(MAC_BYTES)?)?;
+    hmac::verify(key, bytes, tag).ok()?;
+    Word::decode(bytes).ok()
+}
+
+fn compose(shared: &Shared, state: &mut State, number: u64, now: Tick) -> Word {
+    let fitness = match (state.leaving, state.is_ready()) {
+        (true, _) => word::Fitness::Leaving,
+        (false, true) => word::Fitness::Ready,
+        (false, false) => word::Fitness::Unready,
+    };
+    state.effects.retain(|effect| now.since(effect.at) < EFFECT_SPAN);
+    let settings = &shared.settings;
+    Word {
+        name: settings.name.clone(),
+        incarnation: shared.incarnation,
+        number,
+        peers: settings.peers.to_string(),
+        callers: settings.callers.to_string(),
+        zone: settings.zone.clone(),
+        fitness: fitness.into(),
+        revision: state.desired.as_ref().map_or(0, |desired| desired.revision),
+        teams: teams(state),
+        models: models(state, now),
+        adapters: adapters(state),
+        engines: engines(state),
+        holder: holder(state, now),
+    }
+}
+
+fn teams(state: &State) -> Vec<word::TeamTotal> {
+    let total = |(team, bucket): (&String, &corianderyoke_coord::serving::caps::TeamBucket)| {
+        word::TeamTotal { team: team.clone(), tokens: bucket.total() }
+    };
+    state.caps.iter().map(total).collect()
+}
+
+fn models(state: &State, now: Tick) -> Vec<word::ModelDemand> {
+    let names = &state.engines.names.models;
+    let told = state
+        .models
+        .iter()
+        .filter(|(_, count)| count.waiting > 0 || now.since(count.at) < DEMAND_SPAN);
+    told.map(|(&model, count)| word::ModelDemand {
+        model: names.name(model).to_owned(),
+        arrivals: count.arrivals,
+        waiting: count.waiting,
+    })
+    .collect()
+}
+
+fn adapters(state: &State) -> Vec<word::AdapterWant> {
+    let names = &state.engines.names;
+    let wants = state.adapters.iter().map(|(&adapter, &(model, _))| word::AdapterWant {
+        model: names.models.name(model).to_owned(),
+        adapter: names.adapters.name(adapter).to_owned(),
+    });
+    wants.collect()
+}
+
+fn engines(state: &State) -> Vec<word::EngineLoad> {
+    let names = &state.engines.names;
+    let loaded = state.own.iter().filter(|(_, own)| own.load.running > 0);
+    loaded
+        .map(|(&key, own)| word::EngineLoad {
+            engine: names.engines.name(key).to_owned(),
+            running: own.load.running,
+            unread: own.load.unread,
+            tokens: own.load.tokens,
+            models: own
+                .models
+                .iter()
+                .filter(|(_, running)| **running > 0)
+                .map(|(&model, &running)| word::ModelRuns {
+                    model: names.models.name(model).to_owned(),
+                    running,
+                })
+                .collect(),
+        })
+        .collect()
+}
+
+fn holder(state: &State, now: Tick) -> Option<word::Holder> {
+    let token = state.lease.token(now)?;
+    let (_, version) = state.lease.seen();
+    let names = &state.engines.names;
+    let effects = state.effects.iter().map(|effect| word::Effect {
+        engine: names.engines.name(effect.engine).to_owned(),
+        model: names.models.name(effect.model).to_owned(),
+        adapter: effect.adapter.map_or_else(String::new, |key| names.adapters.name(key).to_owned()),
+        held: effect.held,
+    });
+    Some(word::Holder { token, version, effects: effects.collect() })
+}
+
+/// Takes another daemon's word in.
+fn take(shared: &Shared, word: Word, now: Tick) {
+    let (Ok(peers), Ok(callers)) = (word.peers.parse(), word.callers.parse()) else { return };
+    if word.name == shared.settings.name {
+        return;
+    }
+    let mut guard = shared.state();
+    let state = &mut *guard;
+    let last = state.words.get(&word.name).map_or((0, 0), |last| (last.incarnation, last.number));
+    if (word.incarnation, word.number) <= last {
+        return;
+    }
+    let fitness = match word.fitness() {
+        word::Fitness::Unready => Fitness::Unready,
+        word::Fitness::Ready => Fitness::Ready,
+        word::Fitness::Leaving => Fitness::Leaving,
+    };
+    let daemon = Daemon {
+        name: word.name.clone(),
+        incarnation: word.incarnation,
+        peers,
+        callers,
+        zone: word.zone.clone(),
+    };
+    if state.roster.hear(daemon, fitness, now) {
+        events::log(Event::PeerHeard, format_args!("name={} address={peers}", word.name));
+        shared.urgent.notify_one();
+    }
+    for team in &word.teams {
+        if let Some(bucket) = state.caps.get_mut(&team.team) {
+            bucket.hear(&word.name, word.incarnation, team.tokens);
+        }
+    }
+    let mut changed = take_holder(state, &word, now);
+    changed |= take_demand(state, &word, now);
+    drop(guard);
+    if changed {
+        shared.changed.notify_waiters();
+        shared.plan.notify_one();
+    }
+}
+
+/// Takes in what the holder of the lease says; whether it says something of the engines.
+fn take_holder(state: &mut State, word: &Word, now: Tick) -> bool {
+    let Some(holder) = &word.holder else { return false };
+    state.lease.hear(&word.name, holder.token, holder.version, now);
+    for effect in &holder.effects {
+        let Some(engine) = state.engines.names.engines.key(&effect.engine) else { continue };
+        let model = state.engines.names.models.intern(&effect.model);
+        match (effect.adapter.as_str(), effect.held) {
+            ("", false) => state.engines.unload_model(engine, model),
+            // The engine's entry tells at once that a model is held.
+            ("", true) => {}
+            (adapter, held) => {
+                let adapter = state.engines.names.adapters.intern(adapter);
+                state.engines.say(engine, model, adapter, held, now);
+            }
+        }
+    }
+    !holder.effects.is_empty()
+}
+
+/// Takes in what a daemon runs and waits for; whether it waits for something.
+fn take_demand(state: &mut State, word: &Word, now: Tick) -> bool {
+    let names = &mut state.engines.names;
+    let before =
+        state.words.swap_remove(&word.name).filter(|last| last.incarnation == word.incarnation);
+    let mut arrivals = before.map_or_else(IndexMap::new, |last| last.arrivals);
+    let mut waits = false;
+    for demand in &word.models {
+        let model = names.models.intern(&demand.model);
+        let known = arrivals.insert(model, demand.arrivals);
+        let fresh = demand.arrivals.saturating_sub(known.unwrap_or(demand.arrivals));
+        if fresh > 0 {
+            state.planner.arrive(model, fresh, now);
+        }
+        state.planner.wait(&word.name, model, demand.waiting, now);
+        waits |= demand.waiting > 0;
+    }
+    for want in &word.adapters {
+        let model = names.models.intern(&want.model);
+        let adapter = names.adapters.intern(&want.adapter);
+        state.planner.want_adapter(model, adapter, now);
+        waits = true;
+    }
+    let mut told = PeerWord {
+        incarnation: word.incarnation,
+        number: word.number,
+        at: now,
+        arrivals,
+        ..PeerWord::default()
+    };
+    for engine in &word.engines {
+        let key = names.engines.intern(&engine.engine);
+        let load = corianderyoke_coord::serving::choice::Load {
+            running: engine.running,
+            unread: engine.unread,
+            tokens: engine.tokens,
+        };
+        told.loads.insert(key, load);
+        for runs in &engine.models {
+            told.runs.insert((key, names.models.intern(&runs.model)), runs.running);
+        }
+    }
+    state.words.insert(word.name.clone(), told);
+    waits
+}
--- /dev/null
+++ b/crates/daemon/src/state.rs
@@ -0,0 +1,302 @@
+//! What a daemon knows, behind one lock that is never held over an await.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderyoke_adapter::store::Store;
+use corianderyoke_coord::dispatch::RetryBudget;
+use corianderyoke_coord::keys::AdapterKey;
+use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::caps::TeamBucket;
+use corianderyoke_coord::serving::choice::ChoiceSettings;
+use corianderyoke_coord::serving::choice::Load;
+use corianderyoke_coord::serving::choice::Prefixes;
+use corianderyoke_coord::serving::desired::Desired;
+use corianderyoke_coord::serving::engines::Engines;
+use corianderyoke_coord::serving::lease::Lease;
+use corianderyoke_coord::serving::lease::LeaseSettings;
+use corianderyoke_coord::serving::residency::Planner;
+use corianderyoke_coord::serving::roster::Roster;
+use corianderyoke_coord::serving::shares::ColdShare;
+use corianderyoke_coord::serving::shares::RetryAllowance;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_util::clock;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
+use tokio::sync::Notify;
+
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::Settings;
+
+/// What a request at an engine counts as there.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    /// Model that it runs, at a model engine.
+    pub model: Option<ModelKey>,
+    /// Prompt tokens that the engine has to read, until the first event came.
+    pub unread: u64,
+    /// Tokens of prompt and answer.
+    pub tokens: u64,
+}
+
+/// What this daemon has running at an engine.
+#[derive(Clone, Debug, Default)]
+pub struct OwnLoad {
+    /// The sums.
+    pub load: Load,
+    /// Requests by model.
+    pub models: IndexMap<ModelKey, u32>,
+}
+
+/// What another daemon told last.
+#[derive(Clone, Debug, Default)]
+pub struct PeerWord {
+    /// Incarnation of the daemon.
+    pub incarnation: u64,
+    /// Number of the word.
+    pub number: u64,
+    /// When it came.
+    pub at: Tick,
+    /// What it has running, by engine.
+    pub loads: IndexMap<UpstreamKey, Load>,
+    /// Requests for each model so far.
+    pub arrivals: IndexMap<ModelKey, u64>,
+    /// Requests that it has running, by engine and model.
+    pub runs: IndexMap<(UpstreamKey, ModelKey), u32>,
+}
+
+/// Requests of this daemon for a model.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ModelCount {
+    /// All so far.
+    pub arrivals: u64,
+    /// Those that wait until an engine holds it.
+    pub waiting: u32,
+    /// Last time at which either changed.
+    pub at: Tick,
+}
+
+/// All shared state.
+#[derive(Debug)]
+pub struct State {
+    /// Desired state in force, once one is known.
+    pub desired: Option<Arc<Desired>>,
+    /// Engines.
+    pub engines: Engines,
+    /// Whether the engines' entries were read since the start.
+    pub listed: bool,
+    /// Own requests at the engines.
+    pub own: IndexMap<UpstreamKey, OwnLoad>,
+    /// What engines have read.
+    pub prefixes: Prefixes,
+    /// Other daemons.
+    pub roster: Roster,
+    /// Their last words.
+    pub words: IndexMap<String, PeerWord>,
+    /// Buckets by team name.
+    pub caps: IndexMap<String, TeamBucket>,
+    /// Retry budgets by service name.
+    pub retries: IndexMap<String, RetryBudget>,
+    /// Requests to cold engines.
+    pub cold: IndexMap<UpstreamKey, ColdShare>,
+    /// Own requests by model.
+    pub models: IndexMap<ModelKey, ModelCount>,
+    /// Adapters that own requests wait for.
+    pub adapters: IndexMap<AdapterKey, (ModelKey, u32)>,
+    /// Lease on orders.
+    pub lease: Lease,
+    /// Plan of orders, in use while the lease is held.
+    pub planner: Planner,
+    /// Effects of recent orders, for the other daemons.
+    pub effects: Vec<OrderEffect>,
+    /// Whether the process was told to stop.
+    pub leaving: bool,
+    /// Whether it takes no more requests, since it is about to end.
+    pub closed: bool,
+    /// Open requests of callers.
+    pub open: usize,
+}
+
+/// What an order did, until the engine's entry shows it.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderEffect {
+    /// The engine.
+    pub engine: UpstreamKey,
+    /// The model.
+    pub model: ModelKey,
+    /// The adapter; `None` where the model itself is meant.
+    pub adapter: Option<AdapterKey>,
+    /// Whether it is held now.
+    pub held: bool,
+    /// When it was known.
+    pub at: Tick,
+}
+
+/// What all tasks of a daemon share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Start of the process, in milliseconds since 1970.
+    pub incarnation: u64,
+    /// The platform's store.
+    pub store: Store,
+    /// Connections to engines.
+    pub pool: Pool,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Figures for the choice of engines.
+    pub choice: ChoiceSettings,
+    /// Told when engines, routes or loads changed, so that waiting requests look again.
+    pub changed: Notify,
+    /// Told when the other daemons should hear something at once.
+    pub urgent: Notify,
+    /// Told when the plan of orders should be looked at.
+    pub plan: Notify,
+    state: Mutex<State>,
+}
+
+impl Shared {
+    /// The state of a daemon that starts.
+    pub fn new(settings: Settings, incarnation: u64, store: Store) -> Arc<Self> {
+        let now = clock::now();
+        let lease = LeaseSettings {
+            handover: Duration::from_millis(settings.bounds.handover_ms),
+            ..LeaseSettings::default()
+        };
+        let state = State {
+            desired: None,
+            engines: Engines::default(),
+            listed: false,
+            own: IndexMap::new(),
+            prefixes: Prefixes::default(),
+            roster: Roster::default(),
+            words: IndexMap::new(),
+            caps: IndexMap::new(),
+            retries: IndexMap::new(),
+            cold: IndexMap::new(),
+            models: IndexMap::new(),
+            adapters: IndexMap::new(),
+            lease: Lease::new(lease, &settings.name, now),
+            planner: Planner::default(),
+            effects: Vec::new(),
+            leaving: false,
+            closed: false,
+            open: 0,
+        };
+        Arc::new(Shared {
+            settings,
+            incarnation,
+            store,
+            pool: Pool::default(),
+            metrics: Metrics::default(),
+            choice: ChoiceSettings::default(),
+            changed: Notify::new(),
+            urgent: Notify::new(),
+            plan: Notify::new(),
+            state: Mutex::new(state),
+        })
+    }
+
+    /// The state, locked.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.state().is_ready()
+    }
+
+    /// The retry budget's measures.
+    pub fn retry_allowance(&self) -> RetryAllowance {
+        let bounds = &self.settings.bounds;
+        RetryAllowance { ratio: bounds.retry_ratio, extra: bounds.retry_extra }
+    }
+}
+
+impl State {
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.desired.is_some() && self.listed && !self.leaving
+    }
+
+    /// What runs at an engine, as far as this daemon and those that it heard lately know.
+    pub fn load(&self, engine: UpstreamKey, now: Tick) -> Load {
+        let mut sum = self.own.get(&engine).map_or_else(Load::default, |own| own.load);
+        for word in self.words.values().filter(|word| word.is_fresh(now)) {
+            if let Some(load) = word.loads.get(&engine) {
+                sum.running += load.running;
+                sum.unread += load.unread;
+                sum.tokens += load.tokens;
+            }
+        }
+        sum
+    }
+
+    /// Requests that run at an engine for a model, as far as daemons told.
+    pub fn runs(&self, engine: UpstreamKey, model: ModelKey, now: Tick) -> u32 {
+        let own = self.own.get(&engine).and_then(|own| own.models.get(&model)).copied();
+        let fresh = self.words.values().filter(|word| word.is_fresh(now));
+        let others = fresh.filter_map(|word| word.runs.get(&(engine, model)));
+        own.unwrap_or(0) + others.sum::<u32>()
+    }
+}
+
+impl PeerWord {
+    /// Whether what it says about loads still counts.
+    pub fn is_fresh(&self, now: Tick) -> bool {
+        now.since(self.at) < corianderyoke_coord::serving::roster::SILENCE
+    }
+}
+
+/// Counts a request at an engine until it is dropped.
+#[derive(Debug)]
+pub struct RunGuard {
+    shared: Arc<Shared>,
+    engine: UpstreamKey,
+    run: Run,
+}
+
+impl RunGuard {
+    /// Counts `run` at `engine`; `state` is the locked state of `shared`.
+    pub fn begin(shared: &Arc<Shared>, state: &mut State, engine: UpstreamKey, run: Run) -> Self {
+        let own = state.own.entry(engine).or_default();
+        own.load.running += 1;
+        own.load.unread += run.unread;
+        own.load.tokens += run.tokens;
+        if let Some(model) = run.model {
+            *own.models.entry(model).or_default() += 1;
+        }
+        RunGuard { shared: Arc::clone(shared), engine, run }
+    }
+
+    /// The engine has read the prompt.
+    pub fn read(&mut self) {
+        let unread = std::mem::take(&mut self.run.unread);
+        if let Some(own) = self.shared.state().own.get_mut(&self.engine) {
+            own.load.unread = own.load.unread.saturating_sub(unread);
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        if let Some(own) = state.own.get_mut(&self.engine) {
+            own.load.running = own.load.running.saturating_sub(1);
+            own.load.unread = own.load.unread.saturating_sub(self.run.unread);
+            own.load.tokens = own.load.tokens.saturating_sub(self.run.tokens);
+            if let Some(model) = self.run.model {
+                if let Some(count) = own.models.get_mut(&model) {
+                    *count = count.saturating_sub(1);
+                }
+            }
+        }
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+}
--- a/src/util/events.rs
+++ b/crates/util/src/events.rs
@@ -8,6 +8,8 @@
 use simplelog::ConfigBuilder;
 use simplelog::WriteLogger;
 
+use crate::sink::Sink;
+
 macro_rules! events {
     ($($name:ident = $code:literal, $level:ident, $summary:literal;)*) => {
         /// Something worth a line in the log.
@@ -42,27 +44,39 @@
     Started = 100, Info, "the process listens";
     Stopping = 101, Info, "the process was told to stop and takes no new callers";
     Stopped = 102, Info, "the process finished its last request and ends";
+    Reloaded = 103, Info, "the process was told that its settings file changed";
     PlatformFailed = 110, Warn, "the platform gave no answer or an error";
+    PlatformBack = 111, Info, "the platform answers again";
+    LinesDropped = 120, Warn, "log lines were dropped since nobody read them in time";
     Joined = 200, Info, "the member joined the view";
     ViewChanged = 201, Info, "a new view is in force";
     Removed = 202, Warn, "the member was removed from the view";
     TermLapsed = 203, Warn, "the member's term lapsed, it stops acting";
     HomeMoved = 204, Info, "a home moved to or away from this member";
+    PeerHeard = 205, Info, "another daemon was heard for the first time since its start";
+    PeerSilent = 206, Warn, "another daemon fell silent and is named to callers no longer";
     RevisionInForce = 300, Info, "a configuration revision is in force here";
     RevisionStale = 301, Warn, "the revision could not be confirmed in time, requests are refused";
     KeyRevoked = 302, Info, "a key was revoked and its open requests were cut";
     EntrySkipped = 303, Warn, "an entry of the configuration cannot be read and counts as absent";
+    ZoneDrained = 304, Info, "a zone's engines get no new work";
+    ZoneBack = 305, Info, "a zone's engines get work again";
     Answered = 400, Info, "a request was answered";
     Refused = 401, Info, "a request was refused";
     Cancelled = 402, Info, "a caller went away and its work was cancelled";
     Resumed = 403, Warn, "an answer broke off and was resumed elsewhere";
     Broken = 404, Error, "an answer could not be completed";
+    Sent = 405, Info, "a request was sent to an upstream";
+    AttemptFailed = 406, Warn, "an upstream failed a request or refused it";
     CallUnknown = 410, Warn, "a call that may not be repeated ended with an unknown outcome";
     Decided = 500, Info, "a placement decision was recorded";
     Ordered = 501, Info, "an order was sent to an upstream";
     OrderRefused = 502, Warn, "an upstream refused an order";
     Adopted = 503, Info, "intents of an earlier controller were adopted";
+    LeaseTaken = 504, Info, "this daemon holds the lease on orders";
+    LeaseLost = 505, Warn, "this daemon no longer holds the lease on orders";
     UpstreamLeaving = 510, Info, "an upstream leaves and gets no new work";
+    UpstreamListed = 511, Info, "an upstream is listed, or what it holds changed";
 }
 
 /// Logs `event` with `detail`, which holds `key=value` pairs.
@@ -74,9 +88,14 @@
 ///
 /// A second call in one process has no effect, so several daemons can share a process.
 pub fn init(level: LevelFilter) {
-    let config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .add_filter_allow_str("corianderyoke")
-        .build();
-    let _ = WriteLogger::init(level, config, stderr());
+    let _ = WriteLogger::init(level, config(), stderr());
+}
+
+/// Sends log lines at `level` and above to standard output by way of [`crate::sink`].
+pub fn init_buffered(level: LevelFilter) {
+    let _ = WriteLogger::init(level, config(), Sink);
+}
+
+fn config() -> simplelog::Config {
+    ConfigBuilder::new().set_time_format_rfc3339().add_filter_allow_str("corianderyoke").build()
 }
--- a/src/util/start.rs
+++ b/crates/util/src/start.rs
@@ -10,8 +10,8 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use crate::util::exit::Exit;
-use crate::util::settings;
+use crate::exit::Exit;
+use crate::settings;
 
 /// Terms that a member can have, in milliseconds.
 const TERM_MS: RangeInclusive<u64> = 1_500..=60_000;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! Messages and transport between the system's own processes.
 //!
-//! [`peer`] holds the messages, generated from `proto/peer.proto`. [`Transport`] carries them over
+//! [`peer`] and [`word`] hold the messages, generated from the schemas in `proto/`. [`Transport`] carries them over
 //! QUIC with mutual TLS: each process makes a self-signed [`Identity`] at start, publishes its
 //! [`Fingerprint`] in its member row, and accepts only the fingerprints in its [`Trust`] set.
 
@@ -19,6 +19,11 @@
 #[path = "generated/peer.rs"]
 pub mod peer;
 
+#[allow(clippy::all, missing_docs)]
+#[rustfmt::skip]
+#[path = "generated/word.rs"]
+pub mod word;
+
 pub use error::Error;
 pub use error::Result;
 pub use identity::Fingerprint;
--- a/crates/wire/tests/generated.rs
+++ b/crates/wire/tests/generated.rs
@@ -1,4 +1,4 @@
-//! The committed messages are what `proto/peer.proto` generates.
+//! The committed messages are what the schemas in `proto/` generate.
 
 use std::fs;
 use std::path::Path;
@@ -7,15 +7,26 @@
 const UPDATE: &str = "CORIANDERYOKE_UPDATE_GENERATED";
 
 #[test]
-fn committed_messages_match_the_schema() {
+fn committed_peer_messages_match_the_schema() {
+    assert_generated("peer");
+}
+
+#[test]
+fn committed_word_messages_match_the_schema() {
+    assert_generated("word");
+}
+
+fn assert_generated(package: &str) {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let files = protox::compile(["peer.proto"], [root.join("proto")]).expect("the schema parses");
+    let schema = format!("{package}.proto");
+    let files = protox::compile([schema], [root.join("proto")]).expect("the schema parses");
     let out = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let mut config = prost_build::Config::new();
     config.out_dir(out);
     config.compile_fds(files).expect("the schema generates");
-    let fresh = fs::read_to_string(out.join("peer.rs")).expect("a file was generated");
-    let committed = root.join("src/generated/peer.rs");
+    let fresh =
+        fs::read_to_string(out.join(format!("{package}.rs"))).expect("a file was generated");
+    let committed = root.join(format!("src/generated/{package}.rs"));
     if std::env::var_os(UPDATE).is_some() {
         fs::write(&committed, &fresh).expect("the committed file can be written");
     }
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,11 +1,12 @@
 //! Small helpers that every process shares.
 
-pub mod clock;
-pub mod events;
-pub mod exit;
-pub mod lifecycle;
+pub use corianderyoke_util::clock;
+pub use corianderyoke_util::events;
+pub use corianderyoke_util::exit;
+pub use corianderyoke_util::lifecycle;
+pub use corianderyoke_util::settings;
+pub use corianderyoke_util::start;
+pub use corianderyoke_util::table;
+pub use corianderyoke_util::utc;
+
 pub mod observe;
-pub mod settings;
-pub mod start;
-pub mod table;
-pub mod utc;
