Load a model once, and give busy models the copies that they need

Cause: an order that was sent and not answered, and a load that was looked into, didn't count as coming, so one model was loaded at several engines while others waited; a busy model stayed on one engine. Requests for a stream whose caller had already given up waited on.

--- a/crates/coord/src/serving/choice.rs
+++ b/crates/coord/src/serving/choice.rs
@@ -132,6 +132,11 @@
     shared.last().map(|part| part.id)
 }
 
+/// Tokens of a prompt that no other request shares.
+pub fn own_tokens(need: &Need) -> u64 {
+    need.parts.last().map_or(need.prompt, |part| part.tokens)
+}
+
 /// Whose weights read a part.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Reader {
--- a/crates/coord/src/serving/desired.rs
+++ b/crates/coord/src/serving/desired.rs
@@ -6,6 +6,9 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+/// Least time that callers wait for the first event of a stream.
+const FIRST_PATIENCE: Duration = Duration::from_secs(2);
+
 /// SHA-256 of a caller's key; secrets are dropped once the desired state is read.
 pub type KeyDigest = [u8; 32];
 
@@ -80,6 +83,8 @@
     pub limit: Duration,
     /// Time within which an answer is worth most.
     pub aim: Duration,
+    /// Longest pause between two events of a stream; zero for other answers.
+    pub pause: Duration,
     /// Urgency; 0 is the most urgent.
     pub rank: u8,
     /// Services, with at least one weight above zero.
@@ -203,6 +208,13 @@
 }
 
 impl Route {
+    /// How long callers wait for the first event of a stream before they give it up, by the
+    /// platform's contract: two seconds, four objectives or eight pauses.
+    pub fn first_patience(&self) -> Option<Duration> {
+        let longest = FIRST_PATIENCE.max(self.aim * 4).max(self.pause * 8);
+        self.repeat.is_stream().then_some(longest)
+    }
+
     /// The service that a request goes to; the same `seed` always gets the same one.
     pub fn service(&self, seed: u64) -> Option<&str> {
         let total: u64 = self.splits.iter().map(|split| u64::from(split.weight)).sum();
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -21,8 +21,21 @@
 use crate::serving::engines::Engines;
 use crate::time::Tick;
 
-/// Time over which arrivals count towards a model's rate.
-const RATE_SPAN: Duration = Duration::from_secs(8);
+/// Time over which requests count towards a model's rate.
+const RATE_SPAN: Duration = Duration::from_secs(12);
+/// Time over which tokens count towards the number of a model's copies.
+const BURST_SPAN: Duration = Duration::from_secs(3);
+/// Prompt tokens that an engine reads in a second.
+const READ_RATE: f64 = 30_000.0;
+/// Part of the time that an engine may read prompts for one model before it gets another copy;
+/// beyond about half, prompts wait for each other and hold up the tokens of what runs.
+const READ_SHARE: f64 = 0.4;
+/// Part of a model's loss that counts where enough other engines hold it.
+const SPARE_SHARE: f64 = 0.05;
+/// Longest load, in seconds, by which another copy is made.
+const COPY_TIME: f64 = 1.0;
+/// Seconds of waiting that another copy of a busy model may cost others.
+const COPY_LOSS: f64 = 0.4;
 /// Time after which the last word of a daemon that waits doesn't count any longer.
 const WAIT_SPAN: Duration = Duration::from_millis(1_200);
 /// Loads from the weight store that run at full speed at once; more slow each other down.
@@ -87,43 +100,88 @@
     Inspect(UpstreamKey),
 }
 
-/// What is known of an engine's orders.
+/// What is known of an engine's current order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Work {
+enum Phase {
     /// An order was sent and not answered yet.
     Asked,
     /// An order is carried out; it shows in the engine's entry.
-    Doing { op: Op, since: Tick, remote: bool },
+    Doing,
     /// What the engine holds must be asked.
-    Unclear { since: Tick },
+    Unclear,
     /// It is being asked.
     Inspecting,
 }
 
+/// An engine's current order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Work {
+    phase: Phase,
+    /// The order, where there is one.
+    op: Option<Op>,
+    /// When the engine is to be asked about it.
+    look: Tick,
+    /// Whether it loads from the weight store.
+    remote: bool,
+}
+
+impl Work {
+    fn unclear(look: Tick) -> Self {
+        Work { phase: Phase::Unclear, op: None, look, remote: false }
+    }
+
+    /// Whether it keeps the engine from orders on adapters: their counts of orders would race.
+    fn blocks_adapters(&self) -> bool {
+        self.phase != Phase::Doing
+    }
+}
+
+/// A rate that forgets exponentially.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    value: f64,
+    at: Tick,
+}
+
+impl Rate {
+    fn add(&mut self, amount: f64, span: Duration, now: Tick) {
+        self.value = self.get(span, now) + amount / span.as_secs_f64();
+        self.at = now;
+    }
+
+    fn get(&self, span: Duration, now: Tick) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / span.as_secs_f64();
+        self.value * (-age).exp()
+    }
+}
+
 /// Requests for one model.
 #[derive(Clone, Debug, Default)]
 struct Demand {
-    rate: f64,
-    at: Tick,
+    /// Requests a second, over a span in which rare models are asked for too.
+    requests: Rate,
+    /// Tokens a second that engines have to read, over a span that follows bursts.
+    tokens: Rate,
     /// Requests that wait for the model, by daemon.
     waiting: IndexMap<String, (u32, Tick)>,
 }
 
 impl Demand {
-    fn arrive(&mut self, count: u64, now: Tick) {
-        self.rate = self.rate(now) + count as f64 / RATE_SPAN.as_secs_f64();
-        self.at = now;
-    }
-
-    fn rate(&self, now: Tick) -> f64 {
-        let age = now.since(self.at).as_secs_f64() / RATE_SPAN.as_secs_f64();
-        self.rate * (-age).exp()
+    fn arrive(&mut self, count: u64, tokens: u64, now: Tick) {
+        self.requests.add(count as f64, RATE_SPAN, now);
+        self.tokens.add(tokens as f64, BURST_SPAN, now);
     }
 
     fn waiting(&self, now: Tick) -> u32 {
         let fresh = self.waiting.values().filter(|(_, at)| now.since(*at) < WAIT_SPAN);
         fresh.map(|(count, _)| count).sum()
     }
+
+    /// Copies of the model that keep its engines from reading all the time.
+    fn copies(&self, now: Tick) -> usize {
+        let busy = self.tokens.get(BURST_SPAN, now) / READ_RATE;
+        (busy / READ_SHARE).ceil().max(1.0) as usize
+    }
 }
 
 /// A load that could be ordered, and what it costs in seconds of waiting.
@@ -143,6 +201,8 @@
     used: IndexMap<(UpstreamKey, AdapterKey), Tick>,
     loaded: IndexMap<(UpstreamKey, ModelKey), Tick>,
     work: IndexMap<UpstreamKey, Work>,
+    /// Orders on models under way at engines that were just sent an order on an adapter.
+    behind: IndexMap<UpstreamKey, Work>,
     /// Loads that wait until an engine has room, with what they are for.
     planned: IndexMap<UpstreamKey, ModelKey>,
     running: IndexMap<(UpstreamKey, ModelKey), u32>,
@@ -151,9 +211,9 @@
 }
 
 impl Planner {
-    /// Counts requests for a model.
-    pub fn arrive(&mut self, model: ModelKey, count: u64, now: Tick) {
-        self.demand.entry(model).or_default().arrive(count, now);
+    /// Counts requests for a model, and the tokens that engines have to read for them.
+    pub fn arrive(&mut self, model: ModelKey, count: u64, tokens: u64, now: Tick) {
+        self.demand.entry(model).or_default().arrive(count, tokens, now);
     }
 
     /// A daemon says how many requests wait there for a model that no engine holds.
@@ -176,41 +236,54 @@
     pub fn begin(&mut self, engines: &Engines, now: Tick) {
         self.planned.clear();
         self.work.clear();
+        self.behind.clear();
         for (key, _) in engines.iter() {
-            self.work.insert(key, Work::Unclear { since: now });
+            self.work.insert(key, Work::unclear(now));
         }
     }
 
     /// An engine answered an order.
-    pub fn answered(&mut self, order: Order, answer: Answer, engines: &mut Engines, now: Tick) {
+    pub fn answered(
+        &mut self,
+        order: Order,
+        answer: Answer,
+        spec: &EngineSpec,
+        engines: &mut Engines,
+        now: Tick,
+    ) {
         let key = order.engine;
         match answer {
             Answer::Accepted => {
                 engines.accept(key);
-                self.accepted(order, engines, now);
+                self.accepted(order, spec, engines, now);
             }
             Answer::Holds => {
-                self.work.shift_remove(&key);
+                self.restore(key);
                 apply(order, engines, now);
             }
             Answer::Busy | Answer::Unanswered | Answer::Rejected | Answer::Fenced => {
-                self.work.insert(key, Work::Unclear { since: now });
+                self.behind.shift_remove(&key);
+                self.work.insert(key, Work::unclear(now));
             }
         }
     }
 
     /// An engine said what it holds, which the view of the engines shows already.
     pub fn inspected(&mut self, engine: UpstreamKey, busy: bool, now: Tick) {
-        if busy {
-            self.work.insert(engine, Work::Unclear { since: now + LOOK_AFTER });
-        } else {
+        if !busy {
             self.work.shift_remove(&engine);
+            return;
         }
+        let work = self.work.entry(engine).or_insert(Work::unclear(now));
+        work.look = now + LOOK_AFTER;
+        work.phase = if work.op.is_some() { Phase::Doing } else { Phase::Unclear };
     }
 
     /// An engine couldn't be asked.
     pub fn unseen(&mut self, engine: UpstreamKey, now: Tick) {
-        self.work.insert(engine, Work::Unclear { since: now + LOOK_AFTER });
+        let work = self.work.entry(engine).or_insert(Work::unclear(now));
+        work.look = now + LOOK_AFTER;
+        work.phase = Phase::Unclear;
     }
 
     /// What to order now, for the engines of one service.
@@ -227,65 +300,74 @@
             // Nothing is ordered before it is known what the engine has accepted.
             let unknown = engines.get(key).is_some_and(|engine| engine.orders.is_none());
             if unknown && !self.work.contains_key(&key) {
-                self.work.insert(key, Work::Unclear { since: now });
+                self.work.insert(key, Work::unclear(now));
             }
         }
         self.settle(engines, now, &mut actions);
         self.continue_planned(spec, engines, now, &mut actions);
         for model in self.wanted(service, spec, engines, now) {
             let Some(option) = self.best(service, spec, engines, model, now) else { continue };
-            self.start(option, model, engines, &mut actions);
+            self.start(option, model, engines, now, &mut actions);
+        }
+        for model in self.crowded(service, spec, engines, now) {
+            let Some(option) = self.best(service, spec, engines, model, now) else { continue };
+            if !option.remote && option.cost < COPY_LOSS + COPY_TIME {
+                self.start(option, model, engines, now, &mut actions);
+            }
         }
         self.plan_adapters(service, spec, engines, now, &mut actions);
         actions
     }
 
-    fn accepted(&mut self, order: Order, engines: &mut Engines, now: Tick) {
-        match order.op {
+    fn accepted(&mut self, order: Order, spec: &EngineSpec, engines: &mut Engines, now: Tick) {
+        let (time, remote) = match order.op {
             Op::Load(model) => {
-                let held = engines.get(order.engine);
-                let remote = held.is_some_and(|engine| {
-                    !engine.on_disk.contains(&model) && !engine.in_memory.contains(&model)
-                });
                 self.loaded.insert((order.engine, model), now);
-                let work = Work::Doing { op: order.op, since: now, remote };
-                self.work.insert(order.engine, work);
+                let size = spec.models.get(engines.names.models.name(model));
+                let engine = engines.get(order.engine);
+                let found = size.zip(engine).map(|(size, engine)| load_time(size, engine, model));
+                found.unwrap_or((Duration::ZERO, false))
             }
             Op::Unload(model) => {
                 engines.unload_model(order.engine, model);
-                let work = Work::Doing { op: order.op, since: now, remote: false };
-                self.work.insert(order.engine, work);
+                (Duration::ZERO, false)
             }
             Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {
-                self.work.shift_remove(&order.engine);
+                self.restore(order.engine);
                 apply(order, engines, now);
+                return;
             }
-        }
+        };
+        let look = now + time + LOOK_AFTER;
+        let work = Work { phase: Phase::Doing, op: Some(order.op), look, remote };
+        self.work.insert(order.engine, work);
+    }
+
+    /// An order on an adapter is through; an order on a model that was under way before still is.
+    fn restore(&mut self, engine: UpstreamKey) {
+        match self.behind.shift_remove(&engine) {
+            Some(work) => self.work.insert(engine, work),
+            None => self.work.shift_remove(&engine),
+        };
     }
 
     /// Ends work that shows its effect, and looks into work that doesn't in time.
     fn settle(&mut self, engines: &Engines, now: Tick, actions: &mut Vec<Action>) {
         self.work.retain(|key, work| {
             let Some(engine) = engines.get(*key) else { return false };
-            match *work {
-                Work::Doing { op: Op::Load(model), .. } if engine.holds(model, None) => false,
-                Work::Doing { op: Op::Unload(model), .. }
-                    if !engine.models.contains_key(&model) =>
-                {
-                    false
-                }
-                Work::Doing { since, .. } if now.since(since) > LOOK_AFTER => {
-                    *work = Work::Inspecting;
-                    actions.push(Action::Inspect(*key));
-                    true
-                }
-                Work::Unclear { since } if now >= since => {
-                    *work = Work::Inspecting;
-                    actions.push(Action::Inspect(*key));
-                    true
-                }
-                _ => true,
+            let shows = match (work.phase, work.op) {
+                (Phase::Doing, Some(Op::Load(model))) => engine.holds(model, None),
+                (Phase::Doing, Some(Op::Unload(model))) => !engine.models.contains_key(&model),
+                _ => false,
+            };
+            if shows {
+                return false;
+            }
+            if matches!(work.phase, Phase::Doing | Phase::Unclear) && now >= work.look {
+                work.phase = Phase::Inspecting;
+                actions.push(Action::Inspect(*key));
             }
+            true
         });
     }
 
@@ -310,7 +392,7 @@
                 continue;
             };
             if self.demand.get(&model).is_some_and(|demand| demand.waiting(now) > 0) {
-                self.start(option, model, engines, actions);
+                self.start(option, model, engines, now, actions);
             }
         }
     }
@@ -339,10 +421,37 @@
         wanted.into_iter().map(|(model, _)| model).collect()
     }
 
+    /// Models whose engines have more to read than they should, the busiest first.
+    fn crowded(
+        &self,
+        service: &str,
+        spec: &EngineSpec,
+        engines: &Engines,
+        now: Tick,
+    ) -> Vec<ModelKey> {
+        let usable = engines.usable(service, now);
+        let mut crowded: Vec<(ModelKey, usize)> = Vec::new();
+        for (&model, demand) in &self.demand {
+            if !spec.models.contains_key(engines.names.models.name(model)) {
+                continue;
+            }
+            let held = usable.iter().filter_map(|key| engines.get(*key));
+            let held = held.filter(|engine| engine.holds(model, None)).count();
+            let coming = self.coming().filter(|other| *other == model).count();
+            let missing = demand.copies(now).min(usable.len()).saturating_sub(held + coming);
+            if held > 0 && missing > 0 {
+                crowded.push((model, missing));
+            }
+        }
+        crowded.sort_by_key(|&(_, missing)| Reverse(missing));
+        crowded.into_iter().map(|(model, _)| model).collect()
+    }
+
     /// Models that a load is under way for.
     fn coming(&self) -> impl Iterator<Item = ModelKey> + '_ {
-        let doing = self.work.values().filter_map(|work| match work {
-            Work::Doing { op: Op::Load(model), .. } => Some(*model),
+        let all = self.work.values().chain(self.behind.values());
+        let doing = all.filter_map(|work| match work.op {
+            Some(Op::Load(model)) => Some(model),
             _ => None,
         });
         doing.chain(self.planned.values().copied())
@@ -362,7 +471,7 @@
             .into_iter()
             .filter(|key| !self.work.contains_key(key) && !self.planned.contains_key(key));
         let options = free.filter_map(|key| {
-            let engine = engines.get(key)?;
+            let engine = engines.get(key).filter(|engine| !engine.models.contains_key(&model))?;
             self.option(spec, engines, key, engine, model, now)
         });
         options.min_by(|a, b| a.cost.total_cmp(&b.cost))
@@ -426,7 +535,7 @@
         }
         let Some(size) = spec.models.get(engines.names.models.name(model)) else { return 0.0 };
         let demand = self.demand.get(&model);
-        let rate = demand.map_or(0.0, |demand| demand.rate(now));
+        let rate = demand.map_or(0.0, |demand| demand.requests.get(RATE_SPAN, now));
         let others = engines
             .iter()
             .filter(|(other, engine)| *other != key && engine.holds(model, None))
@@ -435,7 +544,9 @@
         let running = self.running.get(&(key, model)).copied().unwrap_or(0);
         // An unload waits until what runs has ended, and holds the engine's next order up.
         let drain = if running > 0 { 0.5 + 0.1 * f64::from(running) } else { 0.0 };
-        rate * RATE_SPAN.as_secs_f64() * reload / (1 + 2 * others) as f64 + drain
+        let copies = demand.map_or(1, |demand| demand.copies(now));
+        let needed = if others >= copies { SPARE_SHARE } else { 1.0 / (1 + others) as f64 };
+        rate * RATE_SPAN.as_secs_f64() * reload * needed + drain
     }
 
     fn start(
@@ -443,6 +554,7 @@
         option: Way,
         model: ModelKey,
         engines: &Engines,
+        now: Tick,
         actions: &mut Vec<Action>,
     ) {
         let known = engines.get(option.engine).and_then(|engine| engine.orders);
@@ -459,7 +571,8 @@
                 Op::Load(model)
             }
         };
-        self.work.insert(option.engine, Work::Asked);
+        let work = Work { phase: Phase::Asked, op: Some(op), look: now, remote: option.remote };
+        self.work.insert(option.engine, work);
         actions.push(Action::Send(Order { engine: option.engine, op, expected }));
     }
 
@@ -486,7 +599,9 @@
                 self.adapters.shift_remove(&adapter);
                 continue;
             }
-            let free = holders.into_iter().filter(|(key, _)| !self.work.contains_key(key));
+            let free = holders
+                .into_iter()
+                .filter(|(key, _)| self.work.get(key).is_none_or(|work| !work.blocks_adapters()));
             let Some((key, engine)) = free.min_by_key(|(_, engine)| adapters_held(engine)) else {
                 continue;
             };
@@ -499,7 +614,10 @@
                 self.adapters.shift_remove(&adapter);
                 Op::LoadAdapter(model, adapter)
             };
-            self.work.insert(key, Work::Asked);
+            let asked = Work { phase: Phase::Asked, op: Some(op), look: now, remote: false };
+            if let Some(behind) = self.work.insert(key, asked) {
+                self.behind.insert(key, behind);
+            }
             actions.push(Action::Send(Order { engine: key, op, expected }));
         }
     }
@@ -517,8 +635,8 @@
     }
 
     fn may_load_remote(&self) -> bool {
-        let loading =
-            self.work.values().filter(|work| matches!(work, Work::Doing { remote: true, .. }));
+        let all = self.work.values().chain(self.behind.values());
+        let loading = all.filter(|work| work.remote);
         self.permits >= 1.0 && loading.count() < REMOTE_AT_ONCE
     }
 
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -26,6 +26,9 @@
 /// Time that an answer needs on its way back to the caller; it leaves that much earlier.
 const WAY_BACK: Duration = Duration::from_millis(25);
 
+/// Time before a caller gives a stream up at which a request that isn't at an engine is refused.
+const START: Duration = Duration::from_millis(150);
+
 /// What a request asks of a model engine.
 #[derive(Clone, Debug)]
 pub struct Generation {
@@ -50,6 +53,8 @@
     pub patience: Tick,
     /// When the caller must have an answer.
     pub due: Tick,
+    /// When a request that isn't at an engine yet is refused.
+    pub start_due: Tick,
     /// The desired state that it is handled by.
     pub desired: Arc<Desired>,
     /// Its route.
@@ -191,6 +196,7 @@
         let patience = arrived + facts.patience.unwrap_or(route.limit);
         let due = Tick(patience.0.saturating_sub(WAY_BACK.as_micros() as u64));
         let due = due.min(arrived + route.limit);
+        let start = route.first_patience().map_or(due, |span| arrived + span.saturating_sub(START));
         let team_rank = team.as_deref().and_then(|name| desired.team(name)).and_then(|t| t.rank);
         let generation = facts.model.as_deref().map(|model| {
             let names = &mut shared.state().engines.names;
@@ -206,6 +212,7 @@
             arrived,
             patience,
             due,
+            start_due: start.min(due),
             rank: team_rank.unwrap_or(route.rank),
             desired,
             route,
@@ -243,6 +250,11 @@
         &mut self.record
     }
 
+    /// Time left until a request that isn't at an engine is refused.
+    pub fn start_left(&self) -> Duration {
+        self.start_due.since(clock::now())
+    }
+
     /// Time left until the caller must have an answer.
     pub fn left(&self) -> Duration {
         self.due.since(clock::now())
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -180,7 +180,7 @@
         loop {
             let shared = std::sync::Arc::clone(&self.call.shared);
             let changed = shared.changed.notified();
-            let left = self.call.left();
+            let left = self.call.start_left();
             if left < LEAST_LEFT {
                 return Err(self.end(Refusal::NotInTime));
             }
@@ -197,6 +197,14 @@
                 Pick::NoEngine | Pick::Full => None,
             };
             if waiting.as_ref().map(|guard| guard.missing) != missing {
+                events::log(
+                    Event::Waiting,
+                    format_args!(
+                        "id={} missing={missing:?} left_ms={}",
+                        self.call.id,
+                        left.as_millis()
+                    ),
+                );
                 waiting = missing.and_then(|missing| WaitGuard::begin(&self.call, missing));
             }
             // Either it was told, or it looks again by itself.
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -8,6 +8,7 @@
 use corianderyoke_adapter::headers;
 use corianderyoke_adapter::headers::RequestFacts;
 use corianderyoke_coord::serving::caps::TeamBucket;
+use corianderyoke_coord::serving::choice;
 use corianderyoke_coord::serving::desired::CallerLimits;
 use corianderyoke_coord::serving::desired::Desired;
 use corianderyoke_coord::serving::desired::Route;
@@ -183,9 +184,11 @@
     if let Some(model) = &facts.model {
         let model = state.engines.names.models.intern(model);
         let count = state.models.entry(model).or_default();
+        let tokens = facts.need.as_ref().map_or(0, choice::own_tokens);
         count.arrivals += 1;
+        count.tokens += tokens;
         count.at = now;
-        state.planner.arrive(model, 1, now);
+        state.planner.arrive(model, 1, tokens, now);
     }
 }
 
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -226,8 +226,7 @@
         sleep(ADAPTER_TIME).await;
     }
     let mut state = shared.state();
-    let State { planner, engines, .. } = &mut *state;
-    planner.answered(order, answer, engines, now);
+    answered(&mut state, order, answer, now);
     if matches!(answer, Answer::Accepted | Answer::Holds) {
         state.effects.push(effect(order, clock::now()));
     }
@@ -240,6 +239,15 @@
     shared.plan.notify_one();
 }
 
+fn answered(state: &mut State, order: Order, answer: Answer, now: Tick) {
+    let Some(desired) = state.desired.clone() else { return };
+    let State { planner, engines, .. } = state;
+    let service = engines.get(order.engine).and_then(|e| desired.services.get(&e.service));
+    if let Some(spec) = service.and_then(|service| service.engine.as_ref()) {
+        planner.answered(order, answer, spec, engines, now);
+    }
+}
+
 fn effect(order: Order, at: Tick) -> OrderEffect {
     let (model, adapter, held) = match order.op {
         Op::Load(model) => (model, None, true),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -133,6 +133,7 @@
         model: names.name(model).to_owned(),
         arrivals: count.arrivals,
         waiting: count.waiting,
+        tokens: count.tokens,
     })
     .collect()
 }
@@ -252,10 +253,12 @@
     let mut waits = false;
     for demand in &word.models {
         let model = names.models.intern(&demand.model);
-        let known = arrivals.insert(model, demand.arrivals);
-        let fresh = demand.arrivals.saturating_sub(known.unwrap_or(demand.arrivals));
+        let told = (demand.arrivals, demand.tokens);
+        let known = arrivals.insert(model, told).unwrap_or(told);
+        let fresh = demand.arrivals.saturating_sub(known.0);
         if fresh > 0 {
-            state.planner.arrive(model, fresh, now);
+            let tokens = demand.tokens.saturating_sub(known.1);
+            state.planner.arrive(model, fresh, tokens, now);
         }
         state.planner.wait(&word.name, model, demand.waiting, now);
         waits |= demand.waiting > 0;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -62,8 +62,8 @@
     pub at: Tick,
     /// What it has running, by engine.
     pub loads: IndexMap<UpstreamKey, Load>,
-    /// Requests for each model so far.
-    pub arrivals: IndexMap<ModelKey, u64>,
+    /// Requests for each model so far, and the tokens to read for them.
+    pub arrivals: IndexMap<ModelKey, (u64, u64)>,
     /// Requests that it has running, by engine and model.
     pub runs: IndexMap<(UpstreamKey, ModelKey), u32>,
 }
@@ -73,6 +73,8 @@
 pub struct ModelCount {
     /// All so far.
     pub arrivals: u64,
+    /// Prompt tokens of all so far that an engine has to read.
+    pub tokens: u64,
     /// Those that wait until an engine holds it.
     pub waiting: u32,
     /// Last time at which either changed.
