Count adapter unloads as orders, and test the decisions

Cause: an engine answers the unload of an unused adapter with 200 and counts it as an order; it wasn't counted here, so the next order named an old count and was refused, and reports asked for at once told the old count again. Ruled out: late orders; two orders at once.

--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -46,6 +46,10 @@
 const REMOTE_SHARE: f64 = 0.95;
 /// Time after which an order that shows no effect is looked into.
 const LOOK_AFTER: Duration = Duration::from_millis(1_500);
+/// Time by which a report may lag behind what the engine did.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Seconds that an unload takes where nothing runs.
+const UNLOAD_TIME: f64 = 0.05;
 /// Time for which a model isn't made to give way after it was loaded, so that engines don't swap
 /// the same two models back and forth while requests wait for both.
 const SETTLE: Duration = Duration::from_millis(1_000);
@@ -258,12 +262,16 @@
                 self.accepted(order, spec, engines, now);
             }
             Answer::Holds => {
+                // An adapter that nobody uses goes at once, and its order counts all the same.
+                if matches!(order.op, Op::UnloadAdapter(..)) {
+                    engines.accept(key);
+                }
                 self.restore(key);
                 apply(order, engines, now);
             }
             Answer::Busy | Answer::Unanswered | Answer::Rejected | Answer::Fenced => {
                 self.behind.shift_remove(&key);
-                self.work.insert(key, Work::unclear(now));
+                self.work.insert(key, Work::unclear(now + REPORT_LAG));
             }
         }
     }
@@ -512,7 +520,7 @@
                 continue;
             }
             room += held.size_mb + adapters_mb(spec, engines, engine, victim);
-            cost += loss;
+            cost += loss + UNLOAD_TIME;
             chosen.push(victim);
         }
         if room < size.size_mb {
--- /dev/null
+++ b/crates/coord/tests/serving/choice.rs
@@ -0,0 +1,93 @@
+//! Which engine a request goes to, by the load pattern that it answers.
+
+use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::choice::choose;
+use corianderyoke_coord::serving::choice::home;
+use corianderyoke_coord::serving::choice::Candidate;
+use corianderyoke_coord::serving::choice::ChoiceSettings;
+use corianderyoke_coord::serving::choice::Load;
+use corianderyoke_coord::serving::choice::Need;
+use corianderyoke_coord::serving::choice::Part;
+use corianderyoke_coord::serving::choice::Prefixes;
+use corianderyoke_coord::serving::choice::Reader;
+
+use crate::world::ms;
+
+fn need() -> Need {
+    let part = |id, tokens| Part { id, tokens };
+    let parts = vec![part(1, 2_500), part(2, 3_800), part(3, 2_900)];
+    Need { prompt: 9_200, output: 50, parts }
+}
+
+fn candidate(index: u32) -> Candidate {
+    Candidate {
+        key: UpstreamKey(index),
+        load: Load::default(),
+        slots: 64,
+        capacity: 200_000,
+        kept: 0,
+        near: true,
+    }
+}
+
+fn chosen(candidates: &[Candidate]) -> Option<u32> {
+    choose(&ChoiceSettings::default(), &need(), candidates).map(|best| best.key.0)
+}
+
+#[test]
+fn a_long_shared_prompt_goes_where_it_was_read() {
+    let read = Candidate { kept: 6_300, near: false, ..candidate(2) };
+    assert_eq!(chosen(&[candidate(1), read]), Some(2));
+}
+
+#[test]
+fn a_burst_on_one_prompt_spreads_once_its_engine_reads_too_much() {
+    let load = Load { running: 3, unread: 9_000, tokens: 27_000 };
+    let read = Candidate { kept: 6_300, load, ..candidate(2) };
+    assert_eq!(chosen(&[candidate(1), read]), Some(1));
+}
+
+#[test]
+fn short_requests_stay_in_their_zone() {
+    let far = Candidate { near: false, ..candidate(2) };
+    let near = Candidate { load: Load { running: 1, ..Load::default() }, ..candidate(1) };
+    assert_eq!(chosen(&[far, near]), Some(1));
+}
+
+#[test]
+fn full_engines_get_nothing_more() {
+    let slots = Candidate { load: Load { running: 64, ..Load::default() }, ..candidate(1) };
+    let memory = Load { running: 5, unread: 0, tokens: 185_000 };
+    let memory = Candidate { load: memory, ..candidate(2) };
+    assert_eq!(chosen(&[slots, memory]), None);
+}
+
+#[test]
+fn all_daemons_send_a_prompt_to_the_same_engine_first() {
+    let names = [(UpstreamKey(1), "e1"), (UpstreamKey(2), "e2"), (UpstreamKey(3), "e3")];
+    let other = [(UpstreamKey(9), "e3"), (UpstreamKey(8), "e2"), (UpstreamKey(7), "e1")];
+    for shared in 0..50 {
+        let here = home(shared, names.into_iter());
+        let there = home(shared, other.into_iter());
+        let named = |key: Option<UpstreamKey>, list: [(UpstreamKey, &'static str); 3]| {
+            list.into_iter().find(|(other, _)| Some(*other) == key).map(|(_, name)| name)
+        };
+        assert_eq!(named(here, names), named(there, other));
+    }
+}
+
+#[test]
+fn only_the_unbroken_beginning_of_a_prompt_counts_as_kept() {
+    let reader = Reader { engine: UpstreamKey(1), model: ModelKey(1), adapter: None };
+    let mut prefixes = Prefixes::default();
+    prefixes.sent(reader, &need(), ms(0));
+    let mut other = need();
+    other.parts[2].id = 9;
+    assert_eq!(prefixes.kept(reader, &other, ms(1)), 6_300);
+    other.parts[0].id = 8;
+    assert_eq!(prefixes.kept(reader, &other, ms(1)), 0);
+    assert_eq!(prefixes.kept(reader, &need(), ms(60_000)), 0);
+    prefixes.forget(UpstreamKey(1));
+    assert_eq!(prefixes.kept(reader, &need(), ms(1)), 0);
+}
--- /dev/null
+++ b/crates/coord/tests/serving/main.rs
@@ -0,0 +1,11 @@
+//! The decisions of a daemon on the users' platform.
+
+mod caps;
+mod choice;
+mod engines;
+mod lease;
+mod residency;
+mod roster;
+mod routes;
+mod shares;
+mod world;
--- /dev/null
+++ b/crates/coord/tests/serving/residency.rs
@@ -0,0 +1,268 @@
+//! What is loaded where, by the load pattern that it answers.
+
+use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::serving::desired::EngineSpec;
+use corianderyoke_coord::serving::engines::Engines;
+use corianderyoke_coord::serving::residency::Action;
+use corianderyoke_coord::serving::residency::Answer;
+use corianderyoke_coord::serving::residency::Op;
+use corianderyoke_coord::serving::residency::Order;
+use corianderyoke_coord::serving::residency::Planner;
+
+use crate::world::engine;
+use crate::world::engines;
+use crate::world::entry;
+use crate::world::model;
+use crate::world::ms;
+use crate::world::report;
+use crate::world::spec;
+use crate::world::SERVICE;
+
+fn plan(planner: &mut Planner, spec: &EngineSpec, engines: &Engines, at: u64) -> Vec<Action> {
+    planner.plan(SERVICE, spec, engines, ms(at))
+}
+
+fn orders(actions: &[Action]) -> Vec<Order> {
+    let orders = actions.iter().filter_map(|action| match action {
+        Action::Send(order) => Some(*order),
+        Action::Inspect(_) => None,
+    });
+    orders.collect()
+}
+
+fn ops(actions: &[Action]) -> Vec<Op> {
+    orders(actions).into_iter().map(|order| order.op).collect()
+}
+
+/// A load of rare models: `waiting` requests wait for `model`.
+fn rare(planner: &mut Planner, model: ModelKey, waiting: u32, at: u64) {
+    planner.arrive(model, u64::from(waiting), 3_000, ms(at));
+    planner.wait("daemon-1", model, waiting, ms(at));
+}
+
+#[test]
+fn a_rare_model_is_loaded_once_while_many_daemons_wait_for_it() {
+    let mut engines = engines(&[entry("e1", &[], &["m"]), entry("e2", &[], &["m"])]);
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let mut planner = Planner::default();
+    for daemon in ["daemon-1", "daemon-2", "daemon-3"] {
+        planner.wait(daemon, wanted, 5, ms(0));
+    }
+    let first = plan(&mut planner, &spec, &engines, 0);
+    assert_eq!(ops(&first), [Op::Load(wanted)]);
+    // Asked and not answered yet, then under way: neither starts another load.
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 50)), []);
+    let order = orders(&first)[0];
+    planner.answered(order, Answer::Accepted, &spec, &mut engines, ms(60));
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 100)), []);
+}
+
+#[test]
+fn a_load_that_takes_long_is_looked_into_and_not_ordered_elsewhere() {
+    let mut engines = engines(&[entry("e1", &[], &[]), entry("e2", &[], &[])]);
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let mut planner = Planner::default();
+    plan(&mut planner, &spec, &engines, 0);
+    rare(&mut planner, wanted, 1, 5_000);
+    let first = orders(&plan(&mut planner, &spec, &engines, 5_000));
+    assert_eq!(first.len(), 1);
+    planner.answered(first[0], Answer::Accepted, &spec, &mut engines, ms(5_010));
+    for at in [6_000, 9_000, 12_000] {
+        planner.wait("daemon-1", wanted, 1, ms(at));
+        assert_eq!(plan(&mut planner, &spec, &engines, at), [], "at {at} ms");
+    }
+    planner.wait("daemon-1", wanted, 1, ms(13_000));
+    let late = plan(&mut planner, &spec, &engines, 13_000);
+    assert_eq!(late, [Action::Inspect(first[0].engine)]);
+    // The engine says that it still loads, so the model still counts as coming.
+    planner.inspected(first[0].engine, true, ms(13_010));
+    assert_eq!(plan(&mut planner, &spec, &engines, 13_050), []);
+}
+
+#[test]
+fn weights_on_a_disk_go_before_an_empty_engine() {
+    let mut engines = engines(&[entry("e1", &[], &[]), entry("e2", &["old"], &["m"])]);
+    let spec = spec(100_000.0, &["m", "old"]);
+    let (wanted, old) = (model(&mut engines, "m"), model(&mut engines, "old"));
+    let mut planner = Planner::default();
+    plan(&mut planner, &spec, &engines, 0);
+    rare(&mut planner, wanted, 1, 4_000);
+    let first = orders(&plan(&mut planner, &spec, &engines, 4_000));
+    let near = engine(&engines, "e2");
+    assert_eq!(first, [Order { engine: near, op: Op::Unload(old), expected: 0 }]);
+}
+
+#[test]
+fn the_model_that_is_asked_for_least_gives_way_and_the_load_follows_it() {
+    let held = entry("e1", &["often", "seldom"], &["m"]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    let spec = spec(130_000.0, &["m", "often", "seldom"]);
+    let wanted = model(&mut engines, "m");
+    let (often, seldom) = (model(&mut engines, "often"), model(&mut engines, "seldom"));
+    let mut planner = Planner::default();
+    for at in 0..8 {
+        planner.arrive(often, 4, 100, ms(at * 500));
+    }
+    planner.arrive(seldom, 1, 100, ms(0));
+    rare(&mut planner, wanted, 1, 4_000);
+    let first = orders(&plan(&mut planner, &spec, &engines, 4_000));
+    assert_eq!(first.iter().map(|order| order.op).collect::<Vec<_>>(), [Op::Unload(seldom)]);
+    planner.answered(first[0], Answer::Accepted, &spec, &mut engines, ms(4_005));
+    // Until the entry shows the unload, the memory isn't free.
+    planner.wait("daemon-1", wanted, 1, ms(4_100));
+    assert_eq!(plan(&mut planner, &spec, &engines, 4_100), []);
+    engines.list(entry("e1", &["often"], &["seldom", "m"]), ms(4_200));
+    let second = orders(&plan(&mut planner, &spec, &engines, 4_200));
+    let key = engine(&engines, "e1");
+    assert_eq!(second, [Order { engine: key, op: Op::Load(wanted), expected: 1 }]);
+}
+
+#[test]
+fn a_model_whose_requests_run_is_spared_while_another_can_go() {
+    let mut engines = engines(&[entry("e1", &["runs", "rests"], &["m"])]);
+    let spec = spec(130_000.0, &["m", "runs", "rests"]);
+    let wanted = model(&mut engines, "m");
+    let (runs, rests) = (model(&mut engines, "runs"), model(&mut engines, "rests"));
+    let key = engine(&engines, "e1");
+    let mut planner = Planner::default();
+    planner.set_running(key, runs, 3);
+    planner.arrive(rests, 1, 100, ms(3_000));
+    rare(&mut planner, wanted, 1, 3_000);
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 3_000)), [Op::Unload(rests)]);
+}
+
+#[test]
+fn a_busy_model_gets_a_copy_once_room_was_made_for_it() {
+    let idle = entry("e2", &["idle"], &["busy"]);
+    let mut engines = engines(&[entry("e1", &["busy"], &[]), idle]);
+    let spec = spec(100_000.0, &["busy", "idle"]);
+    let (busy, idle) = (model(&mut engines, "busy"), model(&mut engines, "idle"));
+    let mut planner = Planner::default();
+    // 20,000 tokens a second, of which an engine should read 12,000.
+    for at in 0..40 {
+        planner.arrive(busy, 1, 2_000, ms(at * 100));
+    }
+    let first = orders(&plan(&mut planner, &spec, &engines, 4_000));
+    assert_eq!(first.iter().map(|order| order.op).collect::<Vec<_>>(), [Op::Unload(idle)]);
+    planner.answered(first[0], Answer::Accepted, &spec, &mut engines, ms(4_005));
+    engines.list(entry("e2", &[], &["idle", "busy"]), ms(4_100));
+    // Nobody waits for it, since one engine holds it already.
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 4_100)), [Op::Load(busy)]);
+}
+
+#[test]
+fn loads_from_the_weight_store_keep_its_rate() {
+    let names: Vec<String> = (0..20).map(|index| format!("m{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let ids: Vec<String> = (0..20).map(|index| format!("e{index}")).collect();
+    let entries: Vec<_> = ids.iter().map(|id| entry(id, &[], &[])).collect();
+    let mut engines = engines(&entries);
+    let spec = spec(100_000.0, &names);
+    let mut planner = Planner::default();
+    let mut starts = Vec::new();
+    let mut holding: Vec<(u64, Order)> = Vec::new();
+    for at in (0..30_000).step_by(50) {
+        for name in &names {
+            let wanted = model(&mut engines, name);
+            planner.wait("daemon-1", wanted, 1, ms(at));
+        }
+        // A load is over after a second, so that only the rate binds.
+        let over: Vec<_> = holding.extract_if(.., |(since, _)| *since + 1_000 <= at).collect();
+        for (_, order) in over {
+            let Op::Load(loaded) = order.op else { panic!("only loads are needed") };
+            engines.hold_model(order.engine, loaded);
+        }
+        for order in orders(&plan(&mut planner, &spec, &engines, at)) {
+            planner.answered(order, Answer::Accepted, &spec, &mut engines, ms(at));
+            starts.push(at);
+            holding.push((at, order));
+        }
+    }
+    assert_eq!(starts.len(), names.len(), "all models were loaded");
+    for start in &starts {
+        let window = starts.iter().filter(|other| (*start..start + 5_000).contains(*other));
+        // Two a second are allowed, and three more in a window.
+        assert!(window.count() <= 2 * 5 + 3, "{starts:?}");
+    }
+}
+
+#[test]
+fn an_adapter_takes_the_place_of_the_one_that_was_used_longest_ago() {
+    let mut held = entry("e1", &["m"], &[]);
+    held.models.insert("m".to_owned(), vec!["a1".to_owned(), "a2".to_owned()]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    let spec = spec(100_000.0, &["m"]);
+    let key = engine(&engines, "e1");
+    let base = model(&mut engines, "m");
+    let adapter = |engines: &mut Engines, name| engines.names.adapter("m", name);
+    let (a1, a2) = (adapter(&mut engines, "a1"), adapter(&mut engines, "a2"));
+    let a3 = adapter(&mut engines, "a3");
+    let mut planner = Planner::default();
+    planner.use_adapter(key, a1, ms(2_000));
+    planner.use_adapter(key, a2, ms(1_000));
+    planner.want_adapter(base, a3, ms(3_000));
+    let first = orders(&plan(&mut planner, &spec, &engines, 3_000));
+    let unload = Order { engine: key, op: Op::UnloadAdapter(base, a2), expected: 0 };
+    assert_eq!(first, [unload]);
+    // An unload that is done at once is answered as holding, and counts like any other order.
+    planner.answered(unload, Answer::Holds, &spec, &mut engines, ms(3_005));
+    planner.want_adapter(base, a3, ms(3_010));
+    let second = orders(&plan(&mut planner, &spec, &engines, 3_010));
+    assert_eq!(second, [Order { engine: key, op: Op::LoadAdapter(base, a3), expected: 1 }]);
+}
+
+#[test]
+fn adapters_are_loaded_beside_a_load_that_takes_seconds() {
+    let mut engines = engines(&[entry("e1", &["m"], &[])]);
+    let spec = spec(130_000.0, &["m", "other"]);
+    let (base, other) = (model(&mut engines, "m"), model(&mut engines, "other"));
+    let key = engine(&engines, "e1");
+    let a1 = engines.names.adapter("m", "a1");
+    let mut planner = Planner::default();
+    plan(&mut planner, &spec, &engines, 0);
+    rare(&mut planner, other, 1, 5_000);
+    let load = orders(&plan(&mut planner, &spec, &engines, 5_000))[0];
+    planner.answered(load, Answer::Accepted, &spec, &mut engines, ms(5_005));
+    planner.want_adapter(base, a1, ms(5_100));
+    let second = orders(&plan(&mut planner, &spec, &engines, 5_100));
+    assert_eq!(second, [Order { engine: key, op: Op::LoadAdapter(base, a1), expected: 1 }]);
+    planner.answered(second[0], Answer::Accepted, &spec, &mut engines, ms(5_110));
+    // The model's load is still under way.
+    planner.wait("daemon-1", other, 1, ms(5_200));
+    assert_eq!(plan(&mut planner, &spec, &engines, 5_200), []);
+}
+
+#[test]
+fn an_engine_that_refused_an_order_is_asked_once_its_report_is_fresh() {
+    let held = entry("e1", &[], &["m"]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let key = engine(&engines, "e1");
+    let mut planner = Planner::default();
+    rare(&mut planner, wanted, 1, 0);
+    let first = orders(&plan(&mut planner, &spec, &engines, 0))[0];
+    planner.answered(first, Answer::Busy, &spec, &mut engines, ms(5));
+    // Reports lag by some hundred milliseconds: one asked for now would tell the old count again.
+    assert_eq!(plan(&mut planner, &spec, &engines, 50), []);
+    assert_eq!(plan(&mut planner, &spec, &engines, 400), [Action::Inspect(key)]);
+    engines.report(key, &report(&held, 7));
+    planner.inspected(key, false, ms(405));
+    rare(&mut planner, wanted, 1, 410);
+    assert_eq!(orders(&plan(&mut planner, &spec, &engines, 410))[0].expected, 7);
+}
+
+#[test]
+fn a_holder_that_begins_asks_every_engine_before_it_orders() {
+    let mut engines = engines(&[entry("e1", &[], &["m"]), entry("e2", &[], &[])]);
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let mut planner = Planner::default();
+    planner.begin(&engines, ms(0));
+    rare(&mut planner, wanted, 1, 10);
+    let keys = [engine(&engines, "e1"), engine(&engines, "e2")];
+    assert_eq!(plan(&mut planner, &spec, &engines, 10), keys.map(Action::Inspect));
+    assert_eq!(plan(&mut planner, &spec, &engines, 20), []);
+}
--- /dev/null
+++ b/crates/coord/tests/serving/roster.rs
@@ -0,0 +1,61 @@
+//! Which daemons are alive.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderyoke_coord::serving::roster::Daemon;
+use corianderyoke_coord::serving::roster::Fitness;
+use corianderyoke_coord::serving::roster::Roster;
+
+use crate::world::ms;
+
+fn daemon(name: &str, incarnation: u64) -> Daemon {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7_000));
+    let zone = "a".to_owned();
+    Daemon { name: name.to_owned(), incarnation, peers: address, callers: address, zone }
+}
+
+fn ready(roster: &Roster, at: u64) -> Vec<String> {
+    roster.ready(ms(at)).map(|daemon| daemon.name.clone()).collect()
+}
+
+#[test]
+fn only_daemons_that_were_heard_lately_and_are_ready_are_named() {
+    let mut roster = Roster::default();
+    roster.rows(vec![daemon("row", 1)], ms(0));
+    roster.hear(daemon("ready", 1), Fitness::Ready, ms(0));
+    roster.hear(daemon("starting", 1), Fitness::Unready, ms(0));
+    roster.hear(daemon("leaving", 1), Fitness::Leaving, ms(0));
+    assert_eq!(ready(&roster, 100), ["ready"]);
+    assert_eq!(ready(&roster, 1_500), Vec::<String>::new());
+    assert_eq!(roster.size(), 5);
+}
+
+#[test]
+fn word_of_an_earlier_start_is_dropped() {
+    let mut roster = Roster::default();
+    assert!(roster.hear(daemon("d", 2), Fitness::Ready, ms(0)));
+    assert!(!roster.hear(daemon("d", 1), Fitness::Leaving, ms(10)));
+    assert_eq!(ready(&roster, 20), ["d"]);
+    assert!(roster.hear(daemon("d", 3), Fitness::Ready, ms(30)));
+}
+
+#[test]
+fn a_silent_daemon_without_a_row_is_forgotten() {
+    let mut roster = Roster::default();
+    roster.hear(daemon("d", 1), Fitness::Ready, ms(0));
+    roster.rows(Vec::new(), ms(1_000));
+    assert_eq!(roster.size(), 2);
+    roster.rows(Vec::new(), ms(2_000));
+    assert_eq!(roster.size(), 1);
+}
+
+#[test]
+fn the_part_of_the_fleet_that_is_heard_counts_this_daemon() {
+    let mut roster = Roster::default();
+    roster.rows(vec![daemon("d2", 1), daemon("d3", 1), daemon("d4", 1)], ms(0));
+    roster.hear(daemon("d2", 1), Fitness::Ready, ms(0));
+    assert_eq!(roster.share(ms(100)), 0.5);
+    let silent: Vec<_> = roster.silent(Duration::from_secs(30), ms(31_000)).collect();
+    assert_eq!(silent.len(), 3);
+}
--- /dev/null
+++ b/crates/coord/tests/serving/shares.rs
@@ -0,0 +1,45 @@
+//! Parts of allowances that hold for the whole fleet.
+
+use corianderyoke_coord::serving::shares::part;
+use corianderyoke_coord::serving::shares::rank;
+use corianderyoke_coord::serving::shares::ColdShare;
+use corianderyoke_coord::serving::shares::RetryAllowance;
+use proptest::prelude::*;
+
+use crate::world::ms;
+
+#[test]
+fn retries_of_a_daemon_are_its_part_of_what_the_fleet_may_make() {
+    let allowance = RetryAllowance { ratio: 0.2, extra: 50.0 };
+    let mut budget = allowance.budget(7);
+    let saved = (0..).take_while(|_| budget.take()).count();
+    assert_eq!(saved, 6);
+    for _ in 0..100 {
+        budget.admit();
+    }
+    assert_eq!((0..).take_while(|_| budget.take()).count(), 6);
+}
+
+#[test]
+fn a_cold_engine_gets_this_daemons_part_in_any_second() {
+    let mut share = ColdShare::default();
+    assert!(share.take(14.0, 7, 6, ms(0)));
+    assert!(!share.take(14.0, 7, 6, ms(999)));
+    assert!(share.take(14.0, 7, 6, ms(1_000)));
+}
+
+#[test]
+fn every_daemon_has_a_rank_of_its_own() {
+    let names = ["d1", "d2", "d3", "d4"];
+    let mut ranks = names.map(|name| rank("engine", name, names.into_iter()));
+    ranks.sort_unstable();
+    assert_eq!(ranks, [0, 1, 2, 3]);
+}
+
+proptest! {
+    #[test]
+    fn the_parts_of_all_daemons_stay_inside_the_limit(limit in 0.0..200.0_f64, size in 1..100_usize) {
+        let sum: usize = (0..size).map(|rank| part(limit, size, rank)).sum();
+        prop_assert!(sum as f64 <= limit);
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/serving/world.rs
@@ -0,0 +1,88 @@
+//! Engines and models for the tests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::desired::EngineSpec;
+use corianderyoke_coord::serving::desired::LoadTimes;
+use corianderyoke_coord::serving::desired::ModelSpec;
+use corianderyoke_coord::serving::engines::Engines;
+use corianderyoke_coord::serving::engines::Entry;
+use corianderyoke_coord::serving::engines::Report;
+use corianderyoke_coord::serving::engines::Stage;
+use corianderyoke_coord::time::Tick;
+
+pub const SERVICE: &str = "advice";
+
+/// A tick so many milliseconds after the start.
+pub fn ms(millis: u64) -> Tick {
+    Tick(1_000_000 + millis * 1_000)
+}
+
+/// An entry of an engine that is ready, holds `models` and has copies of `disk` on its disk.
+pub fn entry(id: &str, models: &[&str], disk: &[&str]) -> Entry {
+    let held = models.iter().map(|model| ((*model).to_owned(), Vec::new()));
+    Entry {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        zone: "a".to_owned(),
+        slots: 64,
+        stage: Stage::Ready,
+        cold: Duration::ZERO,
+        born: Some(1),
+        models: held.collect(),
+        in_memory: Vec::new(),
+        on_disk: models.iter().chain(disk).map(|model| (*model).to_owned()).collect(),
+    }
+}
+
+/// Engines that said of themselves that they took no orders yet.
+pub fn engines(entries: &[Entry]) -> Engines {
+    let mut engines = Engines::default();
+    for entry in entries {
+        engines.list(entry.clone(), ms(0));
+        let key = engines.names.engines.intern(&entry.id);
+        engines.report(key, &report(entry, 0));
+    }
+    engines
+}
+
+/// What an engine with this entry says of itself.
+pub fn report(entry: &Entry, orders: u64) -> Report {
+    Report { busy: false, orders, models: entry.models.clone() }
+}
+
+/// Engines of `memory_mb` for models of 60 GB each, that load from disk in 0.4 s and from the
+/// weight store in 6 s.
+pub fn spec(memory_mb: f64, models: &[&str]) -> EngineSpec {
+    let model = ModelSpec {
+        size_mb: 60_000.0,
+        times: LoadTimes {
+            remote: Duration::from_secs(6),
+            disk: Duration::from_millis(400),
+            memory: Duration::from_millis(300),
+        },
+        adapter_mb: 50.0,
+    };
+    EngineSpec {
+        slots: 64,
+        tokens: 200_000,
+        memory_mb,
+        adapter_slots: 2,
+        load_rate: 2.0,
+        host_mb: 100_000.0,
+        disk_mb: 500_000.0,
+        models: models.iter().map(|name| ((*name).to_owned(), model.clone())).collect(),
+    }
+}
+
+pub fn engine(engines: &Engines, id: &str) -> UpstreamKey {
+    engines.names.engines.key(id).expect("the engine was listed")
+}
+
+pub fn model(engines: &mut Engines, name: &str) -> ModelKey {
+    engines.names.models.intern(name)
+}
