Read the lease's row once its holder falls silent

Cause: watchers counted from the holder's last word, and found at the end of their wait that it had renewed once more, so the wait began anew. Ruled out: ranks, the store (it answered). A test with a renewal after the last word failed first (8.5 s) and passes.

--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -19,6 +19,8 @@
     pub validity: Duration,
     /// Time that must lie between the orders of two holders.
     pub handover: Duration,
+    /// Time without word from the holder after which the row is read.
+    pub silence: Duration,
     /// By how much two clocks may differ over these spans.
     pub drift: Duration,
 }
@@ -29,6 +31,7 @@
             renewal: Duration::from_millis(400),
             validity: Duration::from_millis(1_000),
             handover: Duration::from_secs(3),
+            silence: Duration::from_millis(800),
             drift: Duration::from_millis(100),
         }
     }
@@ -217,9 +220,14 @@
             // Orders of this instance before its restart are orders of the same holder.
             return self.take(row.token);
         }
+        // A holder that falls silent may have renewed after its last word.
+        let look = read + self.settings.silence;
+        if now >= look {
+            return Step::Read;
+        }
         let due = self.seen + self.span(row);
         if now < due {
-            return Step::Wait(due);
+            return Step::Wait(due.min(look));
         }
         // The row is read once more before it is taken, so that a renewal isn't raced in vain.
         if now.since(read) > self.settings.renewal {
