Refuse what still waits when a daemon stops, and spread requests over equal engines

Ruled out: the front's end (it answers on kept connections). Requests of the plain service all went to the engine that was listed first while nothing else ran.

--- a/crates/coord/src/serving/choice.rs
+++ b/crates/coord/src/serving/choice.rs
@@ -88,16 +88,19 @@
     pub near: bool,
 }
 
-/// The candidate with the least expected time to a first token, among those with room.
+/// The candidate with the least expected time to a first token, among those with room; `seed`
+/// decides between equals.
 pub fn choose(
     settings: &ChoiceSettings,
     need: &Need,
     candidates: &[Candidate],
+    seed: u64,
 ) -> Option<Candidate> {
     let open = candidates.iter().filter(|candidate| candidate.has_room(settings, need));
+    let rank = |candidate: &Candidate| mix(seed ^ mix(u64::from(candidate.key.0) + 1));
     let best = open.min_by(|a, b| {
-        let (a, b) = (a.expected_ms(settings, need), b.expected_ms(settings, need));
-        a.total_cmp(&b)
+        let times = (a.expected_ms(settings, need), b.expected_ms(settings, need));
+        times.0.total_cmp(&times.1).then_with(|| rank(a).cmp(&rank(b)))
     });
     best.copied()
 }
--- a/crates/coord/tests/serving/choice.rs
+++ b/crates/coord/tests/serving/choice.rs
@@ -32,7 +32,19 @@
 }
 
 fn chosen(candidates: &[Candidate]) -> Option<u32> {
-    choose(&ChoiceSettings::default(), &need(), candidates).map(|best| best.key.0)
+    choose(&ChoiceSettings::default(), &need(), candidates, 0).map(|best| best.key.0)
+}
+
+#[test]
+fn requests_spread_over_engines_that_are_equally_good() {
+    let candidates = [candidate(1), candidate(2), candidate(3)];
+    let settings = ChoiceSettings::default();
+    let mut counts = [0; 4];
+    for seed in 0..300 {
+        let best = choose(&settings, &need(), &candidates, seed).expect("all have room");
+        counts[best.key.0 as usize] += 1;
+    }
+    assert!(counts[1..].iter().all(|count| *count >= 60), "{counts:?}");
 }
 
 #[test]
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -250,6 +250,11 @@
         &mut self.record
     }
 
+    /// A number that is the same wherever the request is sent to.
+    pub fn seed(&self) -> u64 {
+        seed(&self.id)
+    }
+
     /// Time left until a request that isn't at an engine is refused.
     pub fn start_left(&self) -> Duration {
         self.start_due.since(clock::now())
@@ -260,3 +265,8 @@
         self.due.since(clock::now())
     }
 }
+
+/// A number that is the same wherever a request is sent to; ids are hexadecimal.
+pub fn seed(id: &str) -> u64 {
+    u64::from_str_radix(id, 16).unwrap_or_else(|_| id.bytes().map(u64::from).sum())
+}
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::call::Call;
@@ -43,6 +44,8 @@
 const PATIENCE: f64 = 1.5;
 /// Least time that an engine is given to answer a repeatable request.
 const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// Pause before an engine that refused a request is asked again.
+const SAME_PAUSE: Duration = Duration::from_millis(40);
 /// Advice on when to come back where no engine is there.
 const NO_ENGINE_WAIT: Duration = Duration::from_millis(500);
 
@@ -113,6 +116,9 @@
             if !self.sent.is_empty() && !self.take_retry() {
                 return Err(self.end(Refusal::NoEngine(NO_ENGINE_WAIT)));
             }
+            if self.failed.contains(&target.key) {
+                sleep(SAME_PAUSE).await;
+            }
             match self.send(&target, guard).await {
                 Ok(live) => return Ok(live),
                 Err(failure) => self.failed(&target, failure),
@@ -180,6 +186,10 @@
         loop {
             let shared = std::sync::Arc::clone(&self.call.shared);
             let changed = shared.changed.notified();
+            // What waits can't be served here any more, and another daemon can still do it.
+            if shared.state().closed {
+                return Err(self.end(Refusal::Stopping));
+            }
             let left = self.call.start_left();
             if left < LEAST_LEFT {
                 return Err(self.end(Refusal::NotInTime));
--- a/crates/daemon/src/forward/pick.rs
+++ b/crates/daemon/src/forward/pick.rs
@@ -81,7 +81,7 @@
     }
     let need = call.generation.as_ref().map_or_else(Need::default, |found| found.need.clone());
     let mut candidates = candidates(call, state, &usable, &need, now);
-    while let Some(best) = choice::choose(&call.shared.choice, &need, &candidates) {
+    while let Some(best) = choice::choose(&call.shared.choice, &need, &candidates, call.seed()) {
         if !bears(call, state, best.key, now) {
             candidates.retain(|candidate| candidate.key != best.key);
             continue;
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -32,6 +32,7 @@
 use tokio::time::timeout;
 
 use crate::body::Body;
+use crate::call;
 use crate::call::Call;
 use crate::call::Outgoing;
 use crate::call::Record;
@@ -107,7 +108,7 @@
 ) -> Result<(Routed, Outgoing), Refusal> {
     let arrived = clock::now();
     let (desired, route, team) = route(shared, facts, &request)?;
-    let service = route.service(seed(&facts.id)).ok_or(Refusal::NoRoute)?.to_owned();
+    let service = route.service(call::seed(&facts.id)).ok_or(Refusal::NoRoute)?.to_owned();
     let (head, body) = request.into_parts();
     let patience = facts.patience.unwrap_or(route.limit).min(route.limit);
     let body = read(body, desired.callers.body_bytes, patience).await?;
@@ -191,8 +192,3 @@
         state.planner.arrive(model, 1, tokens, now);
     }
 }
-
-/// A number that is the same wherever a request is sent to; ids are hexadecimal.
-fn seed(id: &str) -> u64 {
-    u64::from_str_radix(id, 16).unwrap_or_else(|_| id.bytes().map(u64::from).sum())
-}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -142,6 +142,7 @@
         if now.since(told) >= TAKE_ON {
             if let Some(front) = taking.take() {
                 shared.state().closed = true;
+                shared.changed.notify_waiters();
                 front.abort();
             }
         }
--- /dev/null
+++ b/crates/daemon/tests/fleet/store.rs
@@ -0,0 +1,187 @@
+//! A stand-in of the platform's store: rows in tables, transactions, a feed.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde_json::json;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// Longest that a feed waits here, whatever it asks for.
+const FEED_WAIT: Duration = Duration::from_millis(500);
+
+#[derive(Default)]
+struct Tables {
+    version: u64,
+    /// Value and version by table and key; `None` for a deleted row.
+    rows: BTreeMap<(String, String), (Option<Vec<u8>>, u64)>,
+    down: bool,
+}
+
+/// The store.
+#[derive(Clone, Default)]
+pub struct Store {
+    tables: Arc<Mutex<Tables>>,
+    changed: Arc<Notify>,
+}
+
+impl Store {
+    /// Serves a new store on a free port.
+    pub async fn start() -> (Store, SocketAddr) {
+        let store = Store::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let served = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = served.clone();
+                let service = service_fn(move |request| {
+                    let store = store.clone();
+                    async move { Ok::<_, Infallible>(store.answer(request).await) }
+                });
+                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+            }
+        });
+        (store, address)
+    }
+
+    /// Writes a row as the platform does.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        let mut tables = self.tables.lock();
+        tables.version += 1;
+        let version = tables.version;
+        tables.rows.insert((table.to_owned(), key.to_owned()), (Some(value.to_vec()), version));
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes a row as the platform does.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut tables = self.tables.lock();
+        tables.version += 1;
+        let version = tables.version;
+        tables.rows.insert((table.to_owned(), key.to_owned()), (None, version));
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// Lets the store refuse all calls, or serve again.
+    pub fn set_down(&self, down: bool) {
+        self.tables.lock().down = down;
+        self.changed.notify_waiters();
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if self.tables.lock().down {
+            return answer(503, &json!({}));
+        }
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let find = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let found = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next();
+            found.unwrap_or_default().replace("%00", "\0")
+        };
+        match request.uri().path() {
+            "/rows-get" => self.get(&find("table"), &find("from"), &find("to")),
+            "/rows-feed" => self.feed(&find("table"), find("after").parse().unwrap_or(0)).await,
+            "/rows-tx" => {
+                let body = request.into_body().collect().await.expect("the body is whole");
+                let body: Value = serde_json::from_slice(&body.to_bytes()).expect("it is JSON");
+                self.transact(&body)
+            }
+            _ => answer(404, &json!({})),
+        }
+    }
+
+    fn get(&self, table: &str, from: &str, to: &str) -> Response<Full<Bytes>> {
+        let tables = self.tables.lock();
+        let rows = tables.rows.iter().filter(|((name, key), (value, _))| {
+            name == table
+                && value.is_some()
+                && key.as_str() >= from
+                && (to.is_empty() || key.as_str() < to)
+        });
+        let rows: Vec<Value> = rows.map(row).collect();
+        answer(200, &json!({"rows": rows, "has_more": false, "ver": tables.version, "now_ms": 0}))
+    }
+
+    async fn feed(&self, table: &str, after: u64) -> Response<Full<Bytes>> {
+        let changed = self.changed.notified();
+        let found = self.changes(table, after);
+        if found.is_empty() {
+            let _ = tokio::time::timeout(FEED_WAIT, changed).await;
+        }
+        let rows = self.changes(table, after);
+        let tables = self.tables.lock();
+        answer(200, &json!({"rows": rows, "ver": tables.version, "now_ms": 0}))
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let tables = self.tables.lock();
+        let rows = tables.rows.iter();
+        rows.filter(|((name, _), (_, version))| name == table && *version > after)
+            .map(row)
+            .collect()
+    }
+
+    fn transact(&self, body: &Value) -> Response<Full<Bytes>> {
+        let mut tables = self.tables.lock();
+        let name = |row: &Value| {
+            let text = |field: &str| row[field].as_str().unwrap_or_default().to_owned();
+            (text("table"), text("key"))
+        };
+        let list = |field: &str| body[field].as_array().cloned().unwrap_or_default();
+        for row in list("expected") {
+            let found = tables.rows.get(&name(&row));
+            let version = found.filter(|(value, _)| value.is_some()).map_or(0, |(_, ver)| *ver);
+            if row["ver"].as_u64() != Some(version) {
+                return answer(412, &json!({"rows": [], "ver": tables.version, "now_ms": 0}));
+            }
+        }
+        tables.version += 1;
+        let version = tables.version;
+        for row in list("put") {
+            let value = row["value"].as_str().unwrap_or_default();
+            let value = STANDARD.decode(value).expect("values are base64");
+            tables.rows.insert(name(&row), (Some(value), version));
+        }
+        for row in list("remove") {
+            tables.rows.insert(name(&row), (None, version));
+        }
+        drop(tables);
+        self.changed.notify_waiters();
+        answer(200, &json!({"ver": version, "now_ms": 0}))
+    }
+}
+
+fn row(((table, key), (value, version)): (&(String, String), &(Option<Vec<u8>>, u64))) -> Value {
+    match value {
+        Some(value) => {
+            let value = STANDARD.encode(value);
+            json!({"table": table, "part": "", "key": key, "value": value, "ver": version})
+        }
+        None => json!({"table": table, "part": "", "key": key, "ver": version, "deleted": true}),
+    }
+}
+
+fn answer(status: u16, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.to_string().into()));
+    *response.status_mut() = status.try_into().expect("a status");
+    response
+}
