Let caps use a part of their tolerance, and tell admissions at once where little is left

Cause: requests of teams inside their caps were refused in the seconds of a hot team, since the daemons' buckets kept to rate and burst to the token while the operator tolerates an overage and a slack. Ruled out: totals counted twice (the test on repeated words passes), a wrong part of the fleet.

--- a/crates/coord/src/serving/caps.rs
+++ b/crates/coord/src/serving/caps.rs
@@ -12,14 +12,35 @@
 use crate::serving::desired::Cap;
 use crate::time::Tick;
 
-/// Part of the tolerated excess that a bucket may hold on top of its burst; the rest covers what
-/// the daemons admit before they hear of each other.
-const SLACK_SHARE: f64 = 0.25;
+/// Part of the tolerance that a bucket uses, so that a request inside the cap isn't refused for a
+/// request that was counted a little early; the rest covers what the daemons admit before they
+/// hear of each other.
+const TOLERANCE_SHARE: f64 = 0.6;
+/// Part of the burst below which the other daemons should hear of each admission at once.
+const LOW_SHARE: f64 = 0.5;
 /// Part of the burst that a bucket holds where nothing is known of what was admitted before.
 const START_SHARE: f64 = 0.5;
 /// Shortest advice on when to come back, in seconds: below it callers only add load.
 const SHORTEST_WAIT: f64 = 0.2;
 
+/// By how much the fleet may exceed a cap, by the operator's word.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// Part of rate and burst on top.
+    pub overage: f64,
+    /// Tokens on top of that, over any window.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    /// The cap that a bucket works with.
+    fn stretch(self, cap: Cap) -> Cap {
+        let factor = 1.0 + self.overage * TOLERANCE_SHARE;
+        let burst = cap.burst * factor + self.slack * TOLERANCE_SHARE;
+        Cap { rate: cap.rate * factor, burst }
+    }
+}
+
 /// What a daemon told of a team: tokens admitted since its start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Told {
@@ -30,8 +51,9 @@
 /// One team's bucket.
 #[derive(Clone, Debug)]
 pub struct TeamBucket {
+    /// The cap with its tolerance.
     cap: Cap,
-    slack: f64,
+    tolerance: Tolerance,
     level: f64,
     at: Tick,
     total: i64,
@@ -40,13 +62,13 @@
 
 impl TeamBucket {
     /// A bucket at the start of a daemon. `full` says that the whole fleet starts for the first
-    /// time, so nothing was admitted before; `slack` is the excess that is tolerated over the
-    /// whole fleet, in tokens.
-    pub fn new(cap: Cap, slack: f64, full: bool, now: Tick) -> Self {
+    /// time, so nothing was admitted before.
+    pub fn new(cap: Cap, tolerance: Tolerance, full: bool, now: Tick) -> Self {
+        let cap = tolerance.stretch(cap);
         let share = if full { 1.0 } else { START_SHARE };
         TeamBucket {
             cap,
-            slack,
+            tolerance,
             level: cap.burst * share,
             at: now,
             total: 0,
@@ -56,8 +78,8 @@
 
     /// Sets the cap of a new desired state.
     pub fn set_cap(&mut self, cap: Cap) {
-        self.cap = cap;
-        self.level = self.level.min(self.most());
+        self.cap = self.tolerance.stretch(cap);
+        self.level = self.level.min(self.cap.burst);
     }
 
     /// Admits a request of `tokens`, or says how long the team has to wait for it. `share` is the
@@ -77,9 +99,14 @@
         Err(Duration::from_secs_f64(wait))
     }
 
+    /// Whether so little is left that the other daemons should hear of each admission at once.
+    pub fn is_low(&self) -> bool {
+        self.level < self.cap.burst * LOW_SHARE
+    }
+
     /// Gives back the tokens of an admitted request that never ran.
     pub fn refund(&mut self, tokens: u64) {
-        self.level = (self.level + tokens as f64).min(self.most());
+        self.level = (self.level + tokens as f64).min(self.cap.burst);
         self.total -= tokens as i64;
     }
 
@@ -98,16 +125,12 @@
             Some(_) => total,
             None => 0,
         };
-        self.level = (self.level - since as f64).min(self.most());
-    }
-
-    fn most(&self) -> f64 {
-        self.cap.burst + self.slack * SLACK_SHARE
+        self.level = (self.level - since as f64).min(self.cap.burst);
     }
 
     fn refill(&mut self, share: f64, now: Tick) {
         let gained = self.cap.rate * share * now.since(self.at).as_secs_f64();
-        self.level = (self.level + gained).min(self.most());
+        self.level = (self.level + gained).min(self.cap.burst);
         self.at = now;
     }
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -8,6 +8,7 @@
 use corianderyoke_adapter::headers;
 use corianderyoke_adapter::headers::RequestFacts;
 use corianderyoke_coord::serving::caps::TeamBucket;
+use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::choice;
 use corianderyoke_coord::serving::desired::CallerLimits;
 use corianderyoke_coord::serving::desired::Desired;
@@ -39,6 +40,7 @@
 use crate::call::Routed;
 use crate::forward;
 use crate::refusal::Refusal;
+use crate::settings::Bounds;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -169,9 +171,13 @@
     let settings = &shared.settings;
     let bucket = state.caps.entry(name.to_owned());
     let bucket = bucket.or_insert_with(|| {
-        TeamBucket::new(cap, settings.bounds.cap_slack, settings.first_start, now)
+        let Bounds { cap_overage: overage, cap_slack: slack, .. } = settings.bounds;
+        TeamBucket::new(cap, Tolerance { overage, slack }, settings.first_start, now)
     });
     bucket.admit(tokens, share, now).map_err(Refusal::OverCap)?;
+    if bucket.is_low() {
+        shared.urgent.notify_one();
+    }
     Ok(tokens)
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -49,7 +49,9 @@
     pub retry_ratio: f64,
     /// Retries on top, over the whole fleet.
     pub retry_extra: f64,
-    /// Tokens by which a team may exceed its cap for a moment.
+    /// Part of a team's rate and burst by which it may exceed them.
+    pub cap_overage: f64,
+    /// Tokens by which a team may exceed its cap beyond that.
     pub cap_slack: f64,
     /// Factor on a cold engine's rate that it bears.
     pub cold_factor: f64,
@@ -85,6 +87,7 @@
             handover_ms: 3_000,
             retry_ratio: 0.2,
             retry_extra: 50.0,
+            cap_overage: 0.0,
             cap_slack: 0.0,
             cold_factor: 1.0,
             cold_extra: 0.0,
