Wait for a slow engine while no other can serve

Ruled out: a failing engine (it answered once its queue was read). A test that counts the sends failed first (2 instead of 1). Conclusion: kept for the retries it saves; no gain in worth is claimed.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,5 +1,7 @@
 //! The attempts of one call: which engine next, and what an engine's head means.
 
+use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -155,8 +157,8 @@
         left.min(self.call.route.aim.mul_f64(PATIENCE).max(LEAST_PATIENCE))
     }
 
-    /// How long an engine may take for the next event of a stream.
-    pub fn patience_for_event(&self) -> Duration {
+    /// How long an engine may take for the next event of a stream before another is looked for.
+    fn patience_for_event(&self) -> Duration {
         let left = self.call.left();
         let route = &self.call.route;
         let may_resume = route.repeat.may_repeat() && self.sent.len() < route.attempts as usize;
@@ -167,6 +169,19 @@
         }
     }
 
+    /// Waits for the next piece of an answer that began; `None` once it should go on elsewhere.
+    pub async fn continued<T>(&self, piece: impl Future<Output = T>, target: &Target) -> Option<T> {
+        let mut piece = pin!(piece);
+        loop {
+            if let Ok(piece) = timeout(self.patience_for_event(), &mut piece).await {
+                return Some(piece);
+            }
+            if self.call.left() < LEAST_LEFT || self.has_other(target) {
+                return None;
+            }
+        }
+    }
+
     fn end(&mut self, refusal: Refusal) -> End {
         if let Some(failure) = self.failure.take() {
             return End::Failed(failure);
@@ -260,16 +275,35 @@
                 self.call.desired.revision
             ),
         );
-        let limit = self.patience_for_answer();
-        let response = match timeout(limit, lane.send(request)).await {
-            Err(_) => return Err(Failure::Broken("no_answer_in_time")),
-            Ok(Err(Error::Connect(_))) => return Err(Failure::Misplaced),
-            Ok(Err(Error::Broken(_))) => return Err(Failure::Broken("connection_failed")),
-            Ok(Ok(response)) => response,
+        let response = match self.answered(lane.send(request), target).await {
+            None => return Err(Failure::Broken("no_answer_in_time")),
+            Some(Err(Error::Connect(_))) => return Err(Failure::Misplaced),
+            Some(Err(Error::Broken(_))) => return Err(Failure::Broken("connection_failed")),
+            Some(Ok(response)) => response,
         };
         self.judge(response, lane, target, guard).await
     }
 
+    /// Waits for an engine; `None` once another engine should be tried, or the time is over.
+    pub async fn answered<T>(&self, answer: impl Future<Output = T>, target: &Target) -> Option<T> {
+        let mut answer = pin!(answer);
+        loop {
+            let limit = self.patience_for_answer();
+            if let Ok(answer) = timeout(limit, &mut answer).await {
+                return Some(answer);
+            }
+            if self.call.left() < LEAST_LEFT || self.has_other(target) {
+                return None;
+            }
+        }
+    }
+
+    /// Whether another engine could serve the call now.
+    fn has_other(&self, target: &Target) -> bool {
+        let other = |key| key != target.key && !self.failed.contains(&key);
+        pick::is_able(&self.call, other, clock::now())
+    }
+
     fn request(&self, target: &Target) -> Option<Request<Full<Bytes>>> {
         let call = &self.call;
         let mut request = Request::new(Full::new(call.body.clone()));
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -12,7 +12,6 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use tokio::time::timeout;
 
 use crate::body;
 use crate::body::Body;
@@ -73,17 +72,16 @@
 
 /// Reads an answer to its end; `None` where it wasn't whole or is worth another attempt.
 async fn whole(attempts: &mut Attempts, live: Live) -> Option<Response<Body>> {
-    let limit = attempts.patience_for_answer();
     let Live { head, facts, body: incoming, lane, target, guard } = live;
-    let read = timeout(limit, Limited::new(incoming, MOST_HELD).collect()).await;
+    let read = attempts.answered(Limited::new(incoming, MOST_HELD).collect(), &target).await;
     drop(guard);
     let bytes = match read {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(_)) => {
+        Some(Ok(collected)) => collected.to_bytes(),
+        Some(Err(_)) => {
             attempts.broke(&target, "body_broken");
             return None;
         }
-        Err(_) => {
+        None => {
             attempts.broke(&target, "body_late");
             return None;
         }
--- a/crates/daemon/src/forward/pick.rs
+++ b/crates/daemon/src/forward/pick.rs
@@ -57,25 +57,10 @@
 ) -> Pick {
     let mut guard = call.shared.state();
     let state = &mut *guard;
-    let mut usable = state.engines.usable(&call.service, now);
-    usable.retain(|key| allowed(*key));
-    if usable.is_empty() {
-        return Pick::NoEngine;
-    }
-    if let Some(generation) = &call.generation {
-        let holds = |key: &UpstreamKey, adapter| {
-            let engine = state.engines.get(*key);
-            engine.is_some_and(|engine| engine.holds(generation.model, adapter))
-        };
-        usable.retain(|key| holds(key, None));
-        if usable.is_empty() {
-            return Pick::NoModel;
-        }
-        usable.retain(|key| holds(key, generation.adapter));
-        if usable.is_empty() {
-            return Pick::NoAdapter;
-        }
-    }
+    let mut usable = match able(call, state, allowed, now) {
+        Ok(usable) => usable,
+        Err(missing) => return missing,
+    };
     if usable.iter().any(|key| !avoided.contains(key)) {
         usable.retain(|key| !avoided.contains(key));
     }
@@ -91,6 +76,39 @@
     Pick::Full
 }
 
+/// Whether an engine that `allowed` lets pass could serve the call.
+pub fn is_able(call: &Call, allowed: impl Fn(UpstreamKey) -> bool, now: Tick) -> bool {
+    able(call, &call.shared.state(), allowed, now).is_ok()
+}
+
+/// The engines that hold what the call asks for, or what is missing.
+fn able(
+    call: &Call,
+    state: &State,
+    allowed: impl Fn(UpstreamKey) -> bool,
+    now: Tick,
+) -> Result<Vec<UpstreamKey>, Pick> {
+    let mut usable = state.engines.usable(&call.service, now);
+    usable.retain(|key| allowed(*key));
+    if usable.is_empty() {
+        return Err(Pick::NoEngine);
+    }
+    let Some(generation) = &call.generation else { return Ok(usable) };
+    let holds = |key: &UpstreamKey, adapter| {
+        let engine = state.engines.get(*key);
+        engine.is_some_and(|engine| engine.holds(generation.model, adapter))
+    };
+    usable.retain(|key| holds(key, None));
+    if usable.is_empty() {
+        return Err(Pick::NoModel);
+    }
+    usable.retain(|key| holds(key, generation.adapter));
+    if usable.is_empty() {
+        return Err(Pick::NoAdapter);
+    }
+    Ok(usable)
+}
+
 fn candidates(
     call: &Call,
     state: &State,
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -9,7 +9,6 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use tokio::time::timeout;
 
 use crate::body;
 use crate::body::Body;
@@ -100,15 +99,15 @@
     }
 
     async fn next(&mut self) -> Next {
-        let patience = self.attempts.patience_for_event();
         let Some(live) = &mut self.live else { return Next::End };
         loop {
-            match timeout(patience, live.body.frame()).await {
-                Err(_) => return Next::Broken("silent"),
-                Ok(Some(Err(_))) => return Next::Broken("stream_broken"),
-                Ok(None) if self.buffer.is_partial() => return Next::Broken("stream_cut"),
-                Ok(None) => return Next::End,
-                Ok(Some(Ok(frame))) => {
+            let frame = self.attempts.continued(live.body.frame(), &live.target).await;
+            match frame {
+                None => return Next::Broken("silent"),
+                Some(Some(Err(_))) => return Next::Broken("stream_broken"),
+                Some(None) if self.buffer.is_partial() => return Next::Broken("stream_cut"),
+                Some(None) => return Next::End,
+                Some(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(events) = self.buffer.push(&bytes) {
                         live.guard.read();
--- a/crates/daemon/tests/fleet/faults.rs
+++ b/crates/daemon/tests/fleet/faults.rs
@@ -80,6 +80,25 @@
     }
 }
 
+#[tokio::test]
+async fn a_slow_engine_is_waited_for_while_no_other_can_serve() {
+    let world = World::start().await;
+    let engine = world.model_engine("i-1", &["m1"]).await;
+    world.model_engine("i-2", &["m2"]).await;
+    let daemon = world.daemon("d1").await;
+    // Longer than a request waits where it could go elsewhere.
+    engine.next(&[Act::Stream(1, Duration::from_millis(1_500))]);
+    let request = world.generation(&daemon, "/resume/", "1", "m1");
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert!(answer.text().await.is_ok_and(|text| text.contains("id: 1")));
+    let plain = world.plain("i-3").await;
+    plain.next(&[Act::Answer(Duration::from_millis(1_500))]);
+    let answer = world.request(&daemon, "/again/", "2").send().await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!([engine.seen().len(), plain.seen().len()], [1, 1]);
+}
+
 #[tokio::test]
 async fn an_engines_own_failure_is_passed_on_where_no_other_is_left() {
     let world = World::start().await;
--- a/crates/daemon/tests/fleet/store.rs
+++ b/crates/daemon/tests/fleet/store.rs
@@ -26,11 +26,15 @@
 /// Longest that a feed waits here, whatever it asks for.
 const FEED_WAIT: Duration = Duration::from_millis(500);
 
+/// Table and key.
+type Name = (String, String);
+/// Value and version; `None` for a deleted row.
+type Content = (Option<Vec<u8>>, u64);
+
 #[derive(Default)]
 struct Tables {
     version: u64,
-    /// Value and version by table and key; `None` for a deleted row.
-    rows: BTreeMap<(String, String), (Option<Vec<u8>>, u64)>,
+    rows: BTreeMap<Name, Content>,
     down: bool,
 }
 
@@ -170,7 +174,7 @@
     }
 }
 
-fn row(((table, key), (value, version)): (&(String, String), &(Option<Vec<u8>>, u64))) -> Value {
+fn row(((table, key), (value, version)): (&Name, &Content)) -> Value {
     match value {
         Some(value) => {
             let value = STANDARD.encode(value);
