Hand the lease over by the store's clock

The row now says until when its holder acts, by the clock that the store gives with each answer; the holder reads it as late as it can be, a successor as early. Ruled out: shorter terms alone (the unheard renewal costs the same). The property that no two daemons order within a handover holds as before.

--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -1,10 +1,11 @@
 //! Which daemon orders loads and unloads.
 //!
-//! One row names the holder, its fencing token and a renewal number. The holder may act for a
-//! short while after each renewal, counted from before the write was sent, on a clock that goes on
-//! while the instance is suspended. Others watch the row's version, in the store or in the
-//! holder's own word, and take the row over once it has stood still so long that the last order of
-//! the holder lies a whole handover span back.
+//! One row names the holder, its fencing token, and the time until which the holder acts, by the
+//! store's clock. The holder reads that clock as late as it can be and so stops in time, whatever
+//! held it up; its own clock goes on while the instance is suspended. Others may take the row over
+//! a handover span after that time, and read the store's clock as early as it can be. So the span
+//! between the orders of two holders needs no watching, and a holder's silence costs no more than
+//! what is left of its time.
 
 use std::time::Duration;
 
@@ -19,24 +20,55 @@
     pub validity: Duration,
     /// Time that must lie between the orders of two holders.
     pub handover: Duration,
-    /// Time without word from the holder after which the row is read.
-    pub silence: Duration,
-    /// By how much two clocks may differ over these spans.
+    /// By how much two clocks may differ over these spans, and the pause between two daemons that
+    /// would take over at once.
     pub drift: Duration,
 }
 
 impl Default for LeaseSettings {
     fn default() -> Self {
         LeaseSettings {
-            renewal: Duration::from_millis(400),
-            validity: Duration::from_millis(1_000),
+            renewal: Duration::from_millis(300),
+            validity: Duration::from_millis(800),
             handover: Duration::from_secs(3),
-            silence: Duration::from_millis(800),
-            drift: Duration::from_millis(100),
+            drift: Duration::from_millis(60),
         }
     }
 }
 
+/// A reading of the store's clock, in milliseconds since an origin of its own.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StoreTime(pub u64);
+
+impl StoreTime {
+    fn after(self, span: Duration) -> Self {
+        StoreTime(self.0 + span.as_millis() as u64)
+    }
+}
+
+/// A reading of the store's clock, which the store made between two ticks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reading {
+    /// What the clock said.
+    pub time: StoreTime,
+    /// When the call was sent.
+    pub sent: Tick,
+    /// When its answer came.
+    pub received: Tick,
+}
+
+impl Reading {
+    /// The latest that the clock can say at `now`.
+    fn latest(&self, now: Tick) -> StoreTime {
+        self.time.after(now.since(self.sent))
+    }
+
+    /// The tick from which on the clock certainly says `time`.
+    fn tick(&self, time: StoreTime) -> Tick {
+        self.received + Duration::from_millis(time.0.saturating_sub(self.time.0))
+    }
+}
+
 /// The row's content.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LeaseRow {
@@ -44,8 +76,8 @@
     pub holder: String,
     /// Fencing token: higher with each change of holder.
     pub token: u64,
-    /// Whether the holder gave the lease up.
-    pub released: bool,
+    /// Time until which the holder acts.
+    pub until: StoreTime,
 }
 
 /// A conditional write of the row.
@@ -68,15 +100,11 @@
     Write(LeaseWrite),
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Role {
-    Watching,
-    /// Acts by `token` until `until`; `next` is the next renewal.
-    Holding {
-        token: u64,
-        until: Tick,
-        next: Tick,
-    },
+/// The row as it was last seen.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    row: Option<LeaseRow>,
+    version: u64,
 }
 
 /// One daemon's side of the lease.
@@ -84,25 +112,28 @@
 pub struct Lease {
     settings: LeaseSettings,
     name: String,
-    role: Role,
-    row: Option<LeaseRow>,
-    version: u64,
-    seen: Tick,
-    read: Option<Tick>,
+    /// Token by which this daemon holds the lease.
+    held: Option<u64>,
+    /// When the next renewal is due.
+    next: Tick,
+    seen: Seen,
+    clock: Option<Reading>,
+    /// Whether the row must be read before anything is written.
+    stale: bool,
     rank: usize,
 }
 
 impl Lease {
     /// A daemon that has seen nothing yet.
-    pub fn new(settings: LeaseSettings, name: &str, now: Tick) -> Self {
+    pub fn new(settings: LeaseSettings, name: &str) -> Self {
         Lease {
             settings,
             name: name.to_owned(),
-            role: Role::Watching,
-            row: None,
-            version: 0,
-            seen: now,
-            read: None,
+            held: None,
+            next: Tick(0),
+            seen: Seen::default(),
+            clock: None,
+            stale: true,
             rank: 0,
         }
     }
@@ -114,137 +145,94 @@
 
     /// The fencing token by which orders may be sent now.
     pub fn token(&self, now: Tick) -> Option<u64> {
-        match self.role {
-            Role::Holding { token, until, .. } if now < until => Some(token),
-            _ => None,
-        }
+        let (clock, row) = (self.clock?, self.seen.row.as_ref()?);
+        self.held.filter(|_| clock.latest(now) < row.until)
     }
 
-    /// Whether this daemon holds the lease, also where a renewal is overdue.
-    pub fn is_holder(&self) -> bool {
-        matches!(self.role, Role::Holding { .. })
+    /// The row's version, and the time until which its holder acts.
+    pub fn seen(&self) -> (u64, StoreTime) {
+        (self.seen.version, self.seen.row.as_ref().map_or(StoreTime(0), |row| row.until))
     }
 
-    /// The holder's name and the row's version, as far as they are known.
-    pub fn seen(&self) -> (Option<&str>, u64) {
-        (self.row.as_ref().map(|row| row.holder.as_str()), self.version)
+    /// Name of the holder, as far as it is known.
+    pub fn holder(&self) -> Option<&str> {
+        self.seen.row.as_ref().map(|row| row.holder.as_str())
     }
 
     /// What to do now.
     pub fn step(&self, now: Tick) -> Step {
-        match self.role {
-            Role::Holding { token, next, .. } => {
-                if self.read.is_none() {
-                    return Step::Read;
-                }
-                if now < next {
-                    return Step::Wait(next);
-                }
-                let row = LeaseRow { holder: self.name.clone(), token, released: false };
-                Step::Write(LeaseWrite { expected: self.version, row })
-            }
-            Role::Watching => self.watch(now),
+        let Some(clock) = self.clock.filter(|_| !self.stale) else { return Step::Read };
+        match (self.held, &self.seen.row) {
+            (Some(token), Some(_)) if now >= self.next => self.write(token, clock, now),
+            (Some(_), Some(_)) => Step::Wait(self.next),
+            (_, None) => self.write(1, clock, now),
+            // Orders of this instance before its restart are orders of the same holder.
+            (None, Some(row)) if row.holder == self.name => self.write(row.token + 1, clock, now),
+            (None, Some(row)) => self.watch(row, clock, now),
         }
     }
 
     /// The store gave the row, `None` where it doesn't exist.
-    pub fn found(&mut self, row: Option<LeaseRow>, version: u64, now: Tick) {
-        self.read = Some(now);
-        if version != self.version || self.row.is_none() {
-            self.seen = now;
-        }
-        self.version = version;
-        self.row = row;
-        if self.is_holder() && self.row.as_ref().is_none_or(|row| row.holder != self.name) {
-            self.role = Role::Watching;
+    pub fn found(&mut self, row: Option<LeaseRow>, version: u64, clock: Reading) {
+        self.clock = Some(clock);
+        self.stale = false;
+        self.seen = Seen { row, version };
+        let own = self.seen.row.as_ref().filter(|row| row.holder == self.name);
+        self.held = self.held.filter(|token| own.is_some_and(|row| row.token == *token));
+    }
+
+    /// The holder told of its last renewal.
+    pub fn hear(&mut self, row: LeaseRow, version: u64) {
+        if self.held.is_none() && version > self.seen.version {
+            self.seen = Seen { row: Some(row), version };
         }
     }
 
-    /// The holder told the version of its last renewal.
-    pub fn hear(&mut self, holder: &str, token: u64, version: u64, now: Tick) {
-        if self.is_holder() || version < self.version {
-            return;
-        }
-        if version > self.version || self.row.is_none() {
-            self.row = Some(LeaseRow { holder: holder.to_owned(), token, released: false });
-            self.version = version;
-        }
-        self.seen = now;
-        self.read = Some(now);
-    }
-
-    /// A write that was sent at `sent` took effect and gave the row `version`.
-    pub fn written(&mut self, write: &LeaseWrite, version: u64, sent: Tick) {
-        self.version = version;
-        self.row = Some(write.row.clone());
-        self.seen = sent;
-        self.read = Some(sent);
-        if write.row.released {
-            self.role = Role::Watching;
-            return;
-        }
-        self.role = Role::Holding {
-            token: write.row.token,
-            until: sent + self.settings.validity,
-            next: sent + self.settings.renewal,
-        };
+    /// A write took effect and gave the row `version`.
+    pub fn written(&mut self, write: &LeaseWrite, version: u64, clock: Reading) {
+        self.clock = Some(clock);
+        self.seen = Seen { row: Some(write.row.clone()), version };
+        self.held = Some(write.row.token);
+        self.next = clock.sent + self.settings.renewal;
     }
 
     /// A write was refused since the row has another version.
     pub fn refused(&mut self) {
-        self.role = Role::Watching;
-        self.read = None;
+        self.held = None;
+        self.stale = true;
     }
 
     /// A write got no answer: it may have taken effect, or take effect later.
-    pub fn unanswered(&mut self, now: Tick) {
-        match &mut self.role {
-            // The row tells whether the renewal took effect; until then the old one counts.
-            Role::Holding { until, .. } if now < *until => self.read = None,
-            _ => self.role = Role::Watching,
-        }
-        self.read = None;
+    pub fn unanswered(&mut self) {
+        self.stale = true;
     }
 
-    /// The write that gives the lease up, for a daemon that holds it.
-    pub fn release(&self) -> Option<LeaseWrite> {
-        let Role::Holding { token, .. } = self.role else { return None };
-        let row = LeaseRow { holder: self.name.clone(), token, released: true };
-        Some(LeaseWrite { expected: self.version, row })
+    /// The write that gives the lease up, for a daemon that holds it; it orders no more.
+    pub fn release(&mut self, now: Tick) -> Option<LeaseWrite> {
+        let (token, clock) = (self.held.take()?, self.clock?);
+        let until = clock.latest(now);
+        let row = LeaseRow { holder: self.name.clone(), token, until };
+        self.stale = true;
+        Some(LeaseWrite { expected: self.seen.version, row })
     }
 
-    fn watch(&self, now: Tick) -> Step {
-        let Some(read) = self.read else { return Step::Read };
-        let Some(row) = &self.row else { return self.take(0) };
-        if row.holder == self.name {
-            // Orders of this instance before its restart are orders of the same holder.
-            return self.take(row.token);
+    fn watch(&self, row: &LeaseRow, clock: Reading, now: Tick) -> Step {
+        let free = row.until.after(self.settings.handover);
+        if clock.time < free {
+            let turn = self.settings.drift * (self.rank as u32 + 1);
+            let due = clock.tick(free) + turn;
+            return if now < due { Step::Wait(due) } else { Step::Read };
         }
-        // A holder that falls silent may have renewed after its last word.
-        let look = read + self.settings.silence;
-        if now >= look {
+        // The row is read before it is taken, since its holder may have renewed it unheard.
+        if now.since(clock.received) > self.settings.drift {
             return Step::Read;
         }
-        let due = self.seen + self.span(row);
-        if now < due {
-            return Step::Wait(due.min(look));
-        }
-        // The row is read once more before it is taken, so that a renewal isn't raced in vain.
-        if now.since(read) > self.settings.renewal {
-            return Step::Read;
-        }
-        self.take(row.token)
-    }
-
-    /// How long the row must have stood still before this daemon takes it.
-    fn span(&self, row: &LeaseRow) -> Duration {
-        let held = if row.released { Duration::ZERO } else { self.settings.validity };
-        let turn = self.settings.drift * (self.rank as u32 + 1);
-        self.settings.handover + held + turn
+        self.write(row.token + 1, clock, now)
     }
 
-    fn take(&self, token: u64) -> Step {
-        let row = LeaseRow { holder: self.name.clone(), token: token + 1, released: false };
-        Step::Write(LeaseWrite { expected: self.version, row })
+    fn write(&self, token: u64, clock: Reading, now: Tick) -> Step {
+        let until = clock.latest(now).after(self.settings.validity);
+        let row = LeaseRow { holder: self.name.clone(), token, until };
+        Step::Write(LeaseWrite { expected: self.seen.version, row })
     }
 }
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderyoke_adapter::store::Outcome;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_platform::Condition;
 use corianderyoke_platform::Error;
@@ -56,7 +55,8 @@
 }
 
 async fn find_key(shared: &Shared) -> Result<Option<hmac::Key>, Error> {
-    if let Some(value) = shared.store.row(FLEET, PEER_KEY).await?.and_then(|row| row.value) {
+    let (row, _) = shared.store.row(FLEET, PEER_KEY).await?;
+    if let Some(value) = row.and_then(|row| row.value) {
         return Ok(Some(hmac::Key::new(hmac::HMAC_SHA256, &value)));
     }
     let mut bytes = [0; KEY_BYTES];
@@ -141,9 +141,8 @@
         let condition = Condition::Version { table: table.clone(), key: key.clone(), version };
         let transaction =
             Transaction { conditions: vec![condition], writes: vec![Write::Delete { table, key }] };
-        match shared.store.transact(&transaction).await? {
-            Outcome::Done(_) | Outcome::Refused(_) => {}
-        }
+        // Refused where the daemon wrote its row anew.
+        shared.store.transact(&transaction).await?;
     }
     Ok(())
 }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -13,7 +13,9 @@
 use corianderyoke_coord::serving::engines::Report;
 use corianderyoke_coord::serving::lease::LeaseRow;
 use corianderyoke_coord::serving::lease::LeaseWrite;
+use corianderyoke_coord::serving::lease::Reading;
 use corianderyoke_coord::serving::lease::Step;
+use corianderyoke_coord::serving::lease::StoreTime;
 use corianderyoke_coord::serving::residency::Action;
 use corianderyoke_coord::serving::residency::Answer;
 use corianderyoke_coord::serving::residency::Op;
@@ -36,6 +38,7 @@
 use http_body_util::Limited;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::json;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -66,7 +69,8 @@
 struct StoredLease {
     holder: String,
     token: u64,
-    released: bool,
+    /// Time until which the holder acts, by the store's clock in milliseconds.
+    until_ms: u64,
 }
 
 /// Keeps or watches the lease until the task is ended.
@@ -98,10 +102,10 @@
 
 /// Gives the lease up, so that another daemon takes it soon.
 pub async fn release(shared: &Shared) {
-    let write = shared.state().lease.release();
-    if let Some(write) = write {
-        commit(shared, write).await;
-    }
+    let write = shared.state().lease.release(clock::now());
+    let Some(LeaseWrite { expected, row }) = write else { return };
+    // A release that fails costs a successor what is left of the lease's time.
+    let _ = shared.store.transact(&transaction(expected, &row)).await;
 }
 
 fn note(shared: &Shared, holds: bool) {
@@ -119,42 +123,38 @@
 }
 
 async fn read(shared: &Shared) -> Duration {
+    let sent = clock::now();
     let found = shared.store.row(LEASES, ORDERS).await;
     let mut state = shared.state();
     match found {
-        Ok(row) => {
+        Ok((row, now_ms)) => {
             let version = row.as_ref().map_or(0, |row| row.version);
             let stored = row.and_then(|row| row.value);
             let stored = stored.and_then(|v| serde_json::from_slice::<StoredLease>(&v).ok());
             let row = stored.map(|stored| LeaseRow {
                 holder: stored.holder,
                 token: stored.token,
-                released: stored.released,
+                until: StoreTime(stored.until_ms),
             });
-            state.lease.found(row, version, clock::now());
+            state.lease.found(row, version, reading(now_ms, sent));
             Duration::ZERO
         }
         Err(_) => PAUSE,
     }
 }
 
+/// A reading of the store's clock by a call that was sent at `sent` and answered now.
+fn reading(now_ms: u64, sent: Tick) -> Reading {
+    Reading { time: StoreTime(now_ms), sent, received: clock::now() }
+}
+
 async fn commit(shared: &Shared, write: LeaseWrite) -> Duration {
-    let (table, key) = (LEASES.to_owned(), ORDERS.to_owned());
-    let condition = match write.expected {
-        0 => Condition::Absent { table: table.clone(), key: key.clone() },
-        version => Condition::Version { table: table.clone(), key: key.clone(), version },
-    };
-    let LeaseRow { holder, token, released } = write.row.clone();
-    let Ok(value) = serde_json::to_string(&StoredLease { holder, token, released }) else {
-        return PAUSE;
-    };
-    let writes = vec![Write::Put { table, key, value }];
     let sent = clock::now();
-    let outcome = shared.store.transact(&Transaction { conditions: vec![condition], writes }).await;
+    let outcome = shared.store.transact(&transaction(write.expected, &write.row)).await;
     let mut state = shared.state();
     match outcome {
-        Ok(Outcome::Done(version)) => {
-            state.lease.written(&write, version, sent);
+        Ok(Outcome::Done { version, now_ms }) => {
+            state.lease.written(&write, version, reading(now_ms, sent));
             Duration::ZERO
         }
         Ok(Outcome::Refused(_)) => {
@@ -163,12 +163,23 @@
         }
         Err(Error::Unavailable(_)) => PAUSE,
         Err(_) => {
-            state.lease.unanswered(clock::now());
+            state.lease.unanswered();
             PAUSE
         }
     }
 }
 
+fn transaction(expected: u64, row: &LeaseRow) -> Transaction {
+    let (table, key) = (LEASES.to_owned(), ORDERS.to_owned());
+    let condition = match expected {
+        0 => Condition::Absent { table: table.clone(), key: key.clone() },
+        version => Condition::Version { table: table.clone(), key: key.clone(), version },
+    };
+    let LeaseRow { holder, token, until: StoreTime(until_ms) } = row.clone();
+    let value = json!(StoredLease { holder, token, until_ms }).to_string();
+    Transaction { conditions: vec![condition], writes: vec![Write::Put { table, key, value }] }
+}
+
 /// Carries out the plan while the lease is held, until the task is ended.
 pub async fn run(shared: Arc<Shared>) {
     loop {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderyoke_coord::serving::lease::LeaseRow;
+use corianderyoke_coord::serving::lease::StoreTime;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::time::Tick;
@@ -171,7 +173,7 @@
 
 fn holder(state: &State, now: Tick) -> Option<word::Holder> {
     let token = state.lease.token(now)?;
-    let (_, version) = state.lease.seen();
+    let (version, until) = state.lease.seen();
     let names = &state.engines.names;
     let effects = state.effects.iter().map(|effect| word::Effect {
         engine: names.engines.name(effect.engine).to_owned(),
@@ -179,7 +181,7 @@
         adapter: effect.adapter.map_or_else(String::new, |key| names.adapters.name(key).to_owned()),
         held: effect.held,
     });
-    Some(word::Holder { token, version, effects: effects.collect() })
+    Some(word::Holder { token, version, effects: effects.collect(), until: until.0 })
 }
 
 /// Takes another daemon's word in.
@@ -227,7 +229,9 @@
 /// Takes in what the holder of the lease says; whether it says something of the engines.
 fn take_holder(state: &mut State, word: &Word, now: Tick) -> bool {
     let Some(holder) = &word.holder else { return false };
-    state.lease.hear(&word.name, holder.token, holder.version, now);
+    let row =
+        LeaseRow { holder: word.name.clone(), token: holder.token, until: StoreTime(holder.until) };
+    state.lease.hear(row, holder.version);
     for effect in &holder.effects {
         let Some(engine) = state.engines.names.engines.key(&effect.engine) else { continue };
         let model = state.engines.names.models.intern(&effect.model);
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -21,7 +21,6 @@
 use corianderyoke_coord::serving::shares::ColdShare;
 use corianderyoke_coord::serving::shares::RetryAllowance;
 use corianderyoke_coord::time::Tick;
-use corianderyoke_util::clock;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
@@ -164,7 +163,6 @@
 impl Shared {
     /// The state of a daemon that starts.
     pub fn new(settings: Settings, incarnation: u64, store: Store) -> Arc<Self> {
-        let now = clock::now();
         let lease = LeaseSettings {
             handover: Duration::from_millis(settings.bounds.handover_ms),
             ..LeaseSettings::default()
@@ -182,7 +180,7 @@
             cold: IndexMap::new(),
             models: IndexMap::new(),
             adapters: IndexMap::new(),
-            lease: Lease::new(lease, &settings.name, now),
+            lease: Lease::new(lease, &settings.name),
             planner: Planner::default(),
             effects: Vec::new(),
             leaving: false,
