--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -16,7 +16,7 @@
 pub struct LeaseSettings {
     /// Time between two renewals.
     pub renewal: Duration,
-    /// Time for which a renewal lets its writer act.
+    /// Time for which a renewal lets its writer act, besides two calls to the store.
     pub validity: Duration,
     /// Time that must lie between the orders of two holders.
     pub handover: Duration,
@@ -63,6 +63,11 @@
         self.time.after(now.since(self.sent))
     }
 
+    /// How long the call took.
+    fn latency(&self) -> Duration {
+        self.received.since(self.sent)
+    }
+
     /// The tick from which on the clock certainly says `time`.
     fn tick(&self, time: StoreTime) -> Tick {
         self.received + Duration::from_millis(time.0.saturating_sub(self.time.0))
@@ -231,7 +236,9 @@
     }
 
     fn write(&self, token: u64, clock: Reading, now: Tick) -> Step {
-        let until = clock.latest(now).after(self.settings.validity);
+        // A renewal must be back before the last one is over, also where the store is slow.
+        let validity = self.settings.validity + clock.latency() * 2;
+        let until = clock.latest(now).after(validity);
         let row = LeaseRow { holder: self.name.clone(), token, until };
         Step::Write(LeaseWrite { expected: self.seen.version, row })
     }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -75,7 +75,8 @@
 
 /// Keeps or watches the lease until the task is ended.
 pub async fn keep_lease(shared: Arc<Shared>) {
-    let mut held = false;
+    let mut held = None;
+    let mut planned = None;
     loop {
         let now = clock::now();
         let step = {
@@ -91,10 +92,13 @@
             Step::Read => read(&shared).await,
             Step::Write(write) => commit(&shared, write).await,
         };
-        let holds = shared.state().lease.token(clock::now()).is_some();
-        if holds != held {
-            held = holds;
-            note(&shared, holds);
+        let token = shared.state().lease.token(clock::now());
+        if token != held {
+            held = token;
+            // With the token of before, nobody else gave orders meanwhile.
+            let begins = token.is_some() && token != planned;
+            planned = token.or(planned);
+            note(&shared, token, begins);
         }
         sleep(pause).await;
     }
@@ -108,16 +112,22 @@
     let _ = shared.store.transact(&transaction(expected, &row)).await;
 }
 
-fn note(shared: &Shared, holds: bool) {
+fn note(shared: &Shared, token: Option<u64>, begins: bool) {
     let now = clock::now();
     let mut state = shared.state();
-    if holds {
-        let State { planner, engines, lease, .. } = &mut *state;
+    let State { planner, engines, lease, .. } = &mut *state;
+    if begins {
         planner.begin(engines, now);
-        events::log(Event::LeaseTaken, format_args!("token={:?}", lease.token(now)));
-    } else {
-        events::log(Event::LeaseLost, format_args!("row={:?}", state.lease.seen()));
     }
+    let (version, until) = lease.seen();
+    let (event, holder) = match token {
+        Some(_) => (Event::LeaseTaken, shared.settings.name.as_str()),
+        None => (Event::LeaseLost, lease.holder().unwrap_or_default()),
+    };
+    events::log(
+        event,
+        format_args!("token={token:?} holder={holder} version={version} until={}", until.0),
+    );
     drop(state);
     shared.plan.notify_one();
 }
