Let the holder of the lease tell what changes at the engines

Cause: engines rewrite their entries about once a second, so every daemon's feed returned at once, 4 calls a second each, which grow with engines times daemons. The holder follows at once and tells which engines leave and which models are held; the others follow more slowly while they hear it.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -210,6 +210,13 @@
         }
     }
 
+    /// An engine is known to leave before its entry was read.
+    pub fn leave(&mut self, key: UpstreamKey) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.stage = Stage::Draining;
+        }
+    }
+
     /// The platform answers again after an outage.
     pub fn recover(&mut self, now: Tick) {
         self.recovering = Some(now + RETURN_SPAN);
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -43,7 +43,8 @@
 use tokio::time::timeout;
 
 use crate::metrics::OrderLabels;
-use crate::state::OrderEffect;
+use crate::state::Effect;
+use crate::state::EffectKind;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -248,7 +249,12 @@
     }
     let mut state = shared.state();
     answered(&mut state, order, answer, now);
-    if matches!(answer, Answer::Accepted | Answer::Holds) {
+    // That a model was loaded is told once the engine's entry shows it.
+    let done = match order.op {
+        Op::Load(_) => answer == Answer::Holds,
+        _ => matches!(answer, Answer::Accepted | Answer::Holds),
+    };
+    if done {
         state.effects.push(effect(order, clock::now()));
     }
     if answer == Answer::Fenced {
@@ -269,14 +275,14 @@
     }
 }
 
-fn effect(order: Order, at: Tick) -> OrderEffect {
-    let (model, adapter, held) = match order.op {
-        Op::Load(model) => (model, None, true),
-        Op::Unload(model) => (model, None, false),
-        Op::LoadAdapter(model, adapter) => (model, Some(adapter), true),
-        Op::UnloadAdapter(model, adapter) => (model, Some(adapter), false),
+fn effect(order: Order, at: Tick) -> Effect {
+    let kind = match order.op {
+        Op::Load(model) => EffectKind::Model(model, true),
+        Op::Unload(model) => EffectKind::Model(model, false),
+        Op::LoadAdapter(model, adapter) => EffectKind::Adapter(model, adapter, true),
+        Op::UnloadAdapter(model, adapter) => EffectKind::Adapter(model, adapter, false),
     };
-    OrderEffect { engine: order.engine, model, adapter, held, at }
+    Effect { engine: order.engine, kind, at }
 }
 
 /// Sends an order while the lease allows it; `Busy` stands for one that wasn't sent.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -24,6 +24,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::state::EffectKind;
 use crate::state::PeerWord;
 use crate::state::Shared;
 use crate::state::State;
@@ -175,11 +176,20 @@
     let token = state.lease.token(now)?;
     let (version, until) = state.lease.seen();
     let names = &state.engines.names;
-    let effects = state.effects.iter().map(|effect| word::Effect {
-        engine: names.engines.name(effect.engine).to_owned(),
-        model: names.models.name(effect.model).to_owned(),
-        adapter: effect.adapter.map_or_else(String::new, |key| names.adapters.name(key).to_owned()),
-        held: effect.held,
+    let effects = state.effects.iter().map(|effect| {
+        let (model, adapter, held) = match effect.kind {
+            EffectKind::Leaves => ("", "", false),
+            EffectKind::Model(model, held) => (names.models.name(model), "", held),
+            EffectKind::Adapter(model, adapter, held) => {
+                (names.models.name(model), names.adapters.name(adapter), held)
+            }
+        };
+        word::Effect {
+            engine: names.engines.name(effect.engine).to_owned(),
+            model: model.to_owned(),
+            adapter: adapter.to_owned(),
+            held,
+        }
     });
     Some(word::Holder { token, version, effects: effects.collect(), until: until.0 })
 }
@@ -232,13 +242,17 @@
     let row =
         LeaseRow { holder: word.name.clone(), token: holder.token, until: StoreTime(holder.until) };
     state.lease.hear(row, holder.version);
+    state.told = Some(now);
     for effect in &holder.effects {
         let Some(engine) = state.engines.names.engines.key(&effect.engine) else { continue };
+        if effect.model.is_empty() {
+            state.engines.leave(engine);
+            continue;
+        }
         let model = state.engines.names.models.intern(&effect.model);
         match (effect.adapter.as_str(), effect.held) {
             ("", false) => state.engines.unload_model(engine, model),
-            // The engine's entry tells at once that a model is held.
-            ("", true) => {}
+            ("", true) => state.engines.hold_model(engine, model),
             (adapter, held) => {
                 let adapter = state.engines.names.adapters.intern(adapter);
                 state.engines.say(engine, model, adapter, held, now);
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -13,6 +13,7 @@
 use corianderyoke_coord::serving::choice::Load;
 use corianderyoke_coord::serving::choice::Prefixes;
 use corianderyoke_coord::serving::desired::Desired;
+use corianderyoke_coord::serving::engines::Change;
 use corianderyoke_coord::serving::engines::Engines;
 use corianderyoke_coord::serving::lease::Lease;
 use corianderyoke_coord::serving::lease::LeaseSettings;
@@ -30,6 +31,9 @@
 use crate::pool::Pool;
 use crate::settings::Settings;
 
+/// Time without word from the holder of the lease after which a daemon looks for itself.
+const TOLD_SPAN: Duration = Duration::from_millis(600);
+
 /// What a request at an engine counts as there.
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
@@ -111,8 +115,10 @@
     pub lease: Lease,
     /// Plan of orders, in use while the lease is held.
     pub planner: Planner,
-    /// Effects of recent orders, for the other daemons.
-    pub effects: Vec<OrderEffect>,
+    /// Recent changes at the engines, for the other daemons.
+    pub effects: Vec<Effect>,
+    /// When the holder of the lease was last heard.
+    pub told: Option<Tick>,
     /// Whether the process was told to stop.
     pub leaving: bool,
     /// Whether it takes no more requests, since it is about to end.
@@ -121,21 +127,28 @@
     pub open: usize,
 }
 
-/// What an order did, until the engine's entry shows it.
+/// What changed at an engine, for daemons that read its entry later.
 #[derive(Clone, Copy, Debug)]
-pub struct OrderEffect {
+pub struct Effect {
     /// The engine.
     pub engine: UpstreamKey,
-    /// The model.
-    pub model: ModelKey,
-    /// The adapter; `None` where the model itself is meant.
-    pub adapter: Option<AdapterKey>,
-    /// Whether it is held now.
-    pub held: bool,
+    /// What changed.
+    pub kind: EffectKind,
     /// When it was known.
     pub at: Tick,
 }
 
+/// A change at an engine.
+#[derive(Clone, Copy, Debug)]
+pub enum EffectKind {
+    /// It leaves.
+    Leaves,
+    /// It holds a model now, or takes no more requests for it.
+    Model(ModelKey, bool),
+    /// It holds an adapter now, or no longer.
+    Adapter(ModelKey, AdapterKey, bool),
+}
+
 /// What all tasks of a daemon share.
 #[derive(Debug)]
 pub struct Shared {
@@ -183,6 +196,7 @@
             lease: Lease::new(lease, &settings.name),
             planner: Planner::default(),
             effects: Vec::new(),
+            told: None,
             leaving: false,
             closed: false,
             open: 0,
@@ -224,6 +238,36 @@
         self.desired.is_some() && self.listed && !self.leaving
     }
 
+    /// Whether this daemon gives orders now.
+    pub fn orders(&self, now: Tick) -> bool {
+        self.lease.token(now).is_some()
+    }
+
+    /// Models that an engine holds.
+    pub fn held(&self, id: &str) -> Vec<ModelKey> {
+        let engine = self.engines.names.engines.key(id).and_then(|key| self.engines.get(key));
+        engine.map_or_else(Vec::new, |engine| engine.models.keys().copied().collect())
+    }
+
+    /// Whether another daemon gives orders and tells this one what changes at the engines.
+    pub fn is_told(&self, now: Tick) -> bool {
+        self.told.is_some_and(|at| now.since(at) < TOLD_SPAN)
+    }
+
+    /// Notes for the other daemons that an engine leaves, or holds models that it didn't hold
+    /// before; whether there is anything to tell.
+    pub fn tell_change(&mut self, id: &str, change: Change, before: &[ModelKey], at: Tick) -> bool {
+        let Some(engine) = self.engines.names.engines.key(id) else { return false };
+        let count = self.effects.len();
+        if change == Change::Left {
+            self.effects.push(Effect { engine, kind: EffectKind::Leaves, at });
+        }
+        let new = self.held(id).into_iter().filter(|model| !before.contains(model));
+        let new = new.map(|model| Effect { engine, kind: EffectKind::Model(model, true), at });
+        self.effects.extend(new);
+        self.effects.len() > count
+    }
+
     /// What runs at an engine, as far as this daemon and those that it heard lately know.
     pub fn load(&self, engine: UpstreamKey, now: Tick) -> Load {
         let mut sum = self.own.get(&engine).map_or_else(Load::default, |own| own.load);
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -24,8 +24,12 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two tries to reach the store.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-/// Least time between two feeds, so that many changes in a row cost few calls.
-const FEED_GAP: Duration = Duration::from_millis(40);
+/// Least time between two feeds where changes must be known at once.
+const SHORT_GAP: Duration = Duration::from_millis(40);
+/// Least time between two feeds of the engines at a daemon that hears the holder of the lease:
+/// engines rewrite their entries all the time, and the holder tells what matters of them. Less than
+/// half of the time within which a leaving engine must get nothing new.
+const LONG_GAP: Duration = Duration::from_millis(700);
 
 /// A table that a daemon follows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +41,14 @@
 }
 
 impl Table {
+    /// Least time between two feeds.
+    fn gap(self, shared: &Shared) -> Duration {
+        match self {
+            Table::Engines if shared.state().is_told(clock::now()) => LONG_GAP,
+            _ => SHORT_GAP,
+        }
+    }
+
     fn name(self) -> &'static str {
         match self {
             Table::Operator => desired::TABLE,
@@ -60,7 +72,7 @@
                 }
                 pause = FIRST_PAUSE;
                 after = next;
-                sleep(FEED_GAP).await;
+                sleep(table.gap(&shared)).await;
             }
             Err(error) => {
                 if !failing {
@@ -192,8 +204,14 @@
         }
     };
     let detail = format!("engine={id} service={} address={}", entry.service, entry.address);
+    let now = clock::now();
     let mut state = shared.state();
-    match state.engines.list(entry, clock::now()) {
+    let before = state.held(id);
+    let change = state.engines.list(entry, now);
+    if state.orders(now) && state.tell_change(id, change, &before, now) {
+        shared.urgent.notify_one();
+    }
+    match change {
         Change::Added | Change::Updated => {
             events::log(Event::UpstreamListed, format_args!("{detail}"))
         }
