Tell a large fleet through relays

In fleets of more than 12 each daemon now tells two relays on the largest instances and the holder of the lease, and the first relay tells everybody a digest; the second does where the first is silent. Buckets of teams exist from the desired state on, so that no daemon misses a total.

--- a/crates/coord/src/serving/roster.rs
+++ b/crates/coord/src/serving/roster.rs
@@ -3,13 +3,21 @@
 //! A daemon writes one row when it starts and tells all others of itself a few times a second.
 //! Rows say who may exist; only word from a daemon says that it is alive.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+use crate::hash::hash;
+use crate::hash::mix;
 use crate::time::Tick;
 
+/// Seed of the hash that chooses relays.
+const RELAY: u64 = 1;
+/// Seed of the hash that orders successors, another so that one instance doesn't do everything.
+const DUTY: u64 = 2;
+
 /// Time without word after which a daemon isn't named to callers any longer: several messages in
 /// a row must have been lost.
 pub const SILENCE: Duration = Duration::from_millis(1_500);
@@ -27,6 +35,8 @@
     pub callers: SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// How much its instance can do, as a weight among the fleet's.
+    pub capacity: u32,
 }
 
 /// Whether a daemon may be named to callers.
@@ -108,6 +118,31 @@
         self.others.values().filter(quiet).map(|known| &known.daemon)
     }
 
+    /// Daemons heard lately, with what they can do for callers.
+    pub fn described(&self, now: Tick) -> impl Iterator<Item = (&Daemon, Fitness)> {
+        let heard = self.others.values().filter(move |known| known.is_heard(now));
+        heard.map(|known| (&known.daemon, known.fitness))
+    }
+
+    /// The daemons that hear everybody, first choice first: those on the largest instances, of
+    /// which each daemon takes the same ones. Daemons that never spoke count as long as they may
+    /// just have started.
+    pub fn relays(&self, own: &Daemon, count: usize, now: Tick) -> Vec<Daemon> {
+        let fresh = |known: &&Known| known.is_heard(now) || now.since(known.since) < SILENCE;
+        let others = self.others.values().filter(fresh).map(|known| &known.daemon);
+        let mut all: Vec<&Daemon> = others.chain([own]).collect();
+        let rank = |daemon: &Daemon| mix(hash(RELAY, daemon.name.bytes()));
+        all.sort_by_cached_key(|daemon| Reverse((daemon.capacity, rank(daemon))));
+        all.into_iter().take(count).cloned().collect()
+    }
+
+    /// Position of a daemon among those heard that could do a duty, the largest instances first.
+    pub fn rank(&self, own: &Daemon, now: Tick) -> usize {
+        let weight = |daemon: &Daemon| (daemon.capacity, mix(hash(DUTY, daemon.name.bytes())));
+        let mine = weight(own);
+        self.heard(now).filter(|daemon| weight(daemon) > mine).count()
+    }
+
     /// Part of the fleet that this daemon hears, itself included.
     pub fn share(&self, now: Tick) -> f64 {
         let heard = self.heard(now).count() + 1;
--- a/crates/coord/tests/serving/roster.rs
+++ b/crates/coord/tests/serving/roster.rs
@@ -12,7 +12,8 @@
 fn daemon(name: &str, incarnation: u64) -> Daemon {
     let address = SocketAddr::from(([10, 0, 0, 1], 7_000));
     let zone = "a".to_owned();
-    Daemon { name: name.to_owned(), incarnation, peers: address, callers: address, zone }
+    let name = name.to_owned();
+    Daemon { name, incarnation, peers: address, callers: address, zone, capacity: 1 }
 }
 
 fn ready(roster: &Roster, at: u64) -> Vec<String> {
@@ -59,3 +60,35 @@
     let silent: Vec<_> = roster.silent(Duration::from_secs(30), ms(31_000)).collect();
     assert_eq!(silent.len(), 3);
 }
+
+#[test]
+fn every_daemon_takes_the_same_relays_on_the_largest_instances() {
+    let all: Vec<Daemon> = (0..20)
+        .map(|index| Daemon { capacity: 1 + index % 4, ..daemon(&format!("d{index}"), 1) })
+        .collect();
+    let relays = all.iter().map(|own| {
+        let mut roster = Roster::default();
+        for other in all.iter().filter(|other| other.name != own.name) {
+            roster.hear(other.clone(), Fitness::Ready, ms(0));
+        }
+        let relays = roster.relays(own, 2, ms(100));
+        assert!(relays.iter().all(|relay| relay.capacity == 4));
+        relays.into_iter().map(|relay| relay.name).collect::<Vec<_>>()
+    });
+    let relays: Vec<Vec<String>> = relays.collect();
+    assert!(relays.iter().all(|names| *names == relays[0]), "{relays:?}");
+}
+
+#[test]
+fn a_silent_relay_is_replaced() {
+    let mut roster = Roster::default();
+    let large = Daemon { capacity: 9, ..daemon("large", 1) };
+    roster.hear(large, Fitness::Ready, ms(0));
+    roster.hear(daemon("small", 1), Fitness::Ready, ms(1_000));
+    let names = |at| -> Vec<String> {
+        let relays = roster.relays(&daemon("own", 1), 1, ms(at));
+        relays.into_iter().map(|relay| relay.name).collect()
+    };
+    assert_eq!(names(1_400), ["large"]);
+    assert_ne!(names(1_600), ["large"]);
+}
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -7,8 +7,6 @@
 use bytes::Bytes;
 use corianderyoke_adapter::headers;
 use corianderyoke_adapter::headers::RequestFacts;
-use corianderyoke_coord::serving::caps::TeamBucket;
-use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::choice;
 use corianderyoke_coord::serving::desired::CallerLimits;
 use corianderyoke_coord::serving::desired::Desired;
@@ -40,7 +38,6 @@
 use crate::call::Routed;
 use crate::forward;
 use crate::refusal::Refusal;
-use crate::settings::Bounds;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -164,16 +161,13 @@
     let Some((name, team)) = team.and_then(|name| Some((name, desired.team(name)?))) else {
         return Ok(0);
     };
-    let Some(cap) = team.cap else { return Ok(0) };
+    if team.cap.is_none() {
+        return Ok(0);
+    }
     let tokens = facts.need.as_ref().map_or(team.plain_tokens, |need| need.prompt + need.output);
     let mut state = shared.state();
     let share = state.roster.share(now);
-    let settings = &shared.settings;
-    let bucket = state.caps.entry(name.to_owned());
-    let bucket = bucket.or_insert_with(|| {
-        let Bounds { cap_overage: overage, cap_slack: slack, .. } = settings.bounds;
-        TeamBucket::new(cap, Tolerance { overage, slack }, settings.first_start, now)
-    });
+    let Some(bucket) = state.caps.get_mut(name) else { return Ok(0) };
     bucket.admit(tokens, share, now).map_err(Refusal::OverCap)?;
     if bucket.is_low() {
         shared.urgent.notify_one();
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -41,6 +41,8 @@
     peers: std::net::SocketAddr,
     callers: std::net::SocketAddr,
     zone: String,
+    #[serde(default)]
+    capacity: u32,
 }
 
 /// The key under which daemons seal their words; made by the first daemon that asks for it.
@@ -94,6 +96,7 @@
         peers: settings.peers,
         callers: settings.callers,
         zone: settings.zone.clone(),
+        capacity: settings.capacity,
     };
     let value = serde_json::to_string(&row).map_err(|e| Error::Invalid(e.to_string()))?;
     let (table, key) = (DAEMONS.to_owned(), settings.name.clone());
@@ -115,8 +118,8 @@
             own = true;
             continue;
         }
-        let Row { name, incarnation, peers, callers, zone } = row;
-        daemons.push(Daemon { name, incarnation, peers, callers, zone });
+        let Row { name, incarnation, peers, callers, zone, capacity } = row;
+        daemons.push(Daemon { name, incarnation, peers, callers, zone, capacity });
     }
     let gone: Vec<(String, u64)> = {
         let mut state = shared.state();
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -20,7 +20,6 @@
 use corianderyoke_coord::serving::residency::Answer;
 use corianderyoke_coord::serving::residency::Op;
 use corianderyoke_coord::serving::residency::Order;
-use corianderyoke_coord::serving::shares;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_platform::Condition;
 use corianderyoke_platform::Error;
@@ -43,6 +42,7 @@
 use tokio::time::timeout;
 
 use crate::metrics::OrderLabels;
+use crate::peers;
 use crate::state::Effect;
 use crate::state::EffectKind;
 use crate::state::Shared;
@@ -82,10 +82,8 @@
         let now = clock::now();
         let step = {
             let mut state = shared.state();
-            let known: Vec<String> =
-                state.roster.heard(now).map(|daemon| daemon.name.clone()).collect();
-            let name = &shared.settings.name;
-            state.lease.set_rank(shares::rank(ORDERS, name, known.iter().map(String::as_str)));
+            let rank = state.roster.rank(&peers::myself(&shared), now);
+            state.lease.set_rank(rank);
             state.lease.step(now)
         };
         let pause = match step {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -1,10 +1,5 @@
-//! Word between daemons: one datagram a fifth of a second, and at once where somebody waits.
-//!
-//! Words bear a MAC under a key that lies in the store, so that only daemons of this fleet are
-//! believed. Everything in a word is a total or a state, so a lost one costs only time.
+//! What a daemon tells of itself, and what it takes from what others tell.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use corianderyoke_coord::serving::lease::LeaseRow;
@@ -12,89 +7,25 @@
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::time::Tick;
-use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
 use corianderyoke_wire::word;
 use corianderyoke_wire::word::Word;
 use indexmap::IndexMap;
-use prost::Message;
-use ring::hmac;
-use tokio::net::UdpSocket;
-use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::state::EffectKind;
 use crate::state::PeerWord;
 use crate::state::Shared;
 use crate::state::State;
+use crate::state::Total;
 
-/// Time between two words while nothing is urgent.
-const EVERY: Duration = Duration::from_millis(200);
-/// Least time between two words.
-const GAP: Duration = Duration::from_millis(8);
-/// Largest datagram that is taken in, in bytes.
-const MOST_BYTES: usize = 60_000;
-/// Bytes of the MAC at the end of a datagram.
-const MAC_BYTES: usize = 32;
 /// Time for which a model's demand is told after it changed.
 const DEMAND_SPAN: Duration = Duration::from_secs(10);
 /// Time for which the effect of an order is told; entries show it by then.
 const EFFECT_SPAN: Duration = Duration::from_millis(2_500);
 
-/// Tells the other daemons of this one until the task is ended.
-pub async fn tell(socket: Arc<UdpSocket>, key: hmac::Key, shared: Arc<Shared>) {
-    let mut number = 0;
-    loop {
-        number += 1;
-        let (bytes, addresses) = {
-            let mut state = shared.state();
-            let now = clock::now();
-            (compose(&shared, &mut state, number, now).encode_to_vec(), addresses(&state))
-        };
-        let datagram = sealed(&key, bytes);
-        for address in addresses {
-            // A datagram that can't be sent is like one that was lost.
-            let _ = socket.send_to(&datagram, address).await;
-        }
-        sleep(GAP).await;
-        // Either somebody waits, or it is time.
-        let _ = timeout(EVERY - GAP, shared.urgent.notified()).await;
-    }
-}
-
-/// Hears the other daemons until the task is ended.
-pub async fn hear(socket: Arc<UdpSocket>, key: hmac::Key, shared: Arc<Shared>) {
-    let mut buffer = vec![0; MOST_BYTES];
-    loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
-            sleep(GAP).await;
-            continue;
-        };
-        let Some(word) = open(&key, &buffer[..length]) else { continue };
-        let now = clock::now();
-        take(&shared, word, now);
-    }
-}
-
-fn addresses(state: &State) -> Vec<SocketAddr> {
-    state.roster.known().map(|daemon| daemon.peers).collect()
-}
-
-fn sealed(key: &hmac::Key, mut bytes: Vec<u8>) -> Vec<u8> {
-    let tag = hmac::sign(key, &bytes);
-    bytes.extend_from_slice(tag.as_ref());
-    bytes
-}
-
-/// The word in a datagram, if it bears the fleet's MAC.
-fn open(key: &hmac::Key, datagram: &[u8]) -> Option<Word> {
-    let (bytes, tag) = datagram.split_at_checked(datagram.len().checked_sub(MAC_BYTES)?)?;
-    hmac::verify(key, bytes, tag).ok()?;
-    Word::decode(bytes).ok()
-}
-
-fn compose(shared: &Shared, state: &mut State, number: u64, now: Tick) -> Word {
+/// This daemon's word.
+pub fn compose(shared: &Shared, state: &mut State, number: u64, now: Tick) -> Word {
     let fitness = match (state.leaving, state.is_ready()) {
         (true, _) => word::Fitness::Leaving,
         (false, true) => word::Fitness::Ready,
@@ -116,6 +47,7 @@
         adapters: adapters(state),
         engines: engines(state),
         holder: holder(state, now),
+        capacity: settings.capacity,
     }
 }
 
@@ -195,7 +127,7 @@
 }
 
 /// Takes another daemon's word in.
-fn take(shared: &Shared, word: Word, now: Tick) {
+pub fn take(shared: &Shared, word: Word, now: Tick) {
     let (Ok(peers), Ok(callers)) = (word.peers.parse(), word.callers.parse()) else { return };
     if word.name == shared.settings.name {
         return;
@@ -206,28 +138,27 @@
     if (word.incarnation, word.number) <= last {
         return;
     }
-    let fitness = match word.fitness() {
-        word::Fitness::Unready => Fitness::Unready,
-        word::Fitness::Ready => Fitness::Ready,
-        word::Fitness::Leaving => Fitness::Leaving,
-    };
     let daemon = Daemon {
         name: word.name.clone(),
         incarnation: word.incarnation,
         peers,
         callers,
         zone: word.zone.clone(),
+        capacity: word.capacity,
     };
-    if state.roster.hear(daemon, fitness, now) {
+    if state.roster.hear(daemon, fitness(word.fitness()), now) {
         events::log(Event::PeerHeard, format_args!("name={} address={peers}", word.name));
         shared.urgent.notify_one();
     }
     for team in &word.teams {
-        if let Some(bucket) = state.caps.get_mut(&team.team) {
-            bucket.hear(&word.name, word.incarnation, team.tokens);
-        }
+        let total = Total { incarnation: word.incarnation, tokens: team.tokens, at: now };
+        take_total(state, &word.name, &team.team, total);
+    }
+    if let Some(holder) = &word.holder {
+        state.holder = Some((word.name.clone(), holder.clone(), now));
     }
-    let mut changed = take_holder(state, &word, now);
+    let mut changed =
+        word.holder.as_ref().is_some_and(|holder| take_holder(state, &word.name, holder, now));
     changed |= take_demand(state, &word, now);
     drop(guard);
     if changed {
@@ -236,11 +167,34 @@
     }
 }
 
+/// What a message says of a daemon's fitness.
+pub fn fitness(told: word::Fitness) -> Fitness {
+    match told {
+        word::Fitness::Unready => Fitness::Unready,
+        word::Fitness::Ready => Fitness::Ready,
+        word::Fitness::Leaving => Fitness::Leaving,
+    }
+}
+
+/// Takes in what a daemon admitted of a team's tokens.
+pub fn take_total(state: &mut State, daemon: &str, team: &str, total: Total) {
+    if let Some(bucket) = state.caps.get_mut(team) {
+        bucket.hear(daemon, total.incarnation, total.tokens);
+    }
+    let key = (daemon.to_owned(), team.to_owned());
+    let same = state
+        .totals
+        .get(&key)
+        .is_some_and(|last| (last.incarnation, last.tokens) == (total.incarnation, total.tokens));
+    if !same {
+        state.totals.insert(key, total);
+    }
+}
+
 /// Takes in what the holder of the lease says; whether it says something of the engines.
-fn take_holder(state: &mut State, word: &Word, now: Tick) -> bool {
-    let Some(holder) = &word.holder else { return false };
+pub fn take_holder(state: &mut State, name: &str, holder: &word::Holder, now: Tick) -> bool {
     let row =
-        LeaseRow { holder: word.name.clone(), token: holder.token, until: StoreTime(holder.until) };
+        LeaseRow { holder: name.to_owned(), token: holder.token, until: StoreTime(holder.until) };
     state.lease.hear(row, holder.version);
     state.told = Some(now);
     for effect in &holder.effects {
@@ -292,6 +246,7 @@
         number: word.number,
         at: now,
         arrivals,
+        waits,
         ..PeerWord::default()
     };
     for engine in &word.engines {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -17,6 +17,8 @@
     pub name: String,
     /// Availability zone of the instance.
     pub zone: String,
+    /// How much the instance can do, as a weight among the fleet's; the largest relay for others.
+    pub capacity: u32,
     /// Whether the whole system starts for the first time, so that nothing ran before.
     pub first_start: bool,
     /// Address of the platform's store.
@@ -67,6 +69,7 @@
         Settings {
             name: "daemon-1".to_owned(),
             zone: String::new(),
+            capacity: 1,
             first_start: false,
             platform: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
             callers: any,
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -19,9 +19,11 @@
 use corianderyoke_coord::serving::lease::LeaseSettings;
 use corianderyoke_coord::serving::residency::Planner;
 use corianderyoke_coord::serving::roster::Roster;
+use corianderyoke_coord::serving::roster::SILENCE;
 use corianderyoke_coord::serving::shares::ColdShare;
 use corianderyoke_coord::serving::shares::RetryAllowance;
 use corianderyoke_coord::time::Tick;
+use corianderyoke_wire::word::Holder;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
@@ -45,6 +47,17 @@
     pub tokens: u64,
 }
 
+/// What a daemon told of a team: tokens admitted since its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Total {
+    /// Start of the daemon.
+    pub incarnation: u64,
+    /// Tokens, less those given back.
+    pub tokens: i64,
+    /// When this total was first heard.
+    pub at: Tick,
+}
+
 /// What this daemon has running at an engine.
 #[derive(Clone, Debug, Default)]
 pub struct OwnLoad {
@@ -67,6 +80,8 @@
     pub loads: IndexMap<UpstreamKey, Load>,
     /// Requests for each model so far, and the tokens to read for them.
     pub arrivals: IndexMap<ModelKey, (u64, u64)>,
+    /// Whether it has requests that wait for an engine to hold something.
+    pub waits: bool,
     /// Requests that it has running, by engine and model.
     pub runs: IndexMap<(UpstreamKey, ModelKey), u32>,
 }
@@ -119,6 +134,14 @@
     pub effects: Vec<Effect>,
     /// When the holder of the lease was last heard.
     pub told: Option<Tick>,
+    /// The last word of the holder, for the digest.
+    pub holder: Option<(String, Holder, Tick)>,
+    /// Teams' totals by daemon and team, and when they changed.
+    pub totals: IndexMap<(String, String), Total>,
+    /// What all daemons have at each engine, as a relay told.
+    pub digest: Option<(IndexMap<UpstreamKey, Load>, Tick)>,
+    /// Digests told so far.
+    pub digests: u64,
     /// Whether the process was told to stop.
     pub leaving: bool,
     /// Whether it takes no more requests, since it is about to end.
@@ -197,6 +220,10 @@
             planner: Planner::default(),
             effects: Vec::new(),
             told: None,
+            holder: None,
+            totals: IndexMap::new(),
+            digest: None,
+            digests: 0,
             leaving: false,
             closed: false,
             open: 0,
@@ -268,8 +295,26 @@
         self.effects.len() > count
     }
 
-    /// What runs at an engine, as far as this daemon and those that it heard lately know.
+    /// Time since a relay's last digest came.
+    pub fn digest_age(&self, now: Tick) -> Duration {
+        self.digest.as_ref().map_or(Duration::MAX, |(_, at)| now.since(*at))
+    }
+
+    /// What runs at an engine, as far as this daemon knows.
     pub fn load(&self, engine: UpstreamKey, now: Tick) -> Load {
+        let heard = self.heard_load(engine, now);
+        let digest = self.digest.as_ref().filter(|(_, at)| now.since(*at) < SILENCE);
+        let Some(told) = digest.and_then(|(loads, _)| loads.get(&engine)) else { return heard };
+        // A digest counts everybody's requests, this daemon's included.
+        Load {
+            running: heard.running.max(told.running),
+            unread: heard.unread.max(told.unread),
+            tokens: heard.tokens.max(told.tokens),
+        }
+    }
+
+    /// What this daemon has at an engine, and those whose words it heard itself.
+    pub fn heard_load(&self, engine: UpstreamKey, now: Tick) -> Load {
         let mut sum = self.own.get(&engine).map_or_else(Load::default, |own| own.load);
         for word in self.words.values().filter(|word| word.is_fresh(now)) {
             if let Some(load) = word.loads.get(&engine) {
@@ -293,7 +338,7 @@
 impl PeerWord {
     /// Whether what it says about loads still counts.
     pub fn is_fresh(&self, now: Tick) -> bool {
-        now.since(self.at) < corianderyoke_coord::serving::roster::SILENCE
+        now.since(self.at) < SILENCE
     }
 }
 
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -8,6 +8,8 @@
 use corianderyoke_adapter::store::Feed;
 use corianderyoke_adapter::store::Rows;
 use corianderyoke_adapter::store::StoreRow;
+use corianderyoke_coord::serving::caps::TeamBucket;
+use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::engines::Change;
 use corianderyoke_platform::Error;
 use corianderyoke_util::clock;
@@ -15,6 +17,7 @@
 use corianderyoke_util::events::Event;
 use tokio::time::sleep;
 
+use crate::settings::Bounds;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -180,10 +183,15 @@
     if state.desired.is_some() && desired.revision <= old {
         return;
     }
+    let settings = &shared.settings;
+    let Bounds { cap_overage: overage, cap_slack: slack, .. } = settings.bounds;
     for (name, team) in desired.teams.iter().flatten() {
-        if let (Some(bucket), Some(cap)) = (state.caps.get_mut(name), team.cap) {
-            bucket.set_cap(cap);
-        }
+        let Some(cap) = team.cap else { continue };
+        // Every daemon keeps every team's bucket from the start, so that it hears all totals.
+        let bucket = state.caps.entry(name.clone()).or_insert_with(|| {
+            TeamBucket::new(cap, Tolerance { overage, slack }, settings.first_start, clock::now())
+        });
+        bucket.set_cap(cap);
     }
     let revision = desired.revision;
     let routes = desired.routes.len();
