Count every sending after the first as a retry, and don't ask a misplaced engine at once

They now count, the engine isn't asked again by the same request for 0.7 s, and a change that the holder tells again isn't taken in again. A daemon that starts again has no retries saved up, its part follows the size of the fleet, and it is ready once it has read the others' rows. Ruled out: hedged attempts (none in those seconds). A test with an engine that never holds what its entry says failed first: 147 sendings for four requests, at most 32 after.

--- a/crates/coord/src/dispatch/budget.rs
+++ b/crates/coord/src/dispatch/budget.rs
@@ -22,7 +22,12 @@
         RetryBudget { most, credit: most, ..self }
     }
 
-    /// Changes how many retries may be saved up, and keeps what is left of them.
+    /// The same budget, with nothing saved up.
+    pub fn emptied(self) -> Self {
+        RetryBudget { credit: 0.0, ..self }
+    }
+
+    /// Changes how many retries may be saved up.
     pub fn set_most(&mut self, most: f64) {
         self.most = most;
         self.credit = self.credit.min(most);
--- a/crates/coord/src/serving/shares.rs
+++ b/crates/coord/src/serving/shares.rs
@@ -26,10 +26,20 @@
 }
 
 impl RetryAllowance {
-    /// This daemon's budget where `daemons` are known.
-    pub fn budget(self, daemons: usize) -> RetryBudget {
-        let most = self.extra * MARGIN / daemons.max(1) as f64;
-        RetryBudget::new(self.ratio * MARGIN).with_most(most)
+    /// Retries that this daemon may save up where `daemons` are known.
+    pub fn most(self, daemons: usize) -> f64 {
+        self.extra * MARGIN / daemons.max(1) as f64
+    }
+
+    /// This daemon's budget where `daemons` are known. It is `full` where the whole fleet starts
+    /// for the first time; else the process before may just have used it up.
+    pub fn budget(self, daemons: usize, full: bool) -> RetryBudget {
+        let budget = RetryBudget::new(self.ratio * MARGIN).with_most(self.most(daemons));
+        if full {
+            budget
+        } else {
+            budget.emptied()
+        }
     }
 }
 
--- a/crates/coord/tests/serving/shares.rs
+++ b/crates/coord/tests/serving/shares.rs
@@ -11,7 +11,7 @@
 #[test]
 fn retries_of_a_daemon_are_its_part_of_what_the_fleet_may_make() {
     let allowance = RetryAllowance { ratio: 0.2, extra: 50.0 };
-    let mut budget = allowance.budget(7);
+    let mut budget = allowance.budget(7, true);
     let saved = (0..).take_while(|_| budget.take()).count();
     assert_eq!(saved, 6);
     for _ in 0..100 {
@@ -20,6 +20,19 @@
     assert_eq!((0..).take_while(|_| budget.take()).count(), 6);
 }
 
+#[test]
+fn a_daemon_that_started_again_has_no_retries_saved_up() {
+    let allowance = RetryAllowance { ratio: 0.2, extra: 50.0 };
+    let mut budget = allowance.budget(7, false);
+    assert!(!budget.take());
+    // 0.18 a request: what requests earn comes on top of what the process before may have used.
+    for _ in 0..6 {
+        budget.admit();
+    }
+    assert!(budget.take());
+    assert!(!budget.take());
+}
+
 #[test]
 fn a_cold_engine_gets_this_daemons_part_in_any_second() {
     let mut share = ColdShare::default();
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use corianderyoke_adapter::headers::Added;
 use corianderyoke_adapter::headers::AnswerFacts;
 use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
@@ -42,6 +43,9 @@
 const LEAST_LEFT: Duration = Duration::from_millis(15);
 /// Largest body of an engine's refusal that is read to keep its connection, in bytes.
 const MOST_REFUSAL: usize = 65_536;
+/// Time for which an engine that doesn't hold what a request asks for isn't asked again by it; its
+/// entry and the word of others may lag by that much.
+const MISPLACED_SPAN: Duration = Duration::from_millis(700);
 /// Objectives after which a repeatable request that wasn't answered is sent elsewhere.
 const PATIENCE: f64 = 1.5;
 /// Least time that an engine is given to answer a repeatable request.
@@ -88,8 +92,12 @@
     pub last_event: Option<u64>,
     /// Engines that may have worked on it.
     sent: Vec<UpstreamKey>,
+    /// How often it was sent.
+    sends: u32,
     /// Engines that failed or refused it.
     failed: Vec<UpstreamKey>,
+    /// Engines that didn't hold what it asks for, and when they said so.
+    misplaced: Vec<(UpstreamKey, Tick)>,
     /// Whether it may have run.
     may_have_run: bool,
     failure: Option<Box<(Parts, Bytes)>>,
@@ -102,7 +110,9 @@
             last_event: call.last_event,
             call,
             sent: Vec::new(),
+            sends: 0,
             failed: Vec::new(),
+            misplaced: Vec::new(),
             may_have_run: false,
             failure: None,
         }
@@ -115,7 +125,7 @@
                 return Err(self.end(Refusal::Unknown));
             }
             let (target, guard) = self.target().await?;
-            if !self.sent.is_empty() && !self.take_retry() {
+            if self.sends > 0 && !self.take_retry() {
                 return Err(self.end(Refusal::NoEngine(NO_ENGINE_WAIT)));
             }
             if self.failed.contains(&target.key) {
@@ -196,11 +206,7 @@
 
     fn take_retry(&mut self) -> bool {
         let shared = &self.call.shared;
-        let mut state = shared.state();
-        let size = state.roster.size();
-        let allowance = shared.retry_allowance();
-        let budget = state.retries.entry(self.call.service.clone());
-        let taken = budget.or_insert_with(|| allowance.budget(size)).take();
+        let taken = shared.state().retry_budget(shared, &self.call.service).take();
         if taken {
             shared.metrics.retries.inc();
         }
@@ -222,9 +228,14 @@
                 return Err(self.end(Refusal::NotInTime));
             }
             let exhausted = self.sent.len() >= self.call.route.attempts as usize;
-            let sent = self.sent.clone();
-            let allowed = |key| !exhausted || sent.contains(&key);
-            let missing = match pick::pick(&self.call, allowed, &self.failed, clock::now()) {
+            let now = clock::now();
+            self.misplaced.retain(|(_, at)| now.since(*at) < MISPLACED_SPAN);
+            let (sent, misplaced) = (&self.sent, &self.misplaced);
+            let allowed = |key| {
+                let may = !exhausted || sent.contains(&key);
+                may && misplaced.iter().all(|(other, _)| *other != key)
+            };
+            let missing = match pick::pick(&self.call, allowed, &self.failed, now) {
                 Pick::Go(target, guard) => return Ok((target, guard)),
                 Pick::NoEngine if exhausted => {
                     return Err(self.end(Refusal::NoEngine(NO_ENGINE_WAIT)));
@@ -260,6 +271,7 @@
         })?;
         let Some(request) = self.request(target) else { return Err(Failure::Misplaced) };
         let count = self.call.sent(&target.id);
+        self.sends = count;
         if !self.sent.contains(&target.key) {
             self.sent.push(target.key);
         }
@@ -394,7 +406,10 @@
         match failure {
             Failure::Refused => {}
             // It didn't run there, so the engine doesn't count among those it was sent to.
-            Failure::Misplaced => self.sent.retain(|key| *key != target.key),
+            Failure::Misplaced => {
+                self.sent.retain(|key| *key != target.key);
+                self.misplaced.push((target.key, clock::now()));
+            }
             Failure::Broken(_) => {
                 self.may_have_run = true;
                 self.call.shared.state().engines.fail(target.key, clock::now());
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -178,10 +178,7 @@
 /// Counts a request for the retry budget and for the demand of its model.
 fn count(shared: &Shared, facts: &RequestFacts, service: &str, now: Tick) {
     let mut state = shared.state();
-    let size = state.roster.size();
-    let allowance = shared.retry_allowance();
-    let budget = state.retries.entry(service.to_owned());
-    budget.or_insert_with(|| allowance.budget(size)).admit();
+    state.retry_budget(shared, service).admit();
     if let Some(model) = &facts.model {
         let model = state.engines.names.models.intern(model);
         let count = state.models.entry(model).or_default();
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -124,6 +124,7 @@
     let gone: Vec<(String, u64)> = {
         let mut state = shared.state();
         state.roster.rows(daemons, now);
+        state.met = true;
         let holds = state.lease.token(now).is_some();
         let silent = state.roster.silent(GONE, now).filter(|_| holds);
         let named = silent.map(|daemon| daemon.name.clone());
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -43,7 +43,6 @@
 
 use crate::metrics::OrderLabels;
 use crate::peers;
-use crate::state::Effect;
 use crate::state::EffectKind;
 use crate::state::Shared;
 use crate::state::State;
@@ -253,7 +252,7 @@
         _ => matches!(answer, Answer::Accepted | Answer::Holds),
     };
     if done {
-        state.effects.push(effect(order, clock::now()));
+        state.tell(order.engine, effect(order.op), clock::now());
     }
     if answer == Answer::Fenced {
         state.lease.refused();
@@ -273,14 +272,13 @@
     }
 }
 
-fn effect(order: Order, at: Tick) -> Effect {
-    let kind = match order.op {
+fn effect(op: Op) -> EffectKind {
+    match op {
         Op::Load(model) => EffectKind::Model(model, true),
         Op::Unload(model) => EffectKind::Model(model, false),
         Op::LoadAdapter(model, adapter) => EffectKind::Adapter(model, adapter, true),
         Op::UnloadAdapter(model, adapter) => EffectKind::Adapter(model, adapter, false),
-    };
-    Effect { engine: order.engine, kind, at }
+    }
 }
 
 /// Sends an order while the lease allows it; `Busy` stands for one that wasn't sent.
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -121,6 +121,7 @@
             model: model.to_owned(),
             adapter: adapter.to_owned(),
             held,
+            number: effect.number,
         }
     });
     Some(word::Holder { token, version, effects: effects.collect(), until: until.0 })
@@ -197,7 +198,11 @@
         LeaseRow { holder: name.to_owned(), token: holder.token, until: StoreTime(holder.until) };
     state.lease.hear(row, holder.version);
     state.told = Some(now);
-    for effect in &holder.effects {
+    let (token, mut last) = state.taken_effects;
+    if token != holder.token {
+        last = 0;
+    }
+    for effect in holder.effects.iter().filter(|effect| effect.number > last) {
         let Some(engine) = state.engines.names.engines.key(&effect.engine) else { continue };
         if effect.model.is_empty() {
             state.engines.leave(engine);
@@ -213,7 +218,9 @@
             }
         }
     }
-    !holder.effects.is_empty()
+    let newest = holder.effects.iter().map(|effect| effect.number).max().unwrap_or(0);
+    state.taken_effects = (holder.token, newest.max(last));
+    newest > last
 }
 
 /// Takes in what a daemon runs and waits for; whether it waits for something.
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -108,6 +108,9 @@
     pub engines: Engines,
     /// Whether the engines' entries were read since the start.
     pub listed: bool,
+    /// Whether the other daemons' rows were read since the start: parts of what the whole fleet may
+    /// do depend on its size.
+    pub met: bool,
     /// Own requests at the engines.
     pub own: IndexMap<UpstreamKey, OwnLoad>,
     /// What engines have read.
@@ -132,6 +135,10 @@
     pub planner: Planner,
     /// Recent changes at the engines, for the other daemons.
     pub effects: Vec<Effect>,
+    /// How many changes at engines were told.
+    pub told_effects: u64,
+    /// Token of the holder whose changes were last taken in, and the number of the last.
+    pub taken_effects: (u64, u64),
     /// When the holder of the lease was last heard.
     pub told: Option<Tick>,
     /// The last word of the holder, for the digest.
@@ -159,6 +166,8 @@
     pub kind: EffectKind,
     /// When it was known.
     pub at: Tick,
+    /// Its number among this daemon's.
+    pub number: u64,
 }
 
 /// A change at an engine.
@@ -207,6 +216,7 @@
             desired: None,
             engines: Engines::default(),
             listed: false,
+            met: false,
             own: IndexMap::new(),
             prefixes: Prefixes::default(),
             roster: Roster::default(),
@@ -219,6 +229,8 @@
             lease: Lease::new(lease, &settings.name),
             planner: Planner::default(),
             effects: Vec::new(),
+            told_effects: 0,
+            taken_effects: (0, 0),
             told: None,
             holder: None,
             totals: IndexMap::new(),
@@ -252,7 +264,7 @@
         self.state().is_ready()
     }
 
-    /// The retry budget's measures.
+    /// The fleet's allowance of retries.
     pub fn retry_allowance(&self) -> RetryAllowance {
         let bounds = &self.settings.bounds;
         RetryAllowance { ratio: bounds.retry_ratio, extra: bounds.retry_extra }
@@ -260,9 +272,19 @@
 }
 
 impl State {
+    /// This daemon's retry budget of a service, for the fleet as it is now.
+    pub fn retry_budget(&mut self, shared: &Shared, service: &str) -> &mut RetryBudget {
+        let size = self.roster.size();
+        let allowance = shared.retry_allowance();
+        let budget = self.retries.entry(service.to_owned());
+        let budget = budget.or_insert_with(|| allowance.budget(size, shared.settings.first_start));
+        budget.set_most(allowance.most(size));
+        budget
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.desired.is_some() && self.listed && !self.leaving
+        self.desired.is_some() && self.listed && self.met && !self.leaving
     }
 
     /// Whether this daemon gives orders now.
@@ -287,14 +309,20 @@
         let Some(engine) = self.engines.names.engines.key(id) else { return false };
         let count = self.effects.len();
         if change == Change::Left {
-            self.effects.push(Effect { engine, kind: EffectKind::Leaves, at });
+            self.tell(engine, EffectKind::Leaves, at);
+        }
+        for model in self.held(id).into_iter().filter(|model| !before.contains(model)) {
+            self.tell(engine, EffectKind::Model(model, true), at);
         }
-        let new = self.held(id).into_iter().filter(|model| !before.contains(model));
-        let new = new.map(|model| Effect { engine, kind: EffectKind::Model(model, true), at });
-        self.effects.extend(new);
         self.effects.len() > count
     }
 
+    /// Notes a change at an engine for the other daemons.
+    pub fn tell(&mut self, engine: UpstreamKey, kind: EffectKind, at: Tick) {
+        self.told_effects += 1;
+        self.effects.push(Effect { engine, kind, at, number: self.told_effects });
+    }
+
     /// Time since a relay's last digest came.
     pub fn digest_age(&self, now: Tick) -> Duration {
         self.digest.as_ref().map_or(Duration::MAX, |(_, at)| now.since(*at))
--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -44,6 +44,8 @@
     Stall(u64),
     /// States that it doesn't run the request.
     Refuse,
+    /// States that it doesn't hold what the request asks for.
+    Misplaced,
     /// Closes the connection without an answer.
     Drop,
     /// Answers with the identity of another request.
@@ -188,6 +190,7 @@
                 response.headers_mut().insert("corianderyoke-not-executed", one());
                 response
             }
+            Act::Misplaced => whole(421, "not here"),
             Act::Drop => {
                 // A body that fails before its first byte closes the connection.
                 let broken = stream::iter([Err(std::io::Error::other("dropped"))]);
@@ -199,7 +202,7 @@
         let headers = response.headers_mut();
         let id = if act == Act::OtherId { "other".parse().expect("a header") } else { id };
         headers.insert("corianderyoke-attempt-id", id);
-        if act != Act::Unsigned && act != Act::Refuse {
+        if !matches!(act, Act::Unsigned | Act::Refuse | Act::Misplaced) {
             headers.insert("corianderyoke-response-seal", "seal".parse().expect("a header"));
         }
         Ok(response)
--- a/crates/daemon/tests/fleet/faults.rs
+++ b/crates/daemon/tests/fleet/faults.rs
@@ -99,6 +99,33 @@
     assert_eq!([engine.seen().len(), plain.seen().len()], [1, 1]);
 }
 
+#[tokio::test]
+async fn an_engine_that_never_holds_what_its_entry_says_is_not_asked_all_the_time() {
+    let world = World::start().await;
+    let engine = world.model_engine("i-1", &["m1"]).await;
+    let daemon = world.daemon("d1").await;
+    engine.next(&[Act::Misplaced; 500]);
+    let listing = tokio::spawn({
+        let engine = engine.clone();
+        async move {
+            loop {
+                engine.list("ready");
+                tokio::time::sleep(Duration::from_millis(30)).await;
+            }
+        }
+    });
+    for id in ["1", "2", "3", "4"] {
+        let request = world.generation(&daemon, "/resume/", id, "m1").send();
+        assert_eq!(refusal(&request.await.expect("an answer")).0, 503);
+    }
+    listing.abort();
+    // Four first sendings, and the retries that a daemon may save up: nine tenths of 50.
+    let sends = engine.seen().len();
+    assert!(sends <= 4 + 45, "{sends} sendings");
+    // Each request asks the engine again only now and then.
+    assert!(sends <= 4 * 8, "{sends} sendings");
+}
+
 #[tokio::test]
 async fn an_engines_own_failure_is_passed_on_where_no_other_is_left() {
     let world = World::start().await;
