Take a process's incarnation from the store, and test formats and streams

A daemon that started again after its instance's time of day had jumped back would have been taken for an older process by all others; the store's version only grows. A request whose kept connection ended before it took the request is known not to have run, and goes to another engine.

--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -11,6 +11,7 @@
 //! | [`roster`] | which daemons are alive |
 //! | [`lease`] | which daemon orders loads and unloads |
 //! | [`residency`] | what is loaded where |
+//! | [`stream`] | how much of a stream may be passed on |
 
 pub mod caps;
 pub mod choice;
@@ -20,3 +21,4 @@
 pub mod residency;
 pub mod roster;
 pub mod shares;
+pub mod stream;
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -8,4 +8,5 @@
 mod roster;
 mod routes;
 mod shares;
+mod stream;
 mod world;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -79,6 +79,8 @@
     Refused,
     /// It didn't run, and another engine has to be found.
     Misplaced,
+    /// No connection took it.
+    Unsent,
     /// It may have run.
     Broken(&'static str),
 }
@@ -267,7 +269,7 @@
         let lane = shared.pool.lane(&target.id, target.address, sure).await;
         let mut lane = lane.map_err(|_| {
             shared.state().engines.fail(target.key, clock::now());
-            Failure::Misplaced
+            Failure::Unsent
         })?;
         let Some(request) = self.request(target) else { return Err(Failure::Misplaced) };
         let count = self.call.sent(&target.id);
@@ -289,7 +291,7 @@
         );
         let response = match self.answered(lane.send(request), target).await {
             None => return Err(Failure::Broken("no_answer_in_time")),
-            Some(Err(Error::Connect(_))) => return Err(Failure::Misplaced),
+            Some(Err(Error::Connect(_) | Error::Unsent)) => return Err(Failure::Unsent),
             Some(Err(Error::Broken(_))) => return Err(Failure::Broken("connection_failed")),
             Some(Ok(response)) => response,
         };
@@ -396,6 +398,7 @@
         let cause = match failure {
             Failure::Refused => "refused",
             Failure::Misplaced => "misplaced",
+            Failure::Unsent => "unsent",
             Failure::Broken(cause) => cause,
         };
         events::log(
@@ -405,6 +408,7 @@
         self.failed.push(target.key);
         match failure {
             Failure::Refused => {}
+            Failure::Unsent => self.sent.retain(|key| *key != target.key),
             // It didn't run there, so the engine doesn't count among those it was sent to.
             Failure::Misplaced => {
                 self.sent.retain(|key| *key != target.key);
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -1,7 +1,6 @@
 //! Sends a request to an engine, and once more elsewhere where that is allowed.
 
 mod attempt;
-mod events;
 mod pick;
 mod relay;
 mod wait;
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -1,6 +1,7 @@
 //! Passes a stream of events on, and goes on at another engine where it breaks off.
 
 use bytes::Bytes;
+use corianderyoke_coord::serving::stream::EventBuffer;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
@@ -15,7 +16,6 @@
 use crate::body::BrokenOff;
 use crate::forward::attempt::Attempts;
 use crate::forward::attempt::Live;
-use crate::forward::events::EventBuffer;
 use crate::forward::response;
 use crate::forward::Closing;
 
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -1,4 +1,8 @@
 //! A daemon's row in the store, and the key that the daemons of one fleet share.
+//!
+//! The incarnation of a process is the version that the store had reached when it started. Each
+//! process writes its row after that, so the next one of the same instance has a higher one,
+//! whatever happened to the instance's time of day.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -75,6 +79,20 @@
     shared.store.transact(&transaction).await.map(|_| None)
 }
 
+/// Takes this process's incarnation from the store.
+pub async fn begin(shared: &Shared) {
+    loop {
+        match shared.store.rows(DAEMONS).await {
+            Ok(rows) => {
+                // Nobody else sets it.
+                let _ = shared.incarnation.set(rows.version);
+                return;
+            }
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
 /// Writes this daemon's row, then reads those of the others now and then until the task is ended.
 pub async fn run(shared: Arc<Shared>) {
     while write(&shared).await.is_err() {
@@ -92,7 +110,7 @@
     let settings = &shared.settings;
     let row = Row {
         name: settings.name.clone(),
-        incarnation: shared.incarnation,
+        incarnation: shared.incarnation(),
         peers: settings.peers,
         callers: settings.callers,
         zone: settings.zone.clone(),
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -147,7 +147,7 @@
     let settings = &shared.settings;
     Daemon {
         name: settings.name.clone(),
-        incarnation: shared.incarnation,
+        incarnation: shared.incarnation(),
         peers: settings.peers,
         callers: settings.callers,
         zone: settings.zone.clone(),
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -35,7 +35,7 @@
     let settings = &shared.settings;
     Word {
         name: settings.name.clone(),
-        incarnation: shared.incarnation,
+        incarnation: shared.incarnation(),
         number,
         peers: settings.peers.to_string(),
         callers: settings.callers.to_string(),
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -36,9 +36,12 @@
     /// No connection came up: nothing was sent.
     #[error("failed to connect to {0}")]
     Connect(SocketAddr),
+    /// The connection ended before anything was sent.
+    #[error("the connection ended before the request was sent")]
+    Unsent,
     /// The connection failed before the answer's head: the request may have run.
     #[error("the connection failed: {0}")]
-    Broken(#[from] hyper::Error),
+    Broken(#[source] hyper::Error),
 }
 
 /// Result of this module.
@@ -71,7 +74,14 @@
     ///
     /// The connection failed; the request may have run.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-        Ok(self.sender.send_request(request).await?)
+        self.sender.send_request(request).await.map_err(|error| {
+            // The connection ended before it took the request.
+            if error.is_canceled() {
+                Error::Unsent
+            } else {
+                Error::Broken(error)
+            }
+        })
     }
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use anyhow::Context;
 use corianderyoke_adapter::store;
@@ -53,9 +51,7 @@
     let client =
         store::Settings { address: settings.platform.to_string(), ..store::Settings::default() };
     let store = Store::new(client).context("failed to set up the store's client")?;
-    // Only the order of two starts of one instance matters, not the time itself.
-    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let shared = Shared::new(settings, started.as_millis() as u64, store);
+    let shared = Shared::new(settings, store);
     let settings = &shared.settings;
     let callers = listen(settings.callers).await?;
     let ready = listen(settings.ready).await?;
@@ -95,6 +91,7 @@
 
 /// Finds the other daemons and exchanges words with them.
 async fn meet(socket: Arc<UdpSocket>, shared: Arc<Shared>) {
+    joining::begin(&shared).await;
     let key = joining::peer_key(&shared).await;
     tokio::spawn(joining::run(Arc::clone(&shared)));
     tokio::spawn(peers::hear(Arc::clone(&socket), key.clone(), Arc::clone(&shared)));
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -1,6 +1,7 @@
 //! What a daemon knows, behind one lock that is never held over an await.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use corianderyoke_adapter::store::Store;
@@ -186,8 +187,8 @@
 pub struct Shared {
     /// Settings.
     pub settings: Settings,
-    /// Start of the process, in milliseconds since 1970.
-    pub incarnation: u64,
+    /// Start of the process among those of its instance; see [`crate::joining`].
+    pub incarnation: OnceLock<u64>,
     /// The platform's store.
     pub store: Store,
     /// Connections to engines.
@@ -207,7 +208,7 @@
 
 impl Shared {
     /// The state of a daemon that starts.
-    pub fn new(settings: Settings, incarnation: u64, store: Store) -> Arc<Self> {
+    pub fn new(settings: Settings, store: Store) -> Arc<Self> {
         let lease = LeaseSettings {
             handover: Duration::from_millis(settings.bounds.handover_ms),
             ..LeaseSettings::default()
@@ -242,7 +243,7 @@
         };
         Arc::new(Shared {
             settings,
-            incarnation,
+            incarnation: OnceLock::new(),
             store,
             pool: Pool::default(),
             metrics: Metrics::default(),
@@ -264,6 +265,11 @@
         self.state().is_ready()
     }
 
+    /// Start of the process among those of its instance; 0 until the store told.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.get().copied().unwrap_or(0)
+    }
+
     /// The fleet's allowance of retries.
     pub fn retry_allowance(&self) -> RetryAllowance {
         let bounds = &self.settings.bounds;
--- a/crates/daemon/tests/fleet/calls.rs
+++ b/crates/daemon/tests/fleet/calls.rs
@@ -121,3 +121,15 @@
     drop(second);
     until(|| async { !world.addresses(&first).await.contains(&gone) }).await;
 }
+
+#[tokio::test]
+async fn a_daemon_that_starts_again_is_named_at_its_new_address() {
+    let world = World::start().await;
+    let (first, second) = (world.daemon("d1").await, world.daemon("d2").await);
+    until(|| async { world.addresses(&first).await.len() == 2 }).await;
+    drop(second);
+    let again = world.daemon("d2").await;
+    let address = again.callers.to_string();
+    until(|| async { world.addresses(&first).await.contains(&address) }).await;
+    assert_eq!(world.addresses(&first).await.len(), 2);
+}
