Count what is told for the first time in a fleet that just started

Relays pass low buckets on within 60 ms, and followers of the holder read the engines' feed twice in the span for leaving engines.

--- a/crates/coord/src/serving/caps.rs
+++ b/crates/coord/src/serving/caps.rs
@@ -15,9 +15,10 @@
 /// Part of the tolerance that a bucket uses, so that a request inside the cap isn't refused for a
 /// request that was counted a little early; the rest covers what the daemons admit before they
 /// hear of each other.
-const TOLERANCE_SHARE: f64 = 0.6;
-/// Part of the burst below which the other daemons should hear of each admission at once.
-const LOW_SHARE: f64 = 0.5;
+const TOLERANCE_SHARE: f64 = 0.5;
+/// Part of the burst below which the other daemons should hear of each admission at once: a hot
+/// team empties a full bucket in the time between two words.
+const LOW_SHARE: f64 = 0.8;
 /// Part of the burst that a bucket holds where nothing is known of what was admitted before.
 const START_SHARE: f64 = 0.5;
 /// Shortest advice on when to come back, in seconds: below it callers only add load.
@@ -54,6 +55,8 @@
     /// The cap with its tolerance.
     cap: Cap,
     tolerance: Tolerance,
+    /// Whether everything that others tell was admitted since this bucket began.
+    complete: bool,
     level: f64,
     at: Tick,
     total: i64,
@@ -69,6 +72,7 @@
         TeamBucket {
             cap,
             tolerance,
+            complete: full,
             level: cap.burst * share,
             at: now,
             total: 0,
@@ -121,8 +125,9 @@
         let before = self.told.insert(daemon.to_owned(), told);
         let since = match before {
             Some(before) if before.incarnation == incarnation => total - before.total,
-            // What a daemon admitted before it was first heard lies further back than its start.
             Some(_) => total,
+            None if self.complete => total,
+            // It may have been admitted long before this daemon started.
             None => 0,
         };
         self.level = (self.level - since as f64).min(self.cap.burst);
--- a/crates/coord/tests/serving/caps.rs
+++ b/crates/coord/tests/serving/caps.rs
@@ -39,6 +39,18 @@
     assert_eq!(bucket.admit(500, 1.0, ms(0)), Ok(()));
 }
 
+#[test]
+fn what_was_admitted_before_a_daemon_is_first_heard_counts_in_a_fleet_that_just_started() {
+    // Relays tell totals only once they change, so the first one told is no longer zero.
+    let mut bucket = TeamBucket::new(CAP, Tolerance::default(), true, ms(0));
+    bucket.hear("d2", 1, 1_500);
+    assert!(bucket.admit(600, 1.0, ms(0)).is_err());
+    // A daemon that starts again knows nothing of when the others admitted what they tell.
+    let mut bucket = TeamBucket::new(CAP, Tolerance::default(), false, ms(0));
+    bucket.hear("d2", 1, 900_000);
+    assert_eq!(bucket.admit(900, 1.0, ms(0)), Ok(()));
+}
+
 #[test]
 fn a_daemon_that_started_again_counts_from_nothing() {
     let mut bucket = TeamBucket::new(CAP, Tolerance::default(), true, ms(0));
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -18,7 +18,7 @@
 use crate::state::Total;
 
 /// Time for which a team's total is told after it changed, so that a lost digest costs nothing.
-const TOTAL_SPAN: Duration = Duration::from_secs(1);
+const TOTAL_SPAN: Duration = Duration::from_millis(500);
 /// Time for which the holder's last word is passed on.
 const HOLDER_SPAN: Duration = Duration::from_millis(600);
 
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -35,7 +35,7 @@
 /// Least time between two words.
 const GAP: Duration = Duration::from_millis(8);
 /// Least time between two digests: each goes to the whole fleet.
-const DIGEST_GAP: Duration = Duration::from_millis(50);
+const DIGEST_GAP: Duration = Duration::from_millis(60);
 /// Digests of which one lists the daemons.
 const LIST_EVERY: u64 = 3;
 /// Most daemons that all tell each other.
@@ -66,8 +66,7 @@
         }
         sleep(GAP).await;
         // Either somebody waits, or it is time.
-        let every = every(shared.state().roster.size());
-        let _ = timeout(every - GAP, shared.urgent.notified()).await;
+        let _ = timeout(pause(&shared), shared.urgent.notified()).await;
     }
 }
 
@@ -88,6 +87,16 @@
     }
 }
 
+/// Longest time until the next word.
+fn pause(shared: &Shared) -> Duration {
+    let state = shared.state();
+    if state.pass_on {
+        DIGEST_GAP
+    } else {
+        every(state.roster.size()) - GAP
+    }
+}
+
 /// Time between two words in a fleet of `size`.
 fn every(size: usize) -> Duration {
     EVERY * size.div_ceil(SPARSE).max(1) as u32
@@ -108,7 +117,9 @@
     }
     let relays = state.roster.relays(&myself(shared), RELAYS, now);
     let rank = relays.iter().position(|relay| relay.name == shared.settings.name);
-    let due = now.since(*last) >= DIGEST_GAP;
+    let age = now.since(*last);
+    let pause = if state.pass_on { DIGEST_GAP } else { every(state.roster.size()) - GAP };
+    let due = age >= pause;
     let speaks = match rank {
         Some(0) => due,
         Some(_) => due && state.digest_age(now) > RELAY_SILENCE,
@@ -123,6 +134,7 @@
         return vec![(Body::Word(word), direct)];
     }
     *last = now;
+    state.pass_on = false;
     state.digests += 1;
     let members = state.digests.is_multiple_of(LIST_EVERY);
     let digest = digest::compose(&state, word.clone(), members, now);
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -151,9 +151,10 @@
         events::log(Event::PeerHeard, format_args!("name={} address={peers}", word.name));
         shared.urgent.notify_one();
     }
+    let mut low = false;
     for team in &word.teams {
         let total = Total { incarnation: word.incarnation, tokens: team.tokens, at: now };
-        take_total(state, &word.name, &team.team, total);
+        low |= take_total(state, &word.name, &team.team, total);
     }
     if let Some(holder) = &word.holder {
         state.holder = Some((word.name.clone(), holder.clone(), now));
@@ -161,7 +162,12 @@
     let mut changed =
         word.holder.as_ref().is_some_and(|holder| take_holder(state, &word.name, holder, now));
     changed |= take_demand(state, &word, now);
+    // Only a relay passes it on; the others told the relays themselves.
+    state.pass_on |= low;
     drop(guard);
+    if low {
+        shared.urgent.notify_one();
+    }
     if changed {
         shared.changed.notify_waiters();
         shared.plan.notify_one();
@@ -177,11 +183,12 @@
     }
 }
 
-/// Takes in what a daemon admitted of a team's tokens.
-pub fn take_total(state: &mut State, daemon: &str, team: &str, total: Total) {
-    if let Some(bucket) = state.caps.get_mut(team) {
-        bucket.hear(daemon, total.incarnation, total.tokens);
-    }
+/// Takes in what a daemon admitted of a team's tokens; whether the other daemons should hear of it
+/// at once.
+pub fn take_total(state: &mut State, daemon: &str, team: &str, total: Total) -> bool {
+    let Some(bucket) = state.caps.get_mut(team) else { return false };
+    bucket.hear(daemon, total.incarnation, total.tokens);
+    let low = bucket.is_low();
     let key = (daemon.to_owned(), team.to_owned());
     let same = state
         .totals
@@ -190,6 +197,7 @@
     if !same {
         state.totals.insert(key, total);
     }
+    low && !same
 }
 
 /// Takes in what the holder of the lease says; whether it says something of the engines.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -47,6 +47,8 @@
 pub struct Bounds {
     /// Time between orders of two holders of the lease, in milliseconds.
     pub handover_ms: u64,
+    /// Time within which a leaving engine must get nothing new, in milliseconds.
+    pub drain_ms: u64,
     /// Retries for each first try.
     pub retry_ratio: f64,
     /// Retries on top, over the whole fleet.
@@ -88,6 +90,7 @@
     fn default() -> Self {
         Bounds {
             handover_ms: 3_000,
+            drain_ms: 2_000,
             retry_ratio: 0.2,
             retry_extra: 50.0,
             cap_overage: 0.0,
@@ -99,6 +102,13 @@
     }
 }
 
+impl Bounds {
+    /// Time within which a leaving engine must get nothing new.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+}
+
 impl Settings {
     /// What is wrong with the values.
     pub fn check(&self) -> Vec<Problem> {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -148,6 +148,8 @@
     pub totals: IndexMap<(String, String), Total>,
     /// What all daemons have at each engine, as a relay told.
     pub digest: Option<(IndexMap<UpstreamKey, Load>, Tick)>,
+    /// Whether something was heard that a relay should pass on at once.
+    pub pass_on: bool,
     /// Digests told so far.
     pub digests: u64,
     /// Whether the process was told to stop.
@@ -236,6 +238,7 @@
             holder: None,
             totals: IndexMap::new(),
             digest: None,
+            pass_on: false,
             digests: 0,
             leaving: false,
             closed: false,
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -29,10 +29,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// Least time between two feeds where changes must be known at once.
 const SHORT_GAP: Duration = Duration::from_millis(40);
-/// Least time between two feeds of the engines at a daemon that hears the holder of the lease:
-/// engines rewrite their entries all the time, and the holder tells what matters of them. Less than
-/// half of the time within which a leaving engine must get nothing new.
-const LONG_GAP: Duration = Duration::from_millis(700);
+/// Part of the time within which a leaving engine must get nothing new that lies between two feeds
+/// of the engines at a daemon that hears the holder of the lease: engines rewrite their entries all
+/// the time, and the holder tells what matters of them.
+const TOLD_SHARE: f64 = 0.5;
 
 /// A table that a daemon follows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,7 +47,9 @@
     /// Least time between two feeds.
     fn gap(self, shared: &Shared) -> Duration {
         match self {
-            Table::Engines if shared.state().is_told(clock::now()) => LONG_GAP,
+            Table::Engines if shared.state().is_told(clock::now()) => {
+                shared.settings.bounds.drain().mul_f64(TOLD_SHARE)
+            }
             _ => SHORT_GAP,
         }
     }
