Bound a daemon's buckets by the level of the relay that hears everybody

A daemon takes over the relay's level where it is lower, and a restarted fleet begins with a quarter of the burst. Ruled out: a single daemon's restart (its part is an eightieth).

--- a/crates/coord/src/serving/caps.rs
+++ b/crates/coord/src/serving/caps.rs
@@ -19,8 +19,9 @@
 /// Part of the burst below which the other daemons should hear of each admission at once: a hot
 /// team empties a full bucket in the time between two words.
 const LOW_SHARE: f64 = 0.8;
-/// Part of the burst that a bucket holds where nothing is known of what was admitted before.
-const START_SHARE: f64 = 0.5;
+/// Part of the burst that a bucket holds where nothing is known of what was admitted before: what
+/// the fleet admitted before it was lost and this part stay inside the tolerance.
+const START_SHARE: f64 = 0.25;
 /// Shortest advice on when to come back, in seconds: below it callers only add load.
 const SHORTEST_WAIT: f64 = 0.2;
 
@@ -133,6 +134,17 @@
         self.level = (self.level - since as f64).min(self.cap.burst);
     }
 
+    /// The level, in whole tokens; below zero where the team is in debt.
+    pub fn level(&self) -> i64 {
+        self.level as i64
+    }
+
+    /// Takes over the level of a daemon that hears all others, where it is lower: that daemon may
+    /// know of admissions that weren't told here.
+    pub fn bound(&mut self, level: i64) {
+        self.level = self.level.min(level as f64);
+    }
+
     fn refill(&mut self, share: f64, now: Tick) {
         let gained = self.cap.rate * share * now.since(self.at).as_secs_f64();
         self.level = (self.level + gained).min(self.cap.burst);
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -105,6 +105,11 @@
         let total = Total { incarnation: told.incarnation, tokens: told.tokens, at: now };
         words::take_total(state, &told.name, &told.team, total);
     }
+    for team in digest.relay.iter().flat_map(|relay| &relay.teams) {
+        if let Some(bucket) = state.caps.get_mut(&team.team) {
+            bucket.bound(team.level);
+        }
+    }
     let names = &mut state.engines.names.engines;
     let loads = digest.engines.iter().map(|told| {
         let load = Load { running: told.running, unread: told.unread, tokens: told.tokens };
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -53,7 +53,7 @@
 
 fn teams(state: &State) -> Vec<word::TeamTotal> {
     let total = |(team, bucket): (&String, &corianderyoke_coord::serving::caps::TeamBucket)| {
-        word::TeamTotal { team: team.clone(), tokens: bucket.total() }
+        word::TeamTotal { team: team.clone(), tokens: bucket.total(), level: bucket.level() }
     };
     state.caps.iter().map(total).collect()
 }
