Let adapters wait while their engine carries out an order on a model

An order on an adapter was sent beside an order on a model; the engine refused it (409), the load under way was forgotten with it, and the same models were loaded and unloaded in turn (182 requests refused after waiting).

--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -133,11 +133,6 @@
     fn unclear(look: Tick) -> Self {
         Work { phase: Phase::Unclear, op: None, look, remote: false }
     }
-
-    /// Whether it keeps the engine from orders on adapters: their counts of orders would race.
-    fn blocks_adapters(&self) -> bool {
-        self.phase != Phase::Doing
-    }
 }
 
 /// A rate that forgets exponentially.
@@ -205,8 +200,6 @@
     used: IndexMap<(UpstreamKey, AdapterKey), Tick>,
     loaded: IndexMap<(UpstreamKey, ModelKey), Tick>,
     work: IndexMap<UpstreamKey, Work>,
-    /// Orders on models under way at engines that were just sent an order on an adapter.
-    behind: IndexMap<UpstreamKey, Work>,
     /// Loads that wait until an engine has room, with what they are for.
     planned: IndexMap<UpstreamKey, ModelKey>,
     running: IndexMap<(UpstreamKey, ModelKey), u32>,
@@ -240,7 +233,6 @@
     pub fn begin(&mut self, engines: &Engines, now: Tick) {
         self.planned.clear();
         self.work.clear();
-        self.behind.clear();
         for (key, _) in engines.iter() {
             self.work.insert(key, Work::unclear(now));
         }
@@ -266,11 +258,10 @@
                 if matches!(order.op, Op::UnloadAdapter(..)) {
                     engines.accept(key);
                 }
-                self.restore(key);
+                self.work.shift_remove(&key);
                 apply(order, engines, now);
             }
             Answer::Busy | Answer::Unanswered | Answer::Rejected | Answer::Fenced => {
-                self.behind.shift_remove(&key);
                 self.work.insert(key, Work::unclear(now + REPORT_LAG));
             }
         }
@@ -341,7 +332,7 @@
                 (Duration::ZERO, false)
             }
             Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {
-                self.restore(order.engine);
+                self.work.shift_remove(&order.engine);
                 apply(order, engines, now);
                 return;
             }
@@ -351,14 +342,6 @@
         self.work.insert(order.engine, work);
     }
 
-    /// An order on an adapter is through; an order on a model that was under way before still is.
-    fn restore(&mut self, engine: UpstreamKey) {
-        match self.behind.shift_remove(&engine) {
-            Some(work) => self.work.insert(engine, work),
-            None => self.work.shift_remove(&engine),
-        };
-    }
-
     /// Ends work that shows its effect, and looks into work that doesn't in time.
     fn settle(&mut self, engines: &Engines, now: Tick, actions: &mut Vec<Action>) {
         self.work.retain(|key, work| {
@@ -457,8 +440,7 @@
 
     /// Models that a load is under way for.
     fn coming(&self) -> impl Iterator<Item = ModelKey> + '_ {
-        let all = self.work.values().chain(self.behind.values());
-        let doing = all.filter_map(|work| match work.op {
+        let doing = self.work.values().filter_map(|work| match work.op {
             Some(Op::Load(model)) => Some(model),
             _ => None,
         });
@@ -607,9 +589,8 @@
                 self.adapters.shift_remove(&adapter);
                 continue;
             }
-            let free = holders
-                .into_iter()
-                .filter(|(key, _)| self.work.get(key).is_none_or(|work| !work.blocks_adapters()));
+            // An engine that carries out an order on a model refuses any other.
+            let free = holders.into_iter().filter(|(key, _)| !self.work.contains_key(key));
             let Some((key, engine)) = free.min_by_key(|(_, engine)| adapters_held(engine)) else {
                 continue;
             };
@@ -623,9 +604,7 @@
                 Op::LoadAdapter(model, adapter)
             };
             let asked = Work { phase: Phase::Asked, op: Some(op), look: now, remote: false };
-            if let Some(behind) = self.work.insert(key, asked) {
-                self.behind.insert(key, behind);
-            }
+            self.work.insert(key, asked);
             actions.push(Action::Send(Order { engine: key, op, expected }));
         }
     }
@@ -643,8 +622,7 @@
     }
 
     fn may_load_remote(&self) -> bool {
-        let all = self.work.values().chain(self.behind.values());
-        let loading = all.filter(|work| work.remote);
+        let loading = self.work.values().filter(|work| work.remote);
         self.permits >= 1.0 && loading.count() < REMOTE_AT_ONCE
     }
 
