--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod caps;
 pub mod choice;
+mod demand;
 pub mod desired;
 pub mod engines;
 pub mod lease;
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -15,29 +15,20 @@
 use crate::keys::AdapterKey;
 use crate::keys::ModelKey;
 use crate::keys::UpstreamKey;
+use crate::serving::demand::Demand;
+use crate::serving::demand::WAIT_SPAN;
 use crate::serving::desired::EngineSpec;
 use crate::serving::desired::ModelSpec;
 use crate::serving::engines::Engine;
 use crate::serving::engines::Engines;
 use crate::time::Tick;
 
-/// Time over which requests count towards a model's rate.
-const RATE_SPAN: Duration = Duration::from_secs(12);
-/// Time over which tokens count towards the number of a model's copies.
-const BURST_SPAN: Duration = Duration::from_secs(3);
-/// Prompt tokens that an engine reads in a second.
-const READ_RATE: f64 = 30_000.0;
-/// Part of the time that an engine may read prompts for one model before it gets another copy;
-/// beyond about half, prompts wait for each other and hold up the tokens of what runs.
-const READ_SHARE: f64 = 0.4;
 /// Part of a model's loss that counts where enough other engines hold it.
 const SPARE_SHARE: f64 = 0.05;
 /// Longest load, in seconds, by which another copy is made.
 const COPY_TIME: f64 = 1.0;
 /// Seconds of waiting that another copy of a busy model may cost others.
 const COPY_LOSS: f64 = 0.4;
-/// Time after which the last word of a daemon that waits doesn't count any longer.
-const WAIT_SPAN: Duration = Duration::from_millis(1_200);
 /// Loads from the weight store that run at full speed at once; more slow each other down.
 const REMOTE_AT_ONCE: usize = 4;
 /// Loads that the weight store's allowance may save up.
@@ -135,54 +126,6 @@
     }
 }
 
-/// A rate that forgets exponentially.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    value: f64,
-    at: Tick,
-}
-
-impl Rate {
-    fn add(&mut self, amount: f64, span: Duration, now: Tick) {
-        self.value = self.get(span, now) + amount / span.as_secs_f64();
-        self.at = now;
-    }
-
-    fn get(&self, span: Duration, now: Tick) -> f64 {
-        let age = now.since(self.at).as_secs_f64() / span.as_secs_f64();
-        self.value * (-age).exp()
-    }
-}
-
-/// Requests for one model.
-#[derive(Clone, Debug, Default)]
-struct Demand {
-    /// Requests a second, over a span in which rare models are asked for too.
-    requests: Rate,
-    /// Tokens a second that engines have to read, over a span that follows bursts.
-    tokens: Rate,
-    /// Requests that wait for the model, by daemon.
-    waiting: IndexMap<String, (u32, Tick)>,
-}
-
-impl Demand {
-    fn arrive(&mut self, count: u64, tokens: u64, now: Tick) {
-        self.requests.add(count as f64, RATE_SPAN, now);
-        self.tokens.add(tokens as f64, BURST_SPAN, now);
-    }
-
-    fn waiting(&self, now: Tick) -> u32 {
-        let fresh = self.waiting.values().filter(|(_, at)| now.since(*at) < WAIT_SPAN);
-        fresh.map(|(count, _)| count).sum()
-    }
-
-    /// Copies of the model that keep its engines from reading all the time.
-    fn copies(&self, now: Tick) -> usize {
-        let busy = self.tokens.get(BURST_SPAN, now) / READ_RATE;
-        (busy / READ_SHARE).ceil().max(1.0) as usize
-    }
-}
-
 /// A load that could be ordered, and what it costs in seconds of waiting.
 #[derive(Clone, Debug)]
 struct Way {
@@ -215,8 +158,7 @@
 
     /// A daemon says how many requests wait there for a model that no engine holds.
     pub fn wait(&mut self, daemon: &str, model: ModelKey, count: u32, now: Tick) {
-        let demand = self.demand.entry(model).or_default();
-        demand.waiting.insert(daemon.to_owned(), (count, now));
+        self.demand.entry(model).or_default().wait(daemon, count, now);
     }
 
     /// A daemon has a request that needs an adapter.
@@ -305,13 +247,13 @@
         self.settle(engines, now, &mut actions);
         self.continue_planned(spec, engines, now, &mut actions);
         for model in self.wanted(service, spec, engines, now) {
-            let Some(option) = self.best(service, spec, engines, model, now) else { continue };
-            self.start(option, model, engines, now, &mut actions);
+            let Some(way) = self.best(service, spec, engines, model, now) else { continue };
+            self.start(way, model, engines, now, &mut actions);
         }
         for model in self.crowded(service, spec, engines, now) {
-            let Some(option) = self.best(service, spec, engines, model, now) else { continue };
-            if !option.remote && option.cost < COPY_LOSS + COPY_TIME {
-                self.start(option, model, engines, now, &mut actions);
+            let Some(way) = self.best(service, spec, engines, model, now) else { continue };
+            if !way.remote && way.cost < COPY_LOSS + COPY_TIME {
+                self.start(way, model, engines, now, &mut actions);
             }
         }
         self.plan_adapters(service, spec, engines, now, &mut actions);
@@ -379,11 +321,11 @@
         for (key, model) in free {
             self.planned.shift_remove(&key);
             let Some(engine) = engines.get(key) else { continue };
-            let Some(option) = self.option(spec, engines, key, engine, model, now) else {
+            let Some(way) = self.way(spec, engines, key, engine, model, now) else {
                 continue;
             };
             if self.demand.get(&model).is_some_and(|demand| demand.waiting(now) > 0) {
-                self.start(option, model, engines, now, actions);
+                self.start(way, model, engines, now, actions);
             }
         }
     }
@@ -460,15 +402,15 @@
         let free = keys
             .into_iter()
             .filter(|key| !self.work.contains_key(key) && !self.planned.contains_key(key));
-        let options = free.filter_map(|key| {
+        let ways = free.filter_map(|key| {
             let engine = engines.get(key).filter(|engine| !engine.models.contains_key(&model))?;
-            self.option(spec, engines, key, engine, model, now)
+            self.way(spec, engines, key, engine, model, now)
         });
-        options.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        ways.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// What a load at one engine takes, or `None` where it isn't possible now.
-    fn option(
+    fn way(
         &self,
         spec: &EngineSpec,
         engines: &Engines,
@@ -525,7 +467,7 @@
         }
         let Some(size) = spec.models.get(engines.names.models.name(model)) else { return 0.0 };
         let demand = self.demand.get(&model);
-        let rate = demand.map_or(0.0, |demand| demand.requests.get(RATE_SPAN, now));
+        let expected = demand.map_or(0.0, |demand| demand.expected(now));
         let others = engines
             .iter()
             .filter(|(other, engine)| *other != key && engine.holds(model, None))
@@ -536,34 +478,34 @@
         let drain = if running > 0 { 0.5 + 0.1 * f64::from(running) } else { 0.0 };
         let copies = demand.map_or(1, |demand| demand.copies(now));
         let needed = if others >= copies { SPARE_SHARE } else { 1.0 / (1 + others) as f64 };
-        rate * RATE_SPAN.as_secs_f64() * reload * needed + drain
+        expected * reload * needed + drain
     }
 
     fn start(
         &mut self,
-        option: Way,
+        way: Way,
         model: ModelKey,
         engines: &Engines,
         now: Tick,
         actions: &mut Vec<Action>,
     ) {
-        let known = engines.get(option.engine).and_then(|engine| engine.orders);
+        let known = engines.get(way.engine).and_then(|engine| engine.orders);
         let Some(expected) = known else { return };
-        let op = match option.victims.first() {
+        let op = match way.victims.first() {
             Some(&victim) => {
-                self.planned.insert(option.engine, model);
+                self.planned.insert(way.engine, model);
                 Op::Unload(victim)
             }
             None => {
-                if option.remote {
+                if way.remote {
                     self.permits -= 1.0;
                 }
                 Op::Load(model)
             }
         };
-        let work = Work { phase: Phase::Asked, op: Some(op), look: now, remote: option.remote };
-        self.work.insert(option.engine, work);
-        actions.push(Action::Send(Order { engine: option.engine, op, expected }));
+        let work = Work { phase: Phase::Asked, op: Some(op), look: now, remote: way.remote };
+        self.work.insert(way.engine, work);
+        actions.push(Action::Send(Order { engine: way.engine, op, expected }));
     }
 
     /// Adapters that requests wait for, one order an engine.
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -44,6 +44,9 @@
 /// Pause after a failed accept, which mostly means that descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Least buffer of a connection, in bytes; hyper takes no less than 8 KiB.
+const LEAST_BUFFER: usize = 32 << 10;
+
 /// Takes connections until the task is ended.
 pub async fn run(listener: TcpListener, shared: Arc<Shared>) {
     loop {
@@ -64,15 +67,12 @@
         .timer(TokioTimer::new())
         // Also the time for which a kept connection may stay idle.
         .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head_bytes.max(MOST_BUFFERED))
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     // How a connection ended shows in the records of its requests.
     drop(served.await);
 }
 
-/// Least buffer of a connection; hyper takes no less than 8 KiB.
-const MOST_BUFFERED: usize = 32 << 10;
-
 fn limits(state: &State) -> CallerLimits {
     state.desired.as_ref().map_or_else(CallerLimits::default, |desired| desired.callers)
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -248,7 +248,7 @@
 }
 
 /// An error with its causes on one line.
-fn text(error: &reqwest::Error) -> String {
+pub fn text(error: &reqwest::Error) -> String {
     let mut text = error.to_string();
     let mut cause = std::error::Error::source(error);
     while let Some(error) = cause {
