Free no memory for requests that found no model or adapter

Cause, found by reading: a request that was answered 421 took the model or adapter out of what its engine was thought to hold, and an unload that was only accepted freed the adapter's place at once; the plan then ordered loads into room that wasn't there. What requests find is now kept apart from what the engine holds, and an accepted unload of an adapter is asked about. Ruled out: late orders (each names its count). Two tests come with the change; they weren't run on the code before.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -97,6 +97,8 @@
     pub in_memory: IndexSet<ModelKey>,
     /// Models whose weights lie on disk.
     pub on_disk: IndexSet<ModelKey>,
+    /// Models and adapters that requests didn't find there since its last entry or report.
+    absent: IndexSet<(ModelKey, Option<AdapterKey>)>,
     /// Model that it was told to unload and still counts as memory.
     pub unloading: Option<ModelKey>,
     /// When its entry went while the platform was away, if it did.
@@ -287,8 +289,16 @@
         }
     }
 
-    /// Records that an engine refused a request since it doesn't hold its model.
-    pub fn miss_model(&mut self, key: UpstreamKey, model: ModelKey) {
+    /// Records that an engine refused a request since it doesn't hold its model or adapter. Until
+    /// its next entry or report no request goes there for it; its memory still counts as taken.
+    pub fn miss(&mut self, key: UpstreamKey, model: ModelKey, adapter: Option<AdapterKey>) {
+        if let Some(engine) = self.listed.get_mut(&key) {
+            engine.absent.insert((model, adapter));
+        }
+    }
+
+    /// Records that an engine unloaded a model.
+    pub fn drop_model(&mut self, key: UpstreamKey, model: ModelKey) {
         if let Some(engine) = self.listed.get_mut(&key) {
             engine.models.swap_remove(&model);
         }
@@ -305,6 +315,7 @@
         engine.models = held;
         engine.orders = Some(report.orders);
         engine.word.clear();
+        engine.absent.clear();
     }
 
     /// Counts an order that an engine accepted.
@@ -324,6 +335,7 @@
     /// Records that an engine began to hold a model.
     pub fn hold_model(&mut self, key: UpstreamKey, model: ModelKey) {
         if let Some(engine) = self.listed.get_mut(&key) {
+            engine.absent.swap_remove(&(model, None));
             engine.models.entry(model).or_default();
         }
     }
@@ -386,6 +398,7 @@
             models,
             in_memory,
             on_disk,
+            absent: IndexSet::new(),
             unloading: None,
             missing: None,
             word: IndexMap::new(),
@@ -397,7 +410,8 @@
 impl Engine {
     /// Whether it holds a model, and the adapter where one is asked for.
     pub fn holds(&self, model: ModelKey, adapter: Option<AdapterKey>) -> bool {
-        if self.unloading == Some(model) {
+        let absent = |adapter| self.absent.contains(&(model, adapter));
+        if self.unloading == Some(model) || absent(None) || absent(adapter) {
             return false;
         }
         match (self.models.get(&model), adapter) {
@@ -413,6 +427,7 @@
 
     fn say(&mut self, model: ModelKey, adapter: AdapterKey, held: bool, at: Tick) {
         self.word.insert(adapter, (model, held, at));
+        self.absent.swap_remove(&(model, Some(adapter)));
         let Some(adapters) = self.models.get_mut(&model) else { return };
         if held {
             adapters.insert(adapter);
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -273,11 +273,16 @@
                 engines.unload_model(order.engine, model);
                 (Duration::ZERO, false)
             }
-            Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {
+            Op::LoadAdapter(..) => {
                 self.work.shift_remove(&order.engine);
                 apply(order, engines, now);
                 return;
             }
+            Op::UnloadAdapter(..) => {
+                // It is in use, and keeps its place until the engine says that it is gone.
+                self.work.insert(order.engine, Work::unclear(now + REPORT_LAG));
+                return;
+            }
         };
         let look = now + time + LOOK_AFTER;
         let work = Work { phase: Phase::Doing, op: Some(order.op), look, remote };
@@ -579,7 +584,7 @@
 fn apply(order: Order, engines: &mut Engines, now: Tick) {
     match order.op {
         Op::Load(model) => engines.hold_model(order.engine, model),
-        Op::Unload(model) => engines.miss_model(order.engine, model),
+        Op::Unload(model) => engines.drop_model(order.engine, model),
         Op::LoadAdapter(model, adapter) => engines.say(order.engine, model, adapter, true, now),
         Op::UnloadAdapter(model, adapter) => engines.say(order.engine, model, adapter, false, now),
     }
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -213,6 +213,43 @@
     assert_eq!(second, [Order { engine: key, op: Op::LoadAdapter(base, a3), expected: 1 }]);
 }
 
+#[test]
+fn a_request_that_found_no_model_frees_no_memory() {
+    let mut engines = engines(&[entry("e1", &["held"], &["m"])]);
+    let spec = spec(100_000.0, &["m", "held"]);
+    let (wanted, held) = (model(&mut engines, "m"), model(&mut engines, "held"));
+    let key = engine(&engines, "e1");
+    // The engine refused a request for what its entry says that it holds.
+    engines.miss(key, held, None);
+    assert!(engines.get(key).is_some_and(|engine| !engine.holds(held, None)));
+    let mut planner = Planner::default();
+    rare(&mut planner, wanted, 1, 0);
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 0)), [Op::Unload(held)]);
+    // Its next entry says whether it holds it.
+    engines.list(entry("e1", &["held"], &["m"]), ms(100));
+    assert!(engines.get(key).is_some_and(|engine| engine.holds(held, None)));
+}
+
+#[test]
+fn an_adapter_in_use_keeps_its_place_until_the_engine_says_that_it_is_gone() {
+    let mut held = entry("e1", &["m"], &[]);
+    held.models.insert("m".to_owned(), vec!["a1".to_owned(), "a2".to_owned()]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    let spec = spec(100_000.0, &["m"]);
+    let key = engine(&engines, "e1");
+    let base = model(&mut engines, "m");
+    let a3 = engines.names.adapter("m", "a3");
+    let mut planner = Planner::default();
+    planner.want_adapter(base, a3, ms(0));
+    let unload = orders(&plan(&mut planner, &spec, &engines, 0))[0];
+    // Accepted, and carried out once no request uses it any more.
+    planner.answered(unload, Answer::Accepted, &spec, &mut engines, ms(5));
+    planner.want_adapter(base, a3, ms(50));
+    assert_eq!(plan(&mut planner, &spec, &engines, 50), []);
+    planner.want_adapter(base, a3, ms(400));
+    assert_eq!(plan(&mut planner, &spec, &engines, 400), [Action::Inspect(key)]);
+}
+
 #[test]
 fn adapters_wait_while_their_engine_carries_out_an_order_on_a_model() {
     let mut engines = engines(&[entry("e1", &["m"], &[])]);
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -386,12 +386,7 @@
             return;
         }
         let Some(generation) = &self.call.generation else { return };
-        match generation.adapter {
-            Some(adapter) => {
-                state.engines.say(target.key, generation.model, adapter, false, now);
-            }
-            None => state.engines.miss_model(target.key, generation.model),
-        }
+        state.engines.miss(target.key, generation.model, generation.adapter);
     }
 
     fn failed(&mut self, target: &Target, failure: Failure) {
