Start a test's daemon again where its port was taken meanwhile

Ruled out: slowness (the wait is 20 s, and the line stands right before). A daemon that ended before it was ready is started again on new ports; the wait for readiness stays 20 s.

--- a/crates/daemon/tests/fleet/calls.rs
+++ b/crates/daemon/tests/fleet/calls.rs
@@ -64,8 +64,7 @@
 async fn a_daemon_without_a_desired_state_is_not_ready_and_says_that_nothing_ran() {
     let world = World::start().await;
     world.store.remove("op", "config");
-    let daemon = world.starting_daemon("d1");
-    until(|| async { world.status(daemon.ready, "/readyz").await == Some(503) }).await;
+    let daemon = world.daemon_at("d1", 503).await;
     let answer = world.request(&daemon, "/once/", "1").send().await.expect("an answer");
     assert_eq!(refusal(&answer), (503, true));
 }
--- a/crates/daemon/tests/fleet/world.rs
+++ b/crates/daemon/tests/fleet/world.rs
@@ -78,13 +78,29 @@
 
     /// A daemon that is ready.
     pub async fn daemon(&self, name: &str) -> Daemon {
-        let daemon = self.starting_daemon(name);
-        until(|| async { self.status(daemon.ready, "/readyz").await == Some(200) }).await;
-        daemon
+        self.daemon_at(name, 200).await
+    }
+
+    /// A daemon whose readiness is answered with `status`.
+    pub async fn daemon_at(&self, name: &str, status: u16) -> Daemon {
+        let started = async {
+            loop {
+                let mut daemon = self.starting_daemon(name);
+                // A port that was free may be taken by another test before the daemon binds it;
+                // the daemon says so and ends.
+                while !daemon.has_ended() {
+                    if self.status(daemon.ready, "/readyz").await == Some(status) {
+                        return daemon;
+                    }
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, started).await.expect("a daemon answers so in time")
     }
 
     /// A daemon that was just started.
-    pub fn starting_daemon(&self, name: &str) -> Daemon {
+    fn starting_daemon(&self, name: &str) -> Daemon {
         let [callers, ready, directory, peers, metrics] = [(); 5].map(|()| free());
         let settings = format!(
             "name = \"{name}\"\nzone = \"a\"\nfirst_start = true\nplatform = \"{}\"\n\
