Judge in one place whether a connection is kept

Orders, reports, held answers, streams and refusals each looked at the answer's head themselves, by three spellings of the same check; the pool now does it from the head. Orders and reports share one exchange. A pick borrows what the request needs in place of copying it. Behaviour is the same but for 'Close' in capitals on an order's answer, which counts as well.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -13,7 +13,6 @@
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
-use http::header;
 use http::response::Parts;
 use http::Request;
 use http::Response;
@@ -30,7 +29,6 @@
 use crate::forward::pick::Target;
 use crate::forward::wait::Missing;
 use crate::forward::wait::WaitGuard;
-use crate::forward::Closing;
 use crate::forward::End;
 use crate::pool::Error;
 use crate::pool::Lane;
@@ -60,8 +58,6 @@
 pub struct Live {
     /// Status and headers.
     pub head: Parts,
-    /// What they say.
-    pub facts: AnswerFacts,
     /// Body.
     pub body: Incoming,
     /// The connection.
@@ -345,17 +341,14 @@
         target: &Target,
         guard: RunGuard,
     ) -> Result<Live, Failure> {
-        let (mut head, body) = response.into_parts();
+        let (head, body) = response.into_parts();
         let facts = headers::answer(&head.headers);
         let status = head.status.as_u16();
-        let closes = head.headers.get(header::CONNECTION).is_some_and(|value| {
-            value.to_str().is_ok_and(|text| text.eq_ignore_ascii_case("close"))
-        });
         if facts.not_run || status == 421 {
             let read = Limited::new(body, MOST_REFUSAL).collect();
             let read = timeout(LEAST_PATIENCE, read).await;
-            if matches!(read, Ok(Ok(_))) && !closes {
-                self.call.shared.pool.give_back(&target.id, lane, facts.keep);
+            if matches!(read, Ok(Ok(_))) {
+                self.call.shared.pool.give_back(&target.id, lane, &head.headers);
             }
             return Err(if status == 421 {
                 self.misplaced(target, &facts);
@@ -370,11 +363,8 @@
         if head.status.is_success() && !facts.signed {
             return Err(Failure::Broken("unsigned"));
         }
-        if closes {
-            head.extensions.insert(Closing);
-        }
         let target = target.clone();
-        Ok(Live { head, facts, body, lane, target, guard })
+        Ok(Live { head, body, lane, target, guard })
     }
 
     /// An engine isn't the one expected, or doesn't hold what is asked for.
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -71,7 +71,7 @@
 
 /// Reads an answer to its end; `None` where it wasn't whole or is worth another attempt.
 async fn whole(attempts: &mut Attempts, live: Live) -> Option<Response<Body>> {
-    let Live { head, facts, body: incoming, lane, target, guard } = live;
+    let Live { head, body: incoming, lane, target, guard } = live;
     let read = attempts.answered(Limited::new(incoming, MOST_HELD).collect(), &target).await;
     drop(guard);
     let bytes = match read {
@@ -85,9 +85,7 @@
             return None;
         }
     };
-    if head.extensions.get::<Closing>().is_none() {
-        attempts.call.shared.pool.give_back(&target.id, lane, facts.keep);
-    }
+    attempts.call.shared.pool.give_back(&target.id, lane, &head.headers);
     attempts.call.shared.state().engines.succeed(target.key);
     let status = head.status;
     if status.is_server_error() && attempts.fails_over(&target, &head, &bytes) {
@@ -99,10 +97,6 @@
     Some(response(head, body::whole(bytes)))
 }
 
-/// Marks an answer after which the engine closes the connection.
-#[derive(Clone, Copy, Debug)]
-pub struct Closing;
-
 /// An engine's answer as the caller gets it.
 fn response(head: Parts, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
--- a/crates/daemon/src/forward/pick.rs
+++ b/crates/daemon/src/forward/pick.rs
@@ -64,14 +64,15 @@
     if usable.iter().any(|key| !avoided.contains(key)) {
         usable.retain(|key| !avoided.contains(key));
     }
-    let need = call.generation.as_ref().map_or_else(Need::default, |found| found.need.clone());
-    let mut candidates = candidates(call, state, &usable, &need, now);
-    while let Some(best) = choice::choose(&call.shared.choice, &need, &candidates, call.seed()) {
+    let plain = Need::default();
+    let need = call.generation.as_ref().map_or(&plain, |found| &found.need);
+    let mut candidates = candidates(call, state, &usable, need, now);
+    while let Some(best) = choice::choose(&call.shared.choice, need, &candidates, call.seed()) {
         if !bears(call, state, best.key, now) {
             candidates.retain(|candidate| candidate.key != best.key);
             continue;
         }
-        return go(call, state, best, &need, now);
+        return go(call, state, best, need, now);
     }
     Pick::Full
 }
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -17,7 +17,6 @@
 use crate::forward::attempt::Attempts;
 use crate::forward::attempt::Live;
 use crate::forward::response;
-use crate::forward::Closing;
 
 /// How the beginning of a stream went.
 pub enum Begun {
@@ -150,9 +149,7 @@
     fn finish(&mut self) {
         let Some(live) = self.live.take() else { return };
         let shared = &self.attempts.call.shared;
-        if live.head.extensions.get::<Closing>().is_none() {
-            shared.pool.give_back(&live.target.id, live.lane, live.facts.keep);
-        }
+        shared.pool.give_back(&live.target.id, live.lane, &live.head.headers);
         shared.state().engines.succeed(live.target.key);
         self.attempts.call.record().answer(200, "engine");
     }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -29,6 +29,7 @@
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
 use http::header;
+use http::response::Parts;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -43,6 +44,7 @@
 
 use crate::metrics::OrderLabels;
 use crate::peers;
+use crate::pool::Lane;
 use crate::state::EffectKind;
 use crate::state::Shared;
 use crate::state::State;
@@ -288,7 +290,7 @@
         state.lease.token(clock::now()).and_then(|token| compose(shared, &state, order, token))
     };
     let Some((id, address, body)) = composed else { return Answer::Busy };
-    let Ok(mut lane) = shared.pool.lane(&id, address, true).await else { return Answer::Busy };
+    let Ok(lane) = shared.pool.lane(&id, address, true).await else { return Answer::Busy };
     // The lease may have run out while the connection came up.
     if shared.state().lease.token(clock::now()).is_none() {
         return Answer::Busy;
@@ -296,16 +298,8 @@
     let Some(request) = request(Method::POST, orders::ORDER_PATH, &id, body) else {
         return Answer::Rejected;
     };
-    let answered = timeout(ANSWER, async {
-        let response = lane.send(request).await.ok()?;
-        let (head, body) = response.into_parts();
-        Limited::new(body, MOST_REPORT).collect().await.ok()?;
-        Some(head)
-    });
-    let Ok(Some(head)) = answered.await else { return Answer::Unanswered };
-    if head.headers.get(header::CONNECTION).is_none_or(|value| value != "close") {
-        shared.pool.give_back(&id, lane, headers::answer(&head.headers).keep);
-    }
+    let answered = exchange(shared, &id, lane, request).await;
+    let Some((head, _)) = answered else { return Answer::Unanswered };
     orders::answer(head.status.as_u16())
 }
 
@@ -345,6 +339,23 @@
     Some(request)
 }
 
+/// Sends a request and reads its whole answer; `None` where that fails or takes too long.
+async fn exchange(
+    shared: &Shared,
+    id: &str,
+    mut lane: Lane,
+    request: Request<Full<Bytes>>,
+) -> Option<(Parts, Bytes)> {
+    let answered = timeout(ANSWER, async {
+        let (head, body) = lane.send(request).await.ok()?.into_parts();
+        let body = Limited::new(body, MOST_REPORT).collect().await.ok()?;
+        Some((head, body.to_bytes()))
+    });
+    let (head, body) = answered.await.ok().flatten()?;
+    shared.pool.give_back(id, lane, &head.headers);
+    Some((head, body))
+}
+
 /// Asks an engine what it holds.
 async fn inspect(shared: &Shared, engine: UpstreamKey) {
     let report = report(shared, engine).await;
@@ -369,18 +380,9 @@
         let engine = state.engines.get(engine)?;
         (engine.id.clone(), engine.address)
     };
-    let mut lane = shared.pool.lane(&id, address, false).await.ok()?;
+    let lane = shared.pool.lane(&id, address, false).await.ok()?;
     let request = request(Method::GET, orders::REPORT_PATH, &id, Bytes::new())?;
-    let asked = timeout(ANSWER, async {
-        let response = lane.send(request).await.ok()?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MOST_REPORT).collect().await.ok()?;
-        Some((head, body.to_bytes()))
-    });
-    let (head, body) = asked.await.ok().flatten()?;
-    if head.headers.get(header::CONNECTION).is_none_or(|value| value != "close") {
-        shared.pool.give_back(&id, lane, headers::answer(&head.headers).keep);
-    }
+    let (head, body) = exchange(shared, &id, lane, request).await?;
     head.status.is_success().then(|| orders::report(&body).ok()).flatten()
 }
 
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use corianderyoke_adapter::headers;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
+use http::header;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -61,6 +64,12 @@
     keep: Duration,
 }
 
+/// Whether an engine closes the connection after an answer.
+fn closes(head: &HeaderMap) -> bool {
+    let told = head.get(header::CONNECTION).and_then(|value| value.to_str().ok());
+    told.is_some_and(|told| told.eq_ignore_ascii_case("close"))
+}
+
 /// Idle connections by engine.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -114,11 +123,12 @@
         Ok(Lane { sender, task })
     }
 
-    /// Takes a connection back whose answer was read to its end; `keep` is the engine's word on
-    /// how long it keeps idle ones.
-    pub fn give_back(&self, engine: &str, lane: Lane, keep: Option<Duration>) {
+    /// Takes a connection back whose answer was read to its end; `head` holds the engine's word on
+    /// whether and how long it keeps the connection.
+    pub fn give_back(&self, engine: &str, lane: Lane, head: &HeaderMap) {
+        let keep = headers::answer(head).keep;
         let keep = keep.map_or(KEEP, |told| told.saturating_sub(MARGIN));
-        if keep.is_zero() {
+        if keep.is_zero() || closes(head) {
             return;
         }
         let mut idle = self.idle.lock();
