Count calls to the store in the metrics

The metric was registered and never counted, so it showed zero whatever happened. It is now read from the store client, which counts reads, writes and failures, and a test fetches the metrics.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,8 +1,13 @@
 //! Counters and histograms, served at the metrics address.
 
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::DescriptorEncoder;
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeMetric;
+use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -10,6 +15,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::state::Shared;
+
 /// Labels of an answered request.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct AnswerLabels {
@@ -45,8 +52,6 @@
     pub orders: Family<OrderLabels, Counter>,
     /// Requests in work.
     pub open: Gauge,
-    /// Calls to the store.
-    pub store_calls: Counter<u64, AtomicU64>,
 }
 
 impl Default for Metrics {
@@ -61,7 +66,6 @@
             resumed: Counter::default(),
             orders: Family::default(),
             open: Gauge::default(),
-            store_calls: Counter::default(),
         }
     }
 }
@@ -76,6 +80,26 @@
         registry.register("resumed", "Streams resumed elsewhere", self.resumed.clone());
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("open_requests", "Requests in work", self.open.clone());
-        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+    }
+}
+
+/// Reads the store client's own counts when the metrics are asked for.
+#[derive(Debug)]
+pub struct StoreCalls(pub Arc<Shared>);
+
+impl Collector for StoreCalls {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> std::fmt::Result {
+        let calls = &self.0.store.calls;
+        let totals = [
+            ("store_reads", "Reads and feeds sent to the store", &calls.reads),
+            ("store_writes", "Writes sent to the store", &calls.writes),
+            ("store_failed", "Calls that the store refused or didn't answer", &calls.failed),
+        ];
+        for (name, help, total) in totals {
+            let counter = ConstCounter::new(total.load(Ordering::Relaxed));
+            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+            counter.encode(metric)?;
+        }
+        Ok(())
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -24,6 +24,7 @@
 use crate::directory;
 use crate::front;
 use crate::joining;
+use crate::metrics::StoreCalls;
 use crate::orders;
 use crate::peers;
 use crate::settings::Settings;
@@ -61,6 +62,7 @@
     let socket = socket.with_context(|| format!("failed to bind {}", settings.peers))?;
     let mut registry = Registry::with_prefix("corianderyoke");
     shared.metrics.register(&mut registry);
+    registry.register_collector(Box::new(StoreCalls(Arc::clone(&shared))));
     let registry = Arc::new(registry);
     tokio::spawn(write_log());
     tokio::spawn(sweep(Arc::clone(&shared)));
--- a/crates/daemon/tests/fleet/calls.rs
+++ b/crates/daemon/tests/fleet/calls.rs
@@ -132,3 +132,16 @@
     until(|| async { world.addresses(&first).await.contains(&address) }).await;
     assert_eq!(world.addresses(&first).await.len(), 2);
 }
+
+#[tokio::test]
+async fn metrics_count_answers_and_calls_to_the_store() {
+    let world = World::start().await;
+    world.plain("i-1").await;
+    let daemon = world.daemon("d1").await;
+    assert_eq!(world.request(&daemon, "/once/", "1").send().await.expect("ok").status(), 200);
+    let count = |name| world.metric(&daemon, name);
+    until(|| async { count("corianderyoke_answers_total").await == Some(1.0) }).await;
+    // At least the rows read at the start, and the daemon's own row.
+    assert!(count("corianderyoke_store_reads_total").await >= Some(4.0));
+    assert!(count("corianderyoke_store_writes_total").await >= Some(1.0));
+}
--- a/crates/daemon/tests/fleet/world.rs
+++ b/crates/daemon/tests/fleet/world.rs
@@ -31,6 +31,8 @@
     pub ready: SocketAddr,
     /// Address of the directory.
     pub directory: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
     child: Child,
     file: tempfile::NamedTempFile,
 }
@@ -116,7 +118,7 @@
             .stdout(Stdio::null())
             .spawn()
             .expect("the daemon starts");
-        Daemon { callers, ready, directory, child, file }
+        Daemon { callers, ready, directory, metrics, child, file }
     }
 
     /// A request of the team to a route; `path` begins with the route's prefix.
@@ -151,6 +153,14 @@
         answer.ok().map(|answer| answer.status().as_u16())
     }
 
+    /// The value of one of a daemon's metrics.
+    pub async fn metric(&self, daemon: &Daemon, name: &str) -> Option<f64> {
+        let answer = self.client.get(format!("http://{}/metrics", daemon.metrics)).send().await;
+        let text = answer.ok()?.text().await.ok()?;
+        let line = text.lines().find(|line| line.starts_with(name))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// The addresses that a daemon's directory names.
     pub async fn addresses(&self, daemon: &Daemon) -> Vec<String> {
         let url = format!("http://{}/resolve?name=a.example&region=r&zone=a", daemon.directory);
