Count adapters that no entry shows yet among an engine's places

Cause: an engine's report lists adapters on their way apart from those that it holds, and the report's count of orders includes theirs. So an order that was given right after such a report passed the engine's check of that count though the planner had counted a place too few. In the same way an entry that a slow store brought more than 2.5 s after an adapter was ordered took the adapter out of the count. Both end in an order for more than the engine's places hold.

Ruled out by reading: models (their loads keep the engine's work entry until an entry shows them), orders carried out late and reports from before an order (both fail the engine's check of the count), a second holder (it asks every engine first).

Both tests failed before. A report that can't be read is logged now.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -68,6 +68,8 @@
     pub orders: u64,
     /// Adapters by model, for each model held.
     pub models: IndexMap<String, Vec<String>>,
+    /// Adapters that are still on their way from the weight store, with their models.
+    pub coming: Vec<(String, String)>,
 }
 
 /// An engine as this daemon knows it.
@@ -105,6 +107,9 @@
     missing: Option<Tick>,
     /// Adapters that the order holder spoke of, and when; they may be newer than the entry.
     word: IndexMap<AdapterKey, (ModelKey, bool, Tick)>,
+    /// Adapters that take a place though no entry shows them yet: they are on their way, or were
+    /// ordered after the entry was written.
+    arriving: IndexSet<(ModelKey, AdapterKey)>,
     suspect: Suspicion,
 }
 
@@ -182,11 +187,15 @@
         engine.suspect = old.suspect;
         engine.unloading = old.unloading.filter(|model| engine.models.contains_key(model));
         engine.orders = old.orders;
+        engine.arriving.clone_from(&old.arriving);
         for (&adapter, &(model, held, at)) in &old.word {
             if now.since(at) < WORD_SPAN {
                 engine.say(model, adapter, held, at);
+            } else if held {
+                engine.arriving.insert((model, adapter));
             }
         }
+        engine.settle_arriving();
         let change = match (old.stage, engine.stage) {
             (Stage::Ready, Stage::Draining) => Change::Left,
             _ if old.models == engine.models && old.on_disk == engine.on_disk => Change::Same,
@@ -310,7 +319,14 @@
         for (model, adapters) in &report.models {
             held.insert(self.names.models.intern(model), self.names.adapters(model, adapters));
         }
+        let coming = report.coming.iter();
+        let coming = coming
+            .map(|(model, adapter)| {
+                (self.names.models.intern(model), self.names.adapter(model, adapter))
+            })
+            .collect();
         let Some(engine) = self.listed.get_mut(&key) else { return };
+        engine.arriving = coming;
         engine.unloading = engine.unloading.filter(|model| report.busy && held.contains_key(model));
         engine.models = held;
         engine.orders = Some(report.orders);
@@ -402,6 +418,7 @@
             unloading: None,
             missing: None,
             word: IndexMap::new(),
+            arriving: IndexSet::new(),
             suspect: Suspicion::default(),
         }
     }
@@ -420,6 +437,15 @@
         }
     }
 
+    /// Adapters of a model that take a place, those on their way included.
+    pub fn adapters(&self, model: ModelKey) -> usize {
+        let held = self.models.get(&model);
+        let is_held = |adapter| held.is_some_and(|held| held.contains(adapter));
+        let arriving = self.arriving.iter();
+        let arriving = arriving.filter(|(of, adapter)| *of == model && !is_held(adapter));
+        held.map_or(0, IndexSet::len) + arriving.count()
+    }
+
     /// Whether it is still cold.
     pub fn is_cold(&self, now: Tick) -> bool {
         now < self.warm_at
@@ -428,6 +454,9 @@
     fn say(&mut self, model: ModelKey, adapter: AdapterKey, held: bool, at: Tick) {
         self.word.insert(adapter, (model, held, at));
         self.absent.swap_remove(&(model, Some(adapter)));
+        if !held {
+            self.arriving.swap_remove(&(model, adapter));
+        }
         let Some(adapters) = self.models.get_mut(&model) else { return };
         if held {
             adapters.insert(adapter);
@@ -435,4 +464,12 @@
             adapters.swap_remove(&adapter);
         }
     }
+
+    /// Forgets adapters on their way that arrived, or whose model went.
+    fn settle_arriving(&mut self) {
+        let models = &self.models;
+        self.arriving.retain(|(model, adapter)| {
+            models.get(model).is_some_and(|held| !held.contains(adapter))
+        });
+    }
 }
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -602,7 +602,7 @@
 }
 
 fn adapters_held(engine: &Engine) -> usize {
-    engine.models.values().map(IndexSet::len).sum()
+    engine.models.keys().map(|&model| engine.adapters(model)).sum()
 }
 
 /// Accelerator memory that an engine's models and adapters take.
@@ -615,7 +615,6 @@
 }
 
 fn adapters_mb(spec: &EngineSpec, engines: &Engines, engine: &Engine, model: ModelKey) -> f64 {
-    let count = engine.models.get(&model).map_or(0, IndexSet::len);
     let size = spec.models.get(engines.names.models.name(model));
-    size.map_or(0.0, |size| size.adapter_mb * count as f64)
+    size.map_or(0.0, |size| size.adapter_mb * engine.adapters(model) as f64)
 }
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -3,6 +3,7 @@
 use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::serving::desired::EngineSpec;
 use corianderyoke_coord::serving::engines::Engines;
+use corianderyoke_coord::serving::engines::Report;
 use corianderyoke_coord::serving::residency::Action;
 use corianderyoke_coord::serving::residency::Answer;
 use corianderyoke_coord::serving::residency::Op;
@@ -250,6 +251,47 @@
     assert_eq!(plan(&mut planner, &spec, &engines, 400), [Action::Inspect(key)]);
 }
 
+#[test]
+fn an_adapter_on_its_way_takes_a_place() {
+    let mut held = entry("e1", &["m"], &[]);
+    held.models.insert("m".to_owned(), vec!["a1".to_owned()]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    let spec = spec(100_000.0, &["m"]);
+    let key = engine(&engines, "e1");
+    let base = model(&mut engines, "m");
+    let adapter = |engines: &mut Engines, name| engines.names.adapter("m", name);
+    let (a1, a3) = (adapter(&mut engines, "a1"), adapter(&mut engines, "a3"));
+    let coming = vec![("m".to_owned(), "a2".to_owned())];
+    engines.report(key, &Report { coming, ..report(&held, 2) });
+    let mut planner = Planner::default();
+    planner.want_adapter(base, a3, ms(0));
+    let first = orders(&plan(&mut planner, &spec, &engines, 0));
+    assert_eq!(first, [Order { engine: key, op: Op::UnloadAdapter(base, a1), expected: 2 }]);
+}
+
+#[test]
+fn an_adapter_that_was_ordered_keeps_its_place_however_old_the_next_entry_is() {
+    let mut held = entry("e1", &["m"], &[]);
+    held.models.insert("m".to_owned(), vec!["a1".to_owned()]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    let spec = spec(100_000.0, &["m"]);
+    let key = engine(&engines, "e1");
+    let base = model(&mut engines, "m");
+    let adapter = |engines: &mut Engines, name| engines.names.adapter("m", name);
+    let (a1, a2) = (adapter(&mut engines, "a1"), adapter(&mut engines, "a2"));
+    let a3 = adapter(&mut engines, "a3");
+    let mut planner = Planner::default();
+    planner.want_adapter(base, a2, ms(0));
+    let load = orders(&plan(&mut planner, &spec, &engines, 0))[0];
+    planner.answered(load, Answer::Accepted, &spec, &mut engines, ms(5));
+    // A slow store brings an entry from before the order seconds later.
+    engines.list(held, ms(9_000));
+    assert!(engines.get(key).is_some_and(|engine| !engine.holds(base, Some(a2))));
+    planner.want_adapter(base, a3, ms(9_000));
+    let next = orders(&plan(&mut planner, &spec, &engines, 9_000));
+    assert_eq!(next, [Order { engine: key, op: Op::UnloadAdapter(base, a1), expected: 1 }]);
+}
+
 #[test]
 fn adapters_wait_while_their_engine_carries_out_an_order_on_a_model() {
     let mut engines = engines(&[entry("e1", &["m"], &[])]);
--- a/crates/coord/tests/serving/world.rs
+++ b/crates/coord/tests/serving/world.rs
@@ -52,7 +52,7 @@
 
 /// What an engine with this entry says of itself.
 pub fn report(entry: &Entry, orders: u64) -> Report {
-    Report { busy: false, orders, models: entry.models.clone() }
+    Report { busy: false, orders, models: entry.models.clone(), coming: Vec::new() }
 }
 
 /// Engines of `memory_mb` for models of 60 GB each, that load from disk in 0.4 s and from the
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -383,7 +383,16 @@
     let lane = shared.pool.lane(&id, address, false).await.ok()?;
     let request = request(Method::GET, orders::REPORT_PATH, &id, Bytes::new())?;
     let (head, body) = exchange(shared, &id, lane, request).await?;
-    head.status.is_success().then(|| orders::report(&body).ok()).flatten()
+    if !head.status.is_success() {
+        return None;
+    }
+    match orders::report(&body) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            events::log(Event::EntrySkipped, format_args!("report of engine={id}: {error}"));
+            None
+        }
+    }
 }
 
 fn log(shared: &Shared, order: Order, answer: Answer) {
