--- a/crates/coord/src/serving/caps.rs
+++ b/crates/coord/src/serving/caps.rs
@@ -4,7 +4,11 @@
 //! those of the others as they tell their totals. What a total says is never taken twice, and a
 //! lost message is made good by the next. Daemons that are known but silent may be serving behind
 //! a cut, so a daemon gains only the part of the rate that belongs to those it hears.
+//!
+//! In a large fleet only relays hear all totals. They tell the sum, and what is left of their own
+//! buckets.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -22,6 +26,10 @@
 /// Part of the burst that a bucket holds where nothing is known of what was admitted before: what
 /// the fleet admitted before it was lost and this part stay inside the tolerance.
 const START_SHARE: f64 = 0.25;
+/// Time after which a relay's sum contains what a daemon admitted: two pauses between words.
+const SUM_LAG: Duration = Duration::from_millis(500);
+/// Time after which an admission that no relay asked for is forgotten.
+const RECENT_SPAN: Duration = Duration::from_secs(2);
 /// Shortest advice on when to come back, in seconds: below it callers only add load.
 const SHORTEST_WAIT: f64 = 0.2;
 
@@ -50,6 +58,19 @@
     total: i64,
 }
 
+/// What a relay tells of a team.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Relayed {
+    /// Name of the relay.
+    pub relay: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Tokens that it and all daemons that it hears admitted, less those given back.
+    pub sum: i64,
+    /// Tokens left in its bucket.
+    pub level: i64,
+}
+
 /// One team's bucket.
 #[derive(Clone, Debug)]
 pub struct TeamBucket {
@@ -61,7 +82,13 @@
     level: f64,
     at: Tick,
     total: i64,
+    /// What others admitted, as far as they told.
+    heard: i64,
     told: IndexMap<String, Told>,
+    /// Own admissions that a relay's sum may not contain yet; below zero where tokens came back.
+    recent: VecDeque<(Tick, i64)>,
+    /// What a relay told last.
+    relayed: Option<Relayed>,
 }
 
 impl TeamBucket {
@@ -77,7 +104,10 @@
             level: cap.burst * share,
             at: now,
             total: 0,
+            heard: 0,
             told: IndexMap::new(),
+            recent: VecDeque::new(),
+            relayed: None,
         }
     }
 
@@ -96,7 +126,7 @@
         let needed = tokens.min(self.cap.burst);
         if self.level >= needed {
             self.level -= tokens;
-            self.total += tokens as i64;
+            self.count(tokens as i64, now);
             return Ok(());
         }
         let rate = (self.cap.rate * share).max(1.0);
@@ -110,9 +140,24 @@
     }
 
     /// Gives back the tokens of an admitted request that never ran.
-    pub fn refund(&mut self, tokens: u64) {
+    pub fn refund(&mut self, tokens: u64, now: Tick) {
         self.level = (self.level + tokens as f64).min(self.cap.burst);
-        self.total -= tokens as i64;
+        self.count(-(tokens as i64), now);
+    }
+
+    fn count(&mut self, tokens: i64, now: Tick) {
+        self.total += tokens;
+        self.recent.push_back((now, tokens));
+        self.settle(RECENT_SPAN, now);
+    }
+
+    /// Takes own admissions off the list that are older than `span`; gives their sum.
+    fn settle(&mut self, span: Duration, now: Tick) -> i64 {
+        let mut sum = 0;
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) >= span) {
+            sum += self.recent.pop_front().map_or(0, |(_, tokens)| tokens);
+        }
+        sum
     }
 
     /// Tokens admitted here since the daemon's start, less those given back.
@@ -120,8 +165,9 @@
         self.total
     }
 
-    /// Takes out what another daemon admitted since it last told its total.
-    pub fn hear(&mut self, daemon: &str, incarnation: u64, total: i64) {
+    /// Takes out what another daemon admitted since it last told its total; whether it told a new
+    /// one.
+    pub fn hear(&mut self, daemon: &str, incarnation: u64, total: i64) -> bool {
         let told = Told { incarnation, total };
         let before = self.told.insert(daemon.to_owned(), told);
         let since = match before {
@@ -131,18 +177,37 @@
             // It may have been admitted long before this daemon started.
             None => 0,
         };
+        self.heard += since;
         self.level = (self.level - since as f64).min(self.cap.burst);
+        before != Some(told)
+    }
+
+    /// Tokens admitted here and by those that were heard, less those given back.
+    pub fn sum(&self) -> i64 {
+        self.total + self.heard
     }
 
-    /// The level, in whole tokens; below zero where the team is in debt.
-    pub fn level(&self) -> i64 {
+    /// The level now, in whole tokens; below zero where the team is in debt.
+    pub fn level(&mut self, share: f64, now: Tick) -> i64 {
+        self.refill(share, now);
         self.level as i64
     }
 
-    /// Takes over the level of a daemon that hears all others, where it is lower: that daemon may
-    /// know of admissions that weren't told here.
-    pub fn bound(&mut self, level: i64) {
-        self.level = self.level.min(level as f64);
+    /// Takes in what a relay tells: what all daemons admitted since it told last, where own
+    /// admissions count once; and its level where that is lower, since it may know of admissions
+    /// from before this daemon heard it.
+    pub fn follow(&mut self, told: Relayed, share: f64, now: Tick) {
+        // What was gained before the relay told must not be added to its level later.
+        self.refill(share, now);
+        // The relay's sum contains these by now.
+        let own = self.settle(SUM_LAG, now);
+        let same =
+            |last: &&Relayed| (&last.relay, last.incarnation) == (&told.relay, told.incarnation);
+        if let Some(last) = self.relayed.as_ref().filter(same) {
+            self.level += (own - (told.sum - last.sum)) as f64;
+        }
+        self.level = self.level.min(told.level as f64).min(self.cap.burst);
+        self.relayed = Some(told);
     }
 
     fn refill(&mut self, share: f64, now: Tick) {
--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -6,6 +6,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::hash::hash;
+use crate::hash::mix;
 use crate::keys::AdapterKey;
 use crate::keys::Interner;
 use crate::keys::ModelKey;
@@ -20,6 +22,10 @@
 const SUSPECT_SPAN: Duration = Duration::from_millis(400);
 /// Longest time for which failures keep an engine passed over.
 const SUSPECT_MOST: Duration = Duration::from_secs(5);
+/// Engines that went which are remembered, against word that is older.
+const MOST_GONE: usize = 512;
+/// Least time by which an engine's cold span grows where it turned cold again; entries lag by less.
+const COLD_STEP: Duration = Duration::from_millis(500);
 /// Time for which word of an adapter outlives an entry that was written before it.
 const WORD_SPAN: Duration = Duration::from_millis(2_500);
 
@@ -57,6 +63,8 @@
     pub in_memory: Vec<String>,
     /// Models whose weights lie on disk.
     pub on_disk: Vec<String>,
+    /// Version of the store's row.
+    pub version: u64,
 }
 
 /// What an engine says of itself when it is asked, by names.
@@ -99,6 +107,8 @@
     pub in_memory: IndexSet<ModelKey>,
     /// Models whose weights lie on disk.
     pub on_disk: IndexSet<ModelKey>,
+    /// Version of the row that it was last listed by.
+    pub version: u64,
     /// Models and adapters that requests didn't find there since its last entry or report.
     absent: IndexSet<(ModelKey, Option<AdapterKey>)>,
     /// Model that it was told to unload and still counts as memory.
@@ -120,6 +130,12 @@
     until: Tick,
 }
 
+/// An engine's identity as one number, for lists of many engines. Two that share one would count
+/// as equally loaded.
+pub fn mark(id: &str) -> u32 {
+    mix(hash(0, id.bytes())) as u32
+}
+
 /// Names behind the keys of engines and what they hold.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -150,6 +166,8 @@
     /// Names behind the keys.
     pub names: Names,
     listed: IndexMap<UpstreamKey, Engine>,
+    /// Engines that went, with the versions by which they did; the last of them.
+    gone: IndexMap<UpstreamKey, u64>,
     drained: IndexSet<ZoneKey>,
     recovering: Option<Tick>,
 }
@@ -161,16 +179,37 @@
     Added,
     /// The engine started again under its old identity.
     Restarted,
-    /// Something of it changed.
+    /// It turned cold.
+    Cooled,
+    /// It holds other models, or takes requests again.
     Updated,
     /// It left, or is leaving.
     Left,
-    /// Nothing that matters.
+    /// Nothing that the orders given to it don't explain.
     Same,
 }
 
 impl Engines {
-    /// Takes an engine's entry over.
+    /// Takes an entry over that another daemon read, unless this one read a newer one. Where copies
+    /// of weights lie isn't told.
+    pub fn hear(&mut self, entry: Entry, now: Tick) -> Change {
+        let key = self.names.engines.intern(&entry.id);
+        let copies = match self.listed.get(&key) {
+            Some(old) if old.version >= entry.version => return Change::Same,
+            Some(old) => (old.in_memory.clone(), old.on_disk.clone()),
+            None if self.gone.get(&key).is_some_and(|at| *at >= entry.version) => {
+                return Change::Same;
+            }
+            None => Default::default(),
+        };
+        let change = self.list(entry, now);
+        if let Some(engine) = self.listed.get_mut(&key) {
+            (engine.in_memory, engine.on_disk) = copies;
+        }
+        change
+    }
+
+    /// Takes an engine's entry over, unless a newer one was read before.
     pub fn list(&mut self, entry: Entry, now: Tick) -> Change {
         let key = self.names.engines.intern(&entry.id);
         let mut engine = self.engine(entry, now);
@@ -178,6 +217,9 @@
             self.listed.insert(key, engine);
             return Change::Added;
         };
+        if engine.version < old.version {
+            return Change::Same;
+        }
         let restarted = engine.address != old.address
             || (engine.born.is_some() && old.born.is_some() && engine.born != old.born);
         if restarted {
@@ -198,7 +240,9 @@
         engine.settle_arriving();
         let change = match (old.stage, engine.stage) {
             (Stage::Ready, Stage::Draining) => Change::Left,
-            _ if old.models == engine.models && old.on_disk == engine.on_disk => Change::Same,
+            (Stage::Draining, Stage::Ready) => Change::Updated,
+            _ if engine.warm_at.since(old.warm_at.max(now)) >= COLD_STEP => Change::Cooled,
+            _ if old.holds_as(&engine) => Change::Same,
             _ => Change::Updated,
         };
         self.listed.insert(key, engine);
@@ -207,24 +251,41 @@
 
     /// An engine's entry is gone. Right after an outage of the platform the engine may still live,
     /// and is kept until it had its time to come back.
-    pub fn unlist(&mut self, id: &str, now: Tick) -> Change {
+    /// `version` is that of the row's end.
+    pub fn unlist(&mut self, id: &str, version: u64, now: Tick) -> Change {
         let Some(key) = self.names.engines.key(id) else { return Change::Same };
         if self.recovering.is_some_and(|until| now < until) {
             if let Some(engine) = self.listed.get_mut(&key) {
                 engine.missing = Some(now);
+                engine.version = version;
             }
             return Change::Same;
         }
+        self.bury(key, version);
         match self.listed.shift_remove(&key) {
             Some(_) => Change::Left,
             None => Change::Same,
         }
     }
 
-    /// An engine is known to leave before its entry was read.
-    pub fn leave(&mut self, key: UpstreamKey) {
-        if let Some(engine) = self.listed.get_mut(&key) {
+    fn bury(&mut self, key: UpstreamKey, version: u64) {
+        self.gone.shift_remove(&key);
+        self.gone.insert(key, version);
+        let excess = self.gone.len().saturating_sub(MOST_GONE);
+        self.gone.drain(..excess);
+    }
+
+    /// Version by which an engine was last listed, or went.
+    pub fn version(&self, key: UpstreamKey) -> u64 {
+        let listed = self.listed.get(&key).map(|engine| engine.version);
+        listed.or_else(|| self.gone.get(&key).copied()).unwrap_or(0)
+    }
+
+    /// An engine is known to leave, by a row with this version that wasn't read here.
+    pub fn leave(&mut self, key: UpstreamKey, version: u64) {
+        if let Some(engine) = self.listed.get_mut(&key).filter(|e| e.version <= version) {
             engine.stage = Stage::Draining;
+            engine.version = version;
         }
     }
 
@@ -241,8 +302,10 @@
         self.recovering = None;
         let gone = self.listed.iter().filter(|(_, engine)| engine.missing.is_some());
         let gone: Vec<UpstreamKey> = gone.map(|(&key, _)| key).collect();
-        for key in &gone {
-            self.listed.shift_remove(key);
+        for &key in &gone {
+            if let Some(engine) = self.listed.shift_remove(&key) {
+                self.bury(key, engine.version);
+            }
         }
         gone
     }
@@ -414,6 +477,7 @@
             models,
             in_memory,
             on_disk,
+            version: entry.version,
             absent: IndexSet::new(),
             unloading: None,
             missing: None,
@@ -437,6 +501,12 @@
         }
     }
 
+    /// Whether another state of it holds the same models.
+    fn holds_as(&self, other: &Engine) -> bool {
+        let same = |model| other.models.contains_key(model);
+        self.models.len() == other.models.len() && self.models.keys().all(same)
+    }
+
     /// Adapters of a model that take a place, those on their way included.
     pub fn adapters(&self, model: ModelKey) -> usize {
         let held = self.models.get(&model);
--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -9,6 +9,7 @@
 //! | [`caps`] | whether a team's cap over the whole fleet lets a request in |
 //! | [`shares`] | how much of a fleet-wide allowance this daemon may use alone |
 //! | [`roster`] | which daemons are alive |
+//! | [`looks`] | how often a daemon reads the engines' entries itself |
 //! | [`lease`] | which daemon orders loads and unloads |
 //! | [`residency`] | what is loaded where |
 //! | [`stream`] | how much of a stream may be passed on |
@@ -19,6 +20,7 @@
 pub mod desired;
 pub mod engines;
 pub mod lease;
+pub mod looks;
 pub mod residency;
 pub mod roster;
 pub mod shares;
--- a/crates/coord/src/serving/roster.rs
+++ b/crates/coord/src/serving/roster.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::hash::hash;
 use crate::hash::mix;
@@ -18,6 +19,9 @@
 /// Seed of the hash that orders successors, another so that one instance doesn't do everything.
 const DUTY: u64 = 2;
 
+/// Seed of the hash by which daemons are listed in short.
+const MARK: u64 = 3;
+
 /// Time without word after which a daemon isn't named to callers any longer: several messages in
 /// a row must have been lost.
 pub const SILENCE: Duration = Duration::from_millis(1_500);
@@ -56,6 +60,8 @@
     heard: Option<Tick>,
     fitness: Fitness,
     since: Tick,
+    /// When it was last new, started again or changed its fitness.
+    changed: Tick,
 }
 
 /// All daemons but this one.
@@ -76,7 +82,8 @@
                 .get(&daemon.name)
                 .is_none_or(|known| known.daemon.incarnation < daemon.incarnation);
             if newer {
-                let known = Known { daemon, heard: None, fitness: Fitness::Unready, since: now };
+                let fitness = Fitness::Unready;
+                let known = Known { daemon, heard: None, fitness, since: now, changed: now };
                 self.others.insert(known.daemon.name.clone(), known);
             }
         }
@@ -91,7 +98,9 @@
         let new = before.is_none_or(|known| {
             known.heard.is_none() || known.daemon.incarnation < daemon.incarnation
         });
-        let known = Known { daemon, heard: Some(now), fitness, since: now };
+        let same = before.filter(|known| !new && known.fitness == fitness);
+        let changed = same.map_or(now, |known| known.changed);
+        let known = Known { daemon, heard: Some(now), fitness, since: now, changed };
         self.others.insert(known.daemon.name.clone(), known);
         new
     }
@@ -118,10 +127,22 @@
         self.others.values().filter(quiet).map(|known| &known.daemon)
     }
 
-    /// Daemons heard lately, with what they can do for callers.
-    pub fn described(&self, now: Tick) -> impl Iterator<Item = (&Daemon, Fitness)> {
+    /// Daemons heard lately, with what they can do for callers and when that changed.
+    pub fn described(&self, now: Tick) -> impl Iterator<Item = (&Daemon, Fitness, Tick)> {
         let heard = self.others.values().filter(move |known| known.is_heard(now));
-        heard.map(|known| (&known.daemon, known.fitness))
+        heard.map(|known| (&known.daemon, known.fitness, known.changed))
+    }
+
+    /// Takes in a list of marks of daemons that were heard; gives whether one is known by none of
+    /// them, and so has to be looked up.
+    pub fn hear_marks(&mut self, marks: &[u32], own: u32, now: Tick) -> bool {
+        let mut unknown: IndexSet<u32> = marks.iter().copied().filter(|m| *m != own).collect();
+        for known in self.others.values_mut() {
+            if unknown.swap_remove(&mark(&known.daemon, known.fitness)) {
+                known.heard = Some(now);
+            }
+        }
+        !unknown.is_empty()
     }
 
     /// The daemons that hear everybody, first choice first: those on the largest instances, of
@@ -155,6 +176,13 @@
     }
 }
 
+/// A daemon's process and fitness as one number, for lists of many daemons. Two that share one
+/// would each count as heard with the other, once in some million fleets.
+pub fn mark(daemon: &Daemon, fitness: Fitness) -> u32 {
+    let process = daemon.name.bytes().chain(daemon.incarnation.to_le_bytes());
+    mix(hash(MARK, process.chain([fitness as u8]))) as u32
+}
+
 impl Known {
     fn is_heard(&self, now: Tick) -> bool {
         self.heard.is_some_and(|at| now.since(at) < SILENCE)
--- a/crates/coord/tests/serving/caps.rs
+++ b/crates/coord/tests/serving/caps.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use corianderyoke_coord::serving::caps::Relayed;
 use corianderyoke_coord::serving::caps::TeamBucket;
 use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::desired::Cap;
@@ -51,17 +52,52 @@
     assert_eq!(bucket.admit(400, 1.0, ms(0)), Ok(()));
 }
 
+fn relayed(sum: i64, level: i64) -> Relayed {
+    Relayed { relay: "r".to_owned(), incarnation: 1, sum, level }
+}
+
 #[test]
 fn a_relay_that_heard_everything_bounds_what_a_daemon_that_started_again_admits() {
     let mut bucket = TeamBucket::new(CAP, Tolerance::default(), false, ms(0));
-    bucket.bound(100);
+    bucket.follow(relayed(0, 100), 1.0, ms(0));
     assert!(bucket.admit(200, 1.0, ms(0)).is_err());
     assert_eq!(bucket.admit(100, 1.0, ms(0)), Ok(()));
     // What the relay has not heard of yet doesn't come back.
-    bucket.bound(2_000);
+    bucket.follow(relayed(0, 2_000), 1.0, ms(0));
     assert!(bucket.admit(200, 1.0, ms(0)).is_err());
 }
 
+#[test]
+fn what_a_relay_sums_up_is_taken_once_and_comes_back_where_it_did_not_run() {
+    let cap = Cap { rate: 0.0, ..CAP };
+    let mut bucket = TeamBucket::new(cap, Tolerance::default(), true, ms(0));
+    let full = bucket.level(1.0, ms(0));
+    bucket.follow(relayed(10_000, full), 1.0, ms(0));
+    assert_eq!(bucket.admit(300, 1.0, ms(10)), Ok(()));
+    // Others admitted 500; this daemon's 300 are in the sum too.
+    bucket.follow(relayed(10_800, full), 1.0, ms(600));
+    assert_eq!(bucket.level(1.0, ms(600)), full - 800);
+    bucket.follow(relayed(10_800, full), 1.0, ms(800));
+    assert_eq!(bucket.level(1.0, ms(800)), full - 800);
+    // Of the others' 500 tokens 200 came back.
+    bucket.follow(relayed(10_600, full), 1.0, ms(1_000));
+    assert_eq!(bucket.level(1.0, ms(1_000)), full - 600);
+    // A relay that started again counts from another sum.
+    let again = Relayed { incarnation: 2, ..relayed(0, full) };
+    bucket.follow(again, 1.0, ms(1_200));
+    assert_eq!(bucket.level(1.0, ms(1_200)), full - 600);
+}
+
+#[test]
+fn a_daemon_that_admitted_nothing_for_long_gains_nothing_on_top_of_a_relays_level() {
+    let mut bucket = TeamBucket::new(CAP, Tolerance::default(), true, ms(0));
+    assert_eq!(bucket.admit(2_000, 1.0, ms(0)), Ok(()));
+    // A hot team used everything up at other daemons.
+    bucket.follow(relayed(9_000, 0), 1.0, ms(1_500));
+    assert!(bucket.admit(100, 1.0, ms(1_500)).is_err());
+    assert_eq!(bucket.admit(100, 1.0, ms(1_600)), Ok(()));
+}
+
 #[test]
 fn a_daemon_that_started_again_counts_from_nothing() {
     let mut bucket = TeamBucket::new(CAP, Tolerance::default(), true, ms(0));
@@ -76,7 +112,7 @@
 fn tokens_of_a_request_that_did_not_run_come_back() {
     let mut bucket = TeamBucket::new(CAP, Tolerance::default(), true, ms(0));
     assert_eq!(bucket.admit(2_000, 1.0, ms(0)), Ok(()));
-    bucket.refund(2_000);
+    bucket.refund(2_000, ms(0));
     assert_eq!(bucket.total(), 0);
     assert_eq!(bucket.admit(2_000, 1.0, ms(0)), Ok(()));
 }
--- a/crates/coord/tests/serving/engines.rs
+++ b/crates/coord/tests/serving/engines.rs
@@ -35,14 +35,14 @@
 fn an_entry_that_lapsed_in_an_outage_has_its_time_to_come_back() {
     let mut engines = engines(&[entry("e1", &[], &[]), entry("e2", &[], &[])]);
     engines.recover(ms(0));
-    assert_eq!(engines.unlist("e1", ms(100)), Change::Same);
-    assert_eq!(engines.unlist("e2", ms(100)), Change::Same);
+    assert_eq!(engines.unlist("e1", 0, ms(100)), Change::Same);
+    assert_eq!(engines.unlist("e2", 0, ms(100)), Change::Same);
     engines.list(entry("e1", &[], &[]), ms(1_500));
     assert!(engines.expire(ms(2_100)).is_empty());
     assert_eq!(engines.expire(ms(2_300)), [engine(&engines, "e2")]);
     assert_eq!(engines.usable(SERVICE, ms(2_300)), [engine(&engines, "e1")]);
     // Later an entry that goes means that the engine went.
-    assert_eq!(engines.unlist("e1", ms(5_000)), Change::Left);
+    assert_eq!(engines.unlist("e1", 0, ms(5_000)), Change::Left);
 }
 
 #[test]
@@ -99,3 +99,48 @@
     assert!(engine.is_cold(ms(2_999)));
     assert!(!engine.is_cold(ms(3_000)));
 }
+
+#[test]
+fn what_another_daemon_read_counts_where_it_is_newer() {
+    let listed = Entry { version: 5, ..entry("e1", &["m"], &["copy"]) };
+    let mut engines = engines(std::slice::from_ref(&listed));
+    let key = engine(&engines, "e1");
+    let (held, other) = (model(&mut engines, "m"), model(&mut engines, "other"));
+    let copy = model(&mut engines, "copy");
+    let stale = Entry { version: 4, ..entry("e1", &["other"], &[]) };
+    assert_eq!(engines.hear(stale.clone(), ms(10)), Change::Same);
+    assert_eq!(engines.list(stale, ms(10)), Change::Same);
+    assert!(engines.get(key).is_some_and(|engine| engine.holds(held, None)));
+    let newer = Entry { version: 6, ..entry("e1", &["other"], &[]) };
+    assert_eq!(engines.hear(newer, ms(20)), Change::Updated);
+    let heard = engines.get(key).expect("it is listed");
+    assert!(heard.holds(other, None) && !heard.holds(held, None));
+    // Copies aren't told, and are kept as they were read.
+    assert!(heard.on_disk.contains(&copy));
+}
+
+#[test]
+fn an_engine_that_turns_cold_again_shows() {
+    let mut engines = engines(&[entry("e1", &[], &[])]);
+    let cold = |millis| Entry { cold: Duration::from_millis(millis), ..entry("e1", &[], &[]) };
+    assert_eq!(engines.list(cold(3_000), ms(0)), Change::Cooled);
+    // The same span, told later.
+    assert_eq!(engines.list(cold(2_000), ms(1_100)), Change::Same);
+    assert_eq!(engines.list(cold(0), ms(3_100)), Change::Same);
+}
+
+#[test]
+fn an_engine_that_is_known_to_leave_is_not_brought_back_by_an_older_entry() {
+    let at = |version| Entry { version, ..entry("e1", &[], &[]) };
+    let mut engines = engines(&[at(3), entry("e2", &[], &[])]);
+    let key = engine(&engines, "e1");
+    // The teller read the end of the entry; this daemon's own read is held up.
+    engines.leave(key, 7);
+    assert_eq!(engines.list(at(5), ms(10)), Change::Same);
+    assert_eq!(engines.usable(SERVICE, ms(10)), [engine(&engines, "e2")]);
+    assert_eq!(engines.unlist("e1", 7, ms(20)), Change::Left);
+    // The other way round: word of an entry that this daemon read the end of.
+    assert_eq!(engines.hear(at(6), ms(30)), Change::Same);
+    assert!(engines.get(key).is_none());
+    assert_eq!(engines.list(at(9), ms(40)), Change::Added);
+}
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod engines;
 mod lease;
+mod looks;
 mod residency;
 mod roster;
 mod routes;
--- a/crates/coord/tests/serving/roster.rs
+++ b/crates/coord/tests/serving/roster.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use corianderyoke_coord::serving::roster::mark;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::serving::roster::Roster;
@@ -32,6 +33,24 @@
     assert_eq!(roster.size(), 5);
 }
 
+#[test]
+fn a_list_of_marks_stands_for_the_word_of_daemons_that_are_known_as_they_are() {
+    let mut roster = Roster::default();
+    roster.hear(daemon("d2", 1), Fitness::Ready, ms(0));
+    roster.hear(daemon("d3", 1), Fitness::Ready, ms(0));
+    let own = mark(&daemon("d1", 1), Fitness::Ready);
+    let marks = [own, mark(&daemon("d2", 1), Fitness::Ready)];
+    assert!(!roster.hear_marks(&marks, own, ms(1_400)));
+    assert_eq!(ready(&roster, 1_600), ["d2"]);
+    // It started again, or can't serve any more: what is known of it is out of date.
+    for changed in
+        [mark(&daemon("d2", 2), Fitness::Ready), mark(&daemon("d2", 1), Fitness::Leaving)]
+    {
+        assert!(roster.hear_marks(&[changed], own, ms(2_800)));
+        assert_eq!(ready(&roster, 3_000), Vec::<String>::new());
+    }
+}
+
 #[test]
 fn word_of_an_earlier_start_is_dropped() {
     let mut roster = Roster::default();
--- a/crates/coord/tests/serving/world.rs
+++ b/crates/coord/tests/serving/world.rs
@@ -36,6 +36,7 @@
         models: held.collect(),
         in_memory: Vec::new(),
         on_disk: models.iter().chain(disk).map(|model| (*model).to_owned()).collect(),
+        version: 0,
     }
 }
 
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -241,7 +241,7 @@
         let tokens = std::mem::take(&mut self.charged);
         let Some(team) = &self.team else { return };
         if let Some(bucket) = self.shared.state().caps.get_mut(team) {
-            bucket.refund(tokens);
+            bucket.refund(tokens, clock::now());
         }
     }
 
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -32,8 +32,12 @@
 const KEY_BYTES: usize = 32;
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
-/// Time between two reads of all rows; word between daemons is much faster.
+/// Longest pause after failed calls in a row; doubles up to it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
+/// Least time between two reads of all rows; word between daemons is much faster.
 const READ_EVERY: Duration = Duration::from_secs(10);
+/// Time between two reads of all rows for each daemon of the fleet.
+const READ_EACH: Duration = Duration::from_millis(500);
 /// Time without word after which a daemon's row is removed.
 const GONE: Duration = Duration::from_secs(30);
 
@@ -98,10 +102,18 @@
     while write(&shared).await.is_err() {
         sleep(PAUSE).await;
     }
+    let mut pause = PAUSE;
     loop {
         match read(&shared).await {
-            Ok(()) => sleep(READ_EVERY).await,
-            Err(_) => sleep(PAUSE).await,
+            Ok(()) => {
+                pause = PAUSE;
+                let size = shared.state().roster.size();
+                sleep(READ_EVERY.max(READ_EACH * size as u32)).await;
+            }
+            Err(_) => {
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
         }
     }
 }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -211,10 +211,13 @@
 
 fn plan(state: &mut State, name: &str, now: Tick) -> Vec<Action> {
     // Expired entries are forgotten here, since this runs on every daemon all the time.
-    state.engines.expire(now);
+    let gone = state.engines.expire(now);
     if state.lease.token(now).is_none() {
         return Vec::new();
     }
+    for engine in gone {
+        state.tell(engine, EffectKind::Leaves, now);
+    }
     let Some(desired) = state.desired.clone() else { return Vec::new() };
     for (&model, count) in &state.models {
         state.planner.wait(name, model, count.waiting, now);
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -3,66 +3,91 @@
 use std::time::Duration;
 
 use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::caps::Relayed;
 use corianderyoke_coord::serving::choice::Load;
+use corianderyoke_coord::serving::engines;
+use corianderyoke_coord::serving::roster;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_wire::word;
 use corianderyoke_wire::word::Digest;
-use corianderyoke_wire::word::Word;
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::peers::holder;
+use crate::peers::myself;
+use crate::peers::pause;
 use crate::peers::words;
 use crate::state::Shared;
 use crate::state::State;
-use crate::state::Total;
 
-/// Time for which a team's total is told after it changed, so that a lost digest costs nothing.
-const TOTAL_SPAN: Duration = Duration::from_millis(500);
-/// Time for which the holder's last word is passed on.
-const HOLDER_SPAN: Duration = Duration::from_millis(600);
+/// Time for which a daemon that changed is described; the others are listed by their marks.
+const CHANGED_SPAN: Duration = Duration::from_secs(2);
+/// Whole digests of which one describes all daemons.
+const DESCRIBE_EVERY: u64 = 25;
+/// Pauses between words for which the holder's last word is passed on.
+const HOLDER_PAUSES: u32 = 3;
 
-/// A relay's digest; `members` says whether it lists the daemons.
-pub fn compose(state: &State, relay: Word, members: bool, now: Tick) -> Digest {
-    let listed = members.then(|| state.roster.described(now).map(member).collect());
-    let totals = state.totals.iter().filter(|(_, total)| now.since(total.at) < TOTAL_SPAN);
-    let holder = state.holder.as_ref().filter(|(_, _, at)| now.since(*at) < HOLDER_SPAN);
-    Digest {
-        relay: Some(relay),
-        members: listed.unwrap_or_default(),
-        totals: totals
-            .map(|((name, team), total)| word::MemberTotal {
-                name: name.clone(),
-                incarnation: total.incarnation,
-                team: team.clone(),
-                tokens: total.tokens,
-            })
-            .collect(),
-        engines: engines(state, now),
-        holder: holder.map(|(_, holder, _)| holder.clone()),
-        holder_name: holder.map_or_else(String::new, |(name, _, _)| name.clone()),
+/// A relay's digest: of teams, of the holder, and where it is `whole` of daemons and engines.
+pub fn compose(shared: &Shared, state: &mut State, whole: bool, now: Tick) -> Digest {
+    let span = pause(state) * HOLDER_PAUSES;
+    let own = holder::compose(state, now).map(|own| (shared.settings.name.clone(), own));
+    let heard = state.holder.as_ref().filter(|(_, _, at)| now.since(*at) < span);
+    let (holder_name, holder) =
+        own.or_else(|| heard.map(|(name, holder, _)| (name.clone(), holder.clone()))).unzip();
+    let mut digest = Digest {
+        relay: shared.settings.name.clone(),
+        incarnation: shared.incarnation(),
+        teams: teams(state, whole, now),
+        operator: state.operator.known,
+        holder,
+        holder_name: holder_name.unwrap_or_default(),
+        ..Digest::default()
+    };
+    if whole {
+        state.digests += 1;
+        let all = state.digests.is_multiple_of(DESCRIBE_EVERY);
+        let all = std::mem::take(&mut state.introduce) || all;
+        let relay = myself(shared);
+        let own = (&relay, words::own_fitness(state), now);
+        let described: Vec<_> = state.roster.described(now).chain([own]).collect();
+        let changed = described.iter().filter(|(.., at)| all || now.since(*at) < CHANGED_SPAN);
+        digest.members = changed.map(|&(daemon, fitness, _)| member(daemon, fitness)).collect();
+        let marks = described.iter().map(|&(daemon, fitness, _)| roster::mark(daemon, fitness));
+        digest.marks = marks.collect();
+        digest.loads = loads(state, now);
     }
+    digest
 }
 
-fn member((daemon, fitness): (&Daemon, Fitness)) -> word::Member {
-    let fitness = match fitness {
-        Fitness::Unready => word::Fitness::Unready,
-        Fitness::Ready => word::Fitness::Ready,
-        Fitness::Leaving => word::Fitness::Leaving,
-    };
+fn teams(state: &mut State, all: bool, now: Tick) -> Vec<word::TeamSum> {
+    let share = state.roster.share(now);
+    let sums = state.caps.iter_mut().map(|(team, bucket)| {
+        let level = bucket.level(share, now);
+        (bucket.is_low(), word::TeamSum { team: team.clone(), sum: bucket.sum(), level })
+    });
+    sums.filter(|(low, _)| all || *low).map(|(_, sum)| sum).collect()
+}
+
+fn own_mark(shared: &Shared, state: &State) -> u32 {
+    roster::mark(&myself(shared), words::own_fitness(state))
+}
+
+fn member(daemon: &Daemon, fitness: Fitness) -> word::Member {
     word::Member {
         name: daemon.name.clone(),
         incarnation: daemon.incarnation,
         peers: daemon.peers.to_string(),
         callers: daemon.callers.to_string(),
         zone: daemon.zone.clone(),
-        fitness: fitness.into(),
+        fitness: words::told(fitness).into(),
         capacity: daemon.capacity,
     }
 }
 
 /// What all daemons have at each engine.
-fn engines(state: &State, now: Tick) -> Vec<word::EngineLoad> {
+fn loads(state: &State, now: Tick) -> Vec<word::LoadSum> {
     let own = state.own.iter().filter(|(_, own)| own.load.running > 0).map(|(&key, _)| key);
     let mut keys: IndexSet<UpstreamKey> = own.collect();
     for word in state.words.values().filter(|word| word.is_fresh(now)) {
@@ -71,12 +96,11 @@
     let names = &state.engines.names.engines;
     let loads = keys.into_iter().map(|key| {
         let load = state.heard_load(key, now);
-        word::EngineLoad {
-            engine: names.name(key).to_owned(),
+        word::LoadSum {
+            engine: engines::mark(names.name(key)),
             running: load.running,
             unread: load.unread,
             tokens: load.tokens,
-            models: Vec::new(),
         }
     });
     loads.collect()
@@ -101,30 +125,49 @@
         };
         state.roster.hear(daemon, words::fitness(member.fitness()), now);
     }
-    for told in digest.totals.iter().filter(|told| told.name != *own) {
-        let total = Total { incarnation: told.incarnation, tokens: told.tokens, at: now };
-        words::take_total(state, &told.name, &told.team, total);
+    if !digest.marks.is_empty() {
+        // A daemon that isn't known as it is now is described before long.
+        state.roster.hear_marks(&digest.marks, own_mark(shared, state), now);
+        state.digest = Some((sums(state, &digest.loads), now));
     }
-    for team in digest.relay.iter().flat_map(|relay| &relay.teams) {
-        if let Some(bucket) = state.caps.get_mut(&team.team) {
-            bucket.bound(team.level);
-        }
-    }
-    let names = &mut state.engines.names.engines;
-    let loads = digest.engines.iter().map(|told| {
-        let load = Load { running: told.running, unread: told.unread, tokens: told.tokens };
-        (names.intern(&told.engine), load)
-    });
-    state.digest = Some((loads.collect(), now));
+    follow(state, &digest, now);
+    words::hear_operator(shared, state, digest.operator);
     let changed = digest.holder.as_ref().is_some_and(|holder| {
-        digest.holder_name != *own && words::take_holder(state, &digest.holder_name, holder, now)
+        let name = &digest.holder_name;
+        name != own && holder::take(shared, state, name, holder, now)
     });
     drop(guard);
     if changed {
         shared.changed.notify_waiters();
         shared.plan.notify_one();
     }
-    if let Some(word) = digest.relay {
-        words::take(shared, word, now);
+}
+
+/// Takes in what a relay knows of the teams; one that hears everybody itself has no need to.
+fn follow(state: &mut State, digest: &Digest, now: Tick) {
+    if state.relays {
+        return;
+    }
+    let share = state.roster.share(now);
+    for team in &digest.teams {
+        let Some(bucket) = state.caps.get_mut(&team.team) else { continue };
+        let told = Relayed {
+            relay: digest.relay.clone(),
+            incarnation: digest.incarnation,
+            sum: team.sum,
+            level: team.level,
+        };
+        bucket.follow(told, share, now);
     }
 }
+
+/// What all daemons have at each engine that this one knows.
+fn sums(state: &State, loads: &[word::LoadSum]) -> IndexMap<UpstreamKey, Load> {
+    let keys: IndexMap<u32, UpstreamKey> =
+        state.engines.iter().map(|(key, engine)| (engines::mark(&engine.id), key)).collect();
+    let known = loads.iter().filter_map(|told| {
+        let load = Load { running: told.running, unread: told.unread, tokens: told.tokens };
+        Some((*keys.get(&told.engine)?, load))
+    });
+    known.collect()
+}
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -8,12 +8,14 @@
 //! believed. Everything in them is a total or a state, so a lost one costs only time.
 
 mod digest;
+mod holder;
 mod words;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderyoke_coord::serving::looks::Fleet;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
@@ -36,8 +38,6 @@
 const GAP: Duration = Duration::from_millis(8);
 /// Least time between two digests: each goes to the whole fleet.
 const DIGEST_GAP: Duration = Duration::from_millis(60);
-/// Digests of which one lists the daemons.
-const LIST_EVERY: u64 = 3;
 /// Most daemons that all tell each other.
 const MESH: usize = 12;
 /// Daemons that hear everybody in a larger fleet.
@@ -49,14 +49,23 @@
 /// Bytes of the MAC at the end of a datagram.
 const MAC_BYTES: usize = 32;
 
+/// When a relay told last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spoken {
+    /// A digest.
+    any: Tick,
+    /// A whole one.
+    whole: Tick,
+}
+
 /// Tells the other daemons of this one until the task is ended.
 pub async fn tell(socket: Arc<UdpSocket>, key: hmac::Key, shared: Arc<Shared>) {
     let mut number = 0;
-    let mut last = Tick(0);
+    let mut spoken = Spoken::default();
     loop {
         number += 1;
         let now = clock::now();
-        let outgoing = compose(&shared, number, now, &mut last);
+        let outgoing = compose(&shared, number, now, &mut spoken);
         for (body, addresses) in outgoing {
             let datagram = sealed(&key, Datagram { body: Some(body) }.encode_to_vec());
             for address in addresses {
@@ -65,8 +74,16 @@
             }
         }
         sleep(GAP).await;
+        let left = {
+            let state = shared.state();
+            if state.pass_on {
+                DIGEST_GAP
+            } else {
+                pause(&state) - GAP
+            }
+        };
         // Either somebody waits, or it is time.
-        let _ = timeout(pause(&shared), shared.urgent.notified()).await;
+        let _ = timeout(left, shared.urgent.notified()).await;
     }
 }
 
@@ -87,58 +104,58 @@
     }
 }
 
-/// Longest time until the next word.
-fn pause(shared: &Shared) -> Duration {
-    let state = shared.state();
-    if state.pass_on {
-        DIGEST_GAP
-    } else {
-        every(state.roster.size()) - GAP
-    }
+/// Time between two words, which grows with the fleet.
+fn pause(state: &State) -> Duration {
+    EVERY * state.roster.size().div_ceil(SPARSE).max(1) as u32
 }
 
-/// Time between two words in a fleet of `size`.
-fn every(size: usize) -> Duration {
-    EVERY * size.div_ceil(SPARSE).max(1) as u32
+/// What the fleet is like for a daemon that reads the engines' entries.
+pub fn fleet(shared: &Shared, state: &State) -> Fleet {
+    let drain = shared.settings.bounds.drain();
+    Fleet { size: state.roster.size(), pause: pause(state), drain }
 }
 
-/// What is to be sent now, and to whom; `last` is the time of the last digest.
+/// What is to be sent now, and to whom.
 fn compose(
     shared: &Shared,
     number: u64,
     now: Tick,
-    last: &mut Tick,
+    spoken: &mut Spoken,
 ) -> Vec<(Body, Vec<SocketAddr>)> {
-    let mut state = shared.state();
-    let word = words::compose(shared, &mut state, number, now);
+    let mut guard = shared.state();
+    let state = &mut *guard;
+    let word = Body::Word(words::compose(shared, state, number, now));
     let all = |state: &State| state.roster.known().map(|daemon| daemon.peers).collect();
     if state.roster.size() <= MESH {
-        return vec![(Body::Word(word), all(&state))];
+        state.relays = false;
+        return vec![(word, all(state))];
     }
     let relays = state.roster.relays(&myself(shared), RELAYS, now);
     let rank = relays.iter().position(|relay| relay.name == shared.settings.name);
-    let age = now.since(*last);
-    let pause = if state.pass_on { DIGEST_GAP } else { every(state.roster.size()) - GAP };
-    let due = age >= pause;
+    state.relays = rank.is_some();
+    let others = relays.iter().filter(|relay| relay.name != shared.settings.name);
+    let mut direct: Vec<SocketAddr> = others.map(|relay| relay.peers).collect();
+    direct.extend(listeners(state, now));
+    direct.sort_unstable();
+    direct.dedup();
+    let mut outgoing = vec![(word, direct)];
+    let whole = now.since(spoken.whole) >= pause(state) - GAP;
+    let due = whole || (state.pass_on && now.since(spoken.any) >= DIGEST_GAP);
     let speaks = match rank {
         Some(0) => due,
         Some(_) => due && state.digest_age(now) > RELAY_SILENCE,
         None => false,
     };
-    let others = relays.iter().filter(|relay| relay.name != shared.settings.name);
-    let mut direct: Vec<SocketAddr> = others.map(|relay| relay.peers).collect();
-    direct.extend(listeners(&state, now));
-    direct.sort_unstable();
-    direct.dedup();
-    if !speaks {
-        return vec![(Body::Word(word), direct)];
+    if speaks {
+        spoken.any = now;
+        if whole {
+            spoken.whole = now;
+        }
+        state.pass_on = false;
+        let digest = digest::compose(shared, state, whole, now);
+        outgoing.push((Body::Digest(digest), all(state)));
     }
-    *last = now;
-    state.pass_on = false;
-    state.digests += 1;
-    let members = state.digests.is_multiple_of(LIST_EVERY);
-    let digest = digest::compose(&state, word.clone(), members, now);
-    vec![(Body::Word(word), direct), (Body::Digest(digest), all(&state))]
+    outgoing
 }
 
 /// Whom a daemon tells besides the relays: the holder of the lease; and as the holder, whoever
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use corianderyoke_coord::serving::lease::LeaseRow;
-use corianderyoke_coord::serving::lease::StoreTime;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::time::Tick;
@@ -13,25 +11,20 @@
 use corianderyoke_wire::word::Word;
 use indexmap::IndexMap;
 
-use crate::state::EffectKind;
+use crate::peers::holder;
 use crate::state::PeerWord;
 use crate::state::Shared;
 use crate::state::State;
-use crate::state::Total;
 
 /// Time for which a model's demand is told after it changed.
-const DEMAND_SPAN: Duration = Duration::from_secs(10);
-/// Time for which the effect of an order is told; entries show it by then.
-const EFFECT_SPAN: Duration = Duration::from_millis(2_500);
+const DEMAND_SPAN: Duration = Duration::from_secs(2);
+/// Time for which a team's total is told after it changed.
+const TOTAL_SPAN: Duration = Duration::from_secs(1);
+/// Words of which one tells all teams' totals, which repairs what lost words told.
+const ALL_TEAMS_EVERY: u64 = 16;
 
 /// This daemon's word.
 pub fn compose(shared: &Shared, state: &mut State, number: u64, now: Tick) -> Word {
-    let fitness = match (state.leaving, state.is_ready()) {
-        (true, _) => word::Fitness::Leaving,
-        (false, true) => word::Fitness::Ready,
-        (false, false) => word::Fitness::Unready,
-    };
-    state.effects.retain(|effect| now.since(effect.at) < EFFECT_SPAN);
     let settings = &shared.settings;
     Word {
         name: settings.name.clone(),
@@ -40,22 +33,39 @@
         peers: settings.peers.to_string(),
         callers: settings.callers.to_string(),
         zone: settings.zone.clone(),
-        fitness: fitness.into(),
-        revision: state.desired.as_ref().map_or(0, |desired| desired.revision),
-        teams: teams(state),
+        fitness: told(own_fitness(state)).into(),
+        operator: state.operator.known,
+        teams: teams(state, number.is_multiple_of(ALL_TEAMS_EVERY), now),
         models: models(state, now),
         adapters: adapters(state),
         engines: engines(state),
-        holder: holder(state, now),
+        holder: holder::compose(state, now),
         capacity: settings.capacity,
     }
 }
 
-fn teams(state: &State) -> Vec<word::TeamTotal> {
-    let total = |(team, bucket): (&String, &corianderyoke_coord::serving::caps::TeamBucket)| {
-        word::TeamTotal { team: team.clone(), tokens: bucket.total(), level: bucket.level() }
-    };
-    state.caps.iter().map(total).collect()
+/// What this daemon can do for callers.
+pub fn own_fitness(state: &State) -> Fitness {
+    match (state.leaving, state.is_ready()) {
+        (true, _) => Fitness::Leaving,
+        (false, true) => Fitness::Ready,
+        (false, false) => Fitness::Unready,
+    }
+}
+
+/// Teams' totals that changed lately, or `all` of them.
+fn teams(state: &mut State, all: bool, now: Tick) -> Vec<word::TeamTotal> {
+    let State { caps, totals, .. } = state;
+    let told = caps.iter().filter_map(|(team, bucket)| {
+        let tokens = bucket.total();
+        let last = totals.entry(team.clone()).or_insert((0, Tick(0)));
+        if last.0 != tokens {
+            *last = (tokens, now);
+        }
+        let told = all || now.since(last.1) < TOTAL_SPAN;
+        told.then(|| word::TeamTotal { team: team.clone(), tokens })
+    });
+    told.collect()
 }
 
 fn models(state: &State, now: Tick) -> Vec<word::ModelDemand> {
@@ -104,29 +114,6 @@
         .collect()
 }
 
-fn holder(state: &State, now: Tick) -> Option<word::Holder> {
-    let token = state.lease.token(now)?;
-    let (version, until) = state.lease.seen();
-    let names = &state.engines.names;
-    let effects = state.effects.iter().map(|effect| {
-        let (model, adapter, held) = match effect.kind {
-            EffectKind::Leaves => ("", "", false),
-            EffectKind::Model(model, held) => (names.models.name(model), "", held),
-            EffectKind::Adapter(model, adapter, held) => {
-                (names.models.name(model), names.adapters.name(adapter), held)
-            }
-        };
-        word::Effect {
-            engine: names.engines.name(effect.engine).to_owned(),
-            model: model.to_owned(),
-            adapter: adapter.to_owned(),
-            held,
-            number: effect.number,
-        }
-    });
-    Some(word::Holder { token, version, effects: effects.collect(), until: until.0 })
-}
-
 /// Takes another daemon's word in.
 pub fn take(shared: &Shared, word: Word, now: Tick) {
     let (Ok(peers), Ok(callers)) = (word.peers.parse(), word.callers.parse()) else { return };
@@ -149,18 +136,19 @@
     };
     if state.roster.hear(daemon, fitness(word.fitness()), now) {
         events::log(Event::PeerHeard, format_args!("name={} address={peers}", word.name));
+        state.introduce = true;
         shared.urgent.notify_one();
     }
     let mut low = false;
     for team in &word.teams {
-        let total = Total { incarnation: word.incarnation, tokens: team.tokens, at: now };
-        low |= take_total(state, &word.name, &team.team, total);
+        low |= take_total(state, &word.name, word.incarnation, team, now);
     }
+    hear_operator(shared, state, word.operator);
     if let Some(holder) = &word.holder {
         state.holder = Some((word.name.clone(), holder.clone(), now));
     }
     let mut changed =
-        word.holder.as_ref().is_some_and(|holder| take_holder(state, &word.name, holder, now));
+        word.holder.as_ref().is_some_and(|told| holder::take(shared, state, &word.name, told, now));
     changed |= take_demand(state, &word, now);
     // Only a relay passes it on; the others told the relays themselves.
     state.pass_on |= low;
@@ -174,6 +162,14 @@
     }
 }
 
+/// Another daemon knows of a row of the operator with this version.
+pub fn hear_operator(shared: &Shared, state: &mut State, version: u64) {
+    state.operator.known = state.operator.known.max(version);
+    if state.operator.is_behind() {
+        shared.behind.notify_one();
+    }
+}
+
 /// What a message says of a daemon's fitness.
 pub fn fitness(told: word::Fitness) -> Fitness {
     match told {
@@ -183,52 +179,29 @@
     }
 }
 
-/// Takes in what a daemon admitted of a team's tokens; whether the other daemons should hear of it
-/// at once.
-pub fn take_total(state: &mut State, daemon: &str, team: &str, total: Total) -> bool {
-    let Some(bucket) = state.caps.get_mut(team) else { return false };
-    bucket.hear(daemon, total.incarnation, total.tokens);
-    let low = bucket.is_low();
-    let key = (daemon.to_owned(), team.to_owned());
-    let same = state
-        .totals
-        .get(&key)
-        .is_some_and(|last| (last.incarnation, last.tokens) == (total.incarnation, total.tokens));
-    if !same {
-        state.totals.insert(key, total);
+/// The message for a daemon's fitness.
+pub fn told(fitness: Fitness) -> word::Fitness {
+    match fitness {
+        Fitness::Unready => word::Fitness::Unready,
+        Fitness::Ready => word::Fitness::Ready,
+        Fitness::Leaving => word::Fitness::Leaving,
     }
-    low && !same
 }
 
-/// Takes in what the holder of the lease says; whether it says something of the engines.
-pub fn take_holder(state: &mut State, name: &str, holder: &word::Holder, now: Tick) -> bool {
-    let row =
-        LeaseRow { holder: name.to_owned(), token: holder.token, until: StoreTime(holder.until) };
-    state.lease.hear(row, holder.version);
-    state.told = Some(now);
-    let (token, mut last) = state.taken_effects;
-    if token != holder.token {
-        last = 0;
-    }
-    for effect in holder.effects.iter().filter(|effect| effect.number > last) {
-        let Some(engine) = state.engines.names.engines.key(&effect.engine) else { continue };
-        if effect.model.is_empty() {
-            state.engines.leave(engine);
-            continue;
-        }
-        let model = state.engines.names.models.intern(&effect.model);
-        match (effect.adapter.as_str(), effect.held) {
-            ("", false) => state.engines.unload_model(engine, model),
-            ("", true) => state.engines.hold_model(engine, model),
-            (adapter, held) => {
-                let adapter = state.engines.names.adapters.intern(adapter);
-                state.engines.say(engine, model, adapter, held, now);
-            }
-        }
-    }
-    let newest = holder.effects.iter().map(|effect| effect.number).max().unwrap_or(0);
-    state.taken_effects = (holder.token, newest.max(last));
-    newest > last
+/// Takes in what a daemon admitted of a team's tokens; whether the other daemons should hear of it
+/// at once.
+fn take_total(
+    state: &mut State,
+    daemon: &str,
+    incarnation: u64,
+    told: &word::TeamTotal,
+    now: Tick,
+) -> bool {
+    let share = state.roster.share(now);
+    let Some(bucket) = state.caps.get_mut(&told.team) else { return false };
+    let changed = bucket.hear(daemon, incarnation, told.tokens);
+    bucket.level(share, now);
+    changed && bucket.is_low()
 }
 
 /// Takes in what a daemon runs and waits for; whether it waits for something.
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -18,6 +18,7 @@
 use corianderyoke_coord::serving::engines::Engines;
 use corianderyoke_coord::serving::lease::Lease;
 use corianderyoke_coord::serving::lease::LeaseSettings;
+use corianderyoke_coord::serving::looks::Told;
 use corianderyoke_coord::serving::residency::Planner;
 use corianderyoke_coord::serving::roster::Roster;
 use corianderyoke_coord::serving::roster::SILENCE;
@@ -34,9 +35,6 @@
 use crate::pool::Pool;
 use crate::settings::Settings;
 
-/// Time without word from the holder of the lease after which a daemon looks for itself.
-const TOLD_SPAN: Duration = Duration::from_millis(600);
-
 /// What a request at an engine counts as there.
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
@@ -48,17 +46,6 @@
     pub tokens: u64,
 }
 
-/// What a daemon told of a team: tokens admitted since its start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Total {
-    /// Start of the daemon.
-    pub incarnation: u64,
-    /// Tokens, less those given back.
-    pub tokens: i64,
-    /// When this total was first heard.
-    pub at: Tick,
-}
-
 /// What this daemon has running at an engine.
 #[derive(Clone, Debug, Default)]
 pub struct OwnLoad {
@@ -100,11 +87,29 @@
     pub at: Tick,
 }
 
+/// What is known of the operator's rows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OperatorRows {
+    /// Version of the store up to which this daemon read them.
+    pub read: u64,
+    /// Version of the newest row that it or another daemon read.
+    pub known: u64,
+}
+
+impl OperatorRows {
+    /// Whether another daemon read something that this one didn't.
+    pub fn is_behind(self) -> bool {
+        self.read < self.known
+    }
+}
+
 /// All shared state.
 #[derive(Debug)]
 pub struct State {
     /// Desired state in force, once one is known.
     pub desired: Option<Arc<Desired>>,
+    /// Operator's rows.
+    pub operator: OperatorRows,
     /// Engines.
     pub engines: Engines,
     /// Whether the engines' entries were read since the start.
@@ -138,19 +143,23 @@
     pub effects: Vec<Effect>,
     /// How many changes at engines were told.
     pub told_effects: u64,
-    /// Token of the holder whose changes were last taken in, and the number of the last.
-    pub taken_effects: (u64, u64),
-    /// When the holder of the lease was last heard.
-    pub told: Option<Tick>,
+    /// What the holder of the lease told of the engines.
+    pub told: Told,
+    /// When the engines' entries were last read.
+    pub read: Tick,
     /// The last word of the holder, for the digest.
     pub holder: Option<(String, Holder, Tick)>,
-    /// Teams' totals by daemon and team, and when they changed.
-    pub totals: IndexMap<(String, String), Total>,
+    /// Own totals of teams, and when they changed.
+    pub totals: IndexMap<String, (i64, Tick)>,
     /// What all daemons have at each engine, as a relay told.
     pub digest: Option<(IndexMap<UpstreamKey, Load>, Tick)>,
     /// Whether something was heard that a relay should pass on at once.
     pub pass_on: bool,
-    /// Digests told so far.
+    /// Whether this daemon hears all others, in a fleet that tells through relays.
+    pub relays: bool,
+    /// Whether a daemon was heard that needs a list of all others.
+    pub introduce: bool,
+    /// Whole digests told so far.
     pub digests: u64,
     /// Whether the process was told to stop.
     pub leaving: bool,
@@ -176,8 +185,10 @@
 /// A change at an engine.
 #[derive(Clone, Copy, Debug)]
 pub enum EffectKind {
-    /// It leaves.
+    /// It leaves, or is gone.
     Leaves,
+    /// Its entry changed.
+    Listed,
     /// It holds a model now, or takes no more requests for it.
     Model(ModelKey, bool),
     /// It holds an adapter now, or no longer.
@@ -205,6 +216,10 @@
     pub urgent: Notify,
     /// Told when the plan of orders should be looked at.
     pub plan: Notify,
+    /// Told when this daemon should read the engines' entries itself.
+    pub look: Notify,
+    /// Told when another daemon read something of the operator that this one didn't.
+    pub behind: Notify,
     state: Mutex<State>,
 }
 
@@ -217,6 +232,7 @@
         };
         let state = State {
             desired: None,
+            operator: OperatorRows::default(),
             engines: Engines::default(),
             listed: false,
             met: false,
@@ -233,12 +249,14 @@
             planner: Planner::default(),
             effects: Vec::new(),
             told_effects: 0,
-            taken_effects: (0, 0),
-            told: None,
+            told: Told::default(),
+            read: Tick(0),
             holder: None,
             totals: IndexMap::new(),
             digest: None,
             pass_on: false,
+            relays: false,
+            introduce: false,
             digests: 0,
             leaving: false,
             closed: false,
@@ -254,6 +272,8 @@
             changed: Notify::new(),
             urgent: Notify::new(),
             plan: Notify::new(),
+            look: Notify::new(),
+            behind: Notify::new(),
             state: Mutex::new(state),
         })
     }
@@ -301,29 +321,19 @@
         self.lease.token(now).is_some()
     }
 
-    /// Models that an engine holds.
-    pub fn held(&self, id: &str) -> Vec<ModelKey> {
-        let engine = self.engines.names.engines.key(id).and_then(|key| self.engines.get(key));
-        engine.map_or_else(Vec::new, |engine| engine.models.keys().copied().collect())
-    }
-
-    /// Whether another daemon gives orders and tells this one what changes at the engines.
-    pub fn is_told(&self, now: Tick) -> bool {
-        self.told.is_some_and(|at| now.since(at) < TOLD_SPAN)
-    }
-
-    /// Notes for the other daemons that an engine leaves, or holds models that it didn't hold
-    /// before; whether there is anything to tell.
-    pub fn tell_change(&mut self, id: &str, change: Change, before: &[ModelKey], at: Tick) -> bool {
+    /// Notes for the other daemons what an engine's entry or its end changed; whether there is
+    /// anything to tell.
+    pub fn tell_change(&mut self, id: &str, change: Change, at: Tick) -> bool {
         let Some(engine) = self.engines.names.engines.key(id) else { return false };
-        let count = self.effects.len();
-        if change == Change::Left {
-            self.tell(engine, EffectKind::Leaves, at);
-        }
-        for model in self.held(id).into_iter().filter(|model| !before.contains(model)) {
-            self.tell(engine, EffectKind::Model(model, true), at);
-        }
-        self.effects.len() > count
+        let kind = match change {
+            Change::Same => return false,
+            Change::Left => EffectKind::Leaves,
+            Change::Added | Change::Restarted | Change::Cooled | Change::Updated => {
+                EffectKind::Listed
+            }
+        };
+        self.tell(engine, kind, at);
+        true
     }
 
     /// Notes a change at an engine for the other daemons.
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -8,31 +8,40 @@
 use corianderyoke_adapter::store::Feed;
 use corianderyoke_adapter::store::Rows;
 use corianderyoke_adapter::store::StoreRow;
+use corianderyoke_adapter::store::MOST_ROWS;
 use corianderyoke_coord::serving::caps::TeamBucket;
 use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::engines::Change;
+use corianderyoke_coord::serving::engines::Entry;
 use corianderyoke_platform::Error;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
+use crate::peers;
 use crate::settings::Bounds;
 use crate::state::Shared;
 use crate::state::State;
 
 /// Time for which a feed waits for a change.
 const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Part of the time within which a leaving engine must get nothing new for which the feed of the
+/// daemon that gives orders waits.
+const TELLER_SHARE: f64 = 0.25;
+/// Age of the last read from which the whole table is shorter than its history: engines rewrite
+/// their entries about once a second.
+const HISTORY_SPAN: Duration = Duration::from_millis(2_500);
 /// First pause after a failed call; doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two tries to reach the store.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-/// Least time between two feeds where changes must be known at once.
-const SHORT_GAP: Duration = Duration::from_millis(40);
-/// Part of the time within which a leaving engine must get nothing new that lies between two feeds
-/// of the engines at a daemon that hears the holder of the lease: engines rewrite their entries all
-/// the time, and the holder tells what matters of them.
-const TOLD_SHARE: f64 = 0.5;
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time that a feed has to bring what another daemon read already; after it the connection counts
+/// as silent.
+const BEHIND_SPAN: Duration = Duration::from_millis(400);
+/// Least time between two feeds of what the operator writes.
+const OPERATOR_GAP: Duration = Duration::from_millis(40);
 
 /// A table that a daemon follows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,13 +53,38 @@
 }
 
 impl Table {
-    /// Least time between two feeds.
-    fn gap(self, shared: &Shared) -> Duration {
-        match self {
-            Table::Engines if shared.state().is_told(clock::now()) => {
-                shared.settings.bounds.drain().mul_f64(TOLD_SHARE)
+    /// Time for which a feed waits for a change. The daemon that gives orders tells how old its read
+    /// of the engines is, and asks again before that would make others look for themselves.
+    fn wait(self, shared: &Shared) -> Duration {
+        let tells = self == Table::Engines && shared.state().orders(clock::now());
+        if tells {
+            shared.settings.bounds.drain().mul_f64(TELLER_SHARE)
+        } else {
+            FEED_WAIT
+        }
+    }
+
+    /// Waits until the next feed.
+    async fn pause(self, shared: &Shared) {
+        if self == Table::Operator {
+            sleep(OPERATOR_GAP).await;
+            return;
+        }
+        let read = clock::now();
+        loop {
+            let look = shared.look.notified();
+            let (left, pause) = {
+                let state = shared.state();
+                let fleet = peers::fleet(shared, &state);
+                let now = clock::now();
+                let gap = state.told.gap(state.orders(now), fleet, now);
+                (gap.saturating_sub(now.since(read)), fleet.pause)
+            };
+            if left.is_zero() {
+                return;
             }
-            _ => SHORT_GAP,
+            // Silence is told by nobody.
+            let _ = timeout(left.min(pause), look).await;
         }
     }
 
@@ -77,7 +111,7 @@
                 }
                 pause = FIRST_PAUSE;
                 after = next;
-                sleep(table.gap(&shared)).await;
+                table.pause(&shared).await;
             }
             Err(error) => {
                 if !failing {
@@ -87,6 +121,10 @@
                 }
                 sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
+                if table == Table::Engines {
+                    // A daemon that is told of the engines need not press a store that refuses it.
+                    table.pause(&shared).await;
+                }
             }
         }
     }
@@ -94,23 +132,74 @@
 
 /// One step: reads the table, or its changes after a version; gives the version reached.
 async fn follow(table: Table, shared: &Shared, after: Option<u64>) -> Result<Option<u64>, Error> {
+    match table {
+        Table::Operator => {
+            let version = tokio::select! {
+                version = fetch(table, shared, after, FEED_WAIT) => version?,
+                // Asked on another connection, and answered at once.
+                () = behind(shared) => fetch(table, shared, after, Duration::ZERO).await?,
+            };
+            let mut state = shared.state();
+            state.operator.read = version.unwrap_or(0);
+            Ok(version)
+        }
+        Table::Engines => {
+            let (look, age) = {
+                let mut state = shared.state();
+                (state.told.look(), clock::now().since(state.read))
+            };
+            let after = after.filter(|_| age < HISTORY_SPAN);
+            let read = fetch(table, shared, after, table.wait(shared)).await;
+            let mut state = shared.state();
+            match read {
+                Ok(_) => state.read = clock::now(),
+                Err(_) => state.told.fail(look),
+            }
+            read
+        }
+    }
+}
+
+/// Returns once this daemon lacks for too long what another one read.
+async fn behind(shared: &Shared) {
+    loop {
+        shared.behind.notified().await;
+        sleep(BEHIND_SPAN).await;
+        if shared.state().operator.is_behind() {
+            return;
+        }
+    }
+}
+
+/// Reads the table, or its changes after a version; gives the version reached.
+async fn fetch(
+    table: Table,
+    shared: &Shared,
+    after: Option<u64>,
+    wait: Duration,
+) -> Result<Option<u64>, Error> {
     let Some(after) = after else {
         let rows = shared.store.rows(table.name()).await?;
         let version = rows.version;
         take_all(table, shared, rows);
         return Ok(Some(version));
     };
-    match shared.store.feed(table.name(), after, FEED_WAIT).await? {
-        Feed::Gone => Ok(None),
-        Feed::Changes(changes) => {
-            let version = changes.version.max(after);
-            if !changes.rows.is_empty() {
-                for row in changes.rows {
-                    take(table, shared, row);
-                }
-                settled(shared);
-            }
-            Ok(Some(version))
+    let (mut after, mut wait) = (after, wait);
+    loop {
+        let Feed::Changes(changes) = shared.store.feed(table.name(), after, wait).await? else {
+            return Ok(None);
+        };
+        after = changes.version.max(after);
+        wait = Duration::ZERO;
+        let count = changes.rows.len();
+        for row in changes.rows {
+            take(table, shared, row);
+        }
+        if count > 0 {
+            settled(shared);
+        }
+        if count < MOST_ROWS {
+            return Ok(Some(after));
         }
     }
 }
@@ -132,7 +221,7 @@
                 .map(|(_, engine)| engine.id.clone())
                 .collect();
             for id in gone {
-                unlist(shared, &mut state, &id);
+                unlist(shared, &mut state, &id, rows.version);
             }
             state.listed = true;
         }
@@ -144,6 +233,10 @@
 }
 
 fn take(table: Table, shared: &Shared, row: StoreRow) {
+    if table == Table::Operator {
+        let operator = &mut shared.state().operator;
+        operator.known = operator.known.max(row.version);
+    }
     match (table, row.value) {
         (Table::Operator, value) => match desired::drained_zone(&row.key) {
             Some(zone) => drain(shared, zone, value.is_some()),
@@ -154,8 +247,8 @@
             }
             None => {}
         },
-        (Table::Engines, Some(value)) => list(shared, &row.key, &value),
-        (Table::Engines, None) => unlist(shared, &mut shared.state(), &row.key),
+        (Table::Engines, Some(value)) => list(shared, &row.key, &value, row.version),
+        (Table::Engines, None) => unlist(shared, &mut shared.state(), &row.key, row.version),
     }
 }
 
@@ -205,42 +298,48 @@
     );
 }
 
-fn list(shared: &Shared, id: &str, value: &[u8]) {
+fn list(shared: &Shared, id: &str, value: &[u8], version: u64) {
     let entry = match entries::decode(id, value) {
-        Ok(entry) => entry,
+        Ok(entry) => Entry { version, ..entry },
         Err(error) => {
             events::log(Event::EntrySkipped, format_args!("engine={id}: {error}"));
             return;
         }
     };
-    let detail = format!("engine={id} service={} address={}", entry.service, entry.address);
+    let detail = format!("service={} address={}", entry.service, entry.address);
     let now = clock::now();
     let mut state = shared.state();
-    let before = state.held(id);
     let change = state.engines.list(entry, now);
-    if state.orders(now) && state.tell_change(id, change, &before, now) {
+    changed(shared, &mut state, id, change, &detail);
+}
+
+fn unlist(shared: &Shared, state: &mut State, id: &str, version: u64) {
+    let change = state.engines.unlist(id, version, clock::now());
+    if change == Change::Left {
+        forget(shared, state, id);
+    }
+    changed(shared, state, id, change, "unlisted");
+}
+
+/// Logs a change of an engine and tells the other daemons where this one gives orders.
+pub fn changed(shared: &Shared, state: &mut State, id: &str, change: Change, detail: &str) {
+    let now = clock::now();
+    if state.orders(now) && state.tell_change(id, change, now) {
         shared.urgent.notify_one();
     }
     match change {
-        Change::Added | Change::Updated => {
-            events::log(Event::UpstreamListed, format_args!("{detail}"))
+        Change::Added | Change::Updated | Change::Cooled => {
+            events::log(Event::UpstreamListed, format_args!("engine={id} {detail}"));
         }
         Change::Restarted => {
-            forget(shared, &mut state, id);
-            events::log(Event::UpstreamListed, format_args!("{detail} restarted"));
+            forget(shared, state, id);
+            events::log(Event::UpstreamListed, format_args!("engine={id} {detail} restarted"));
         }
-        Change::Left => events::log(Event::UpstreamLeaving, format_args!("{detail}")),
+        Change::Left => events::log(Event::UpstreamLeaving, format_args!("engine={id} {detail}")),
         Change::Same => {}
     }
 }
 
-fn unlist(shared: &Shared, state: &mut State, id: &str) {
-    if state.engines.unlist(id, clock::now()) == Change::Left {
-        forget(shared, state, id);
-        events::log(Event::UpstreamLeaving, format_args!("engine={id} unlisted"));
-    }
-}
-
 /// Forgets what an engine had before it ended.
 fn forget(shared: &Shared, state: &mut State, id: &str) {
     shared.pool.forget(id);
--- a/crates/daemon/tests/fleet/faults.rs
+++ b/crates/daemon/tests/fleet/faults.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::engine::Act;
 use crate::engine::Engine;
+use crate::world::desired;
 use crate::world::refusal;
 use crate::world::until;
 use crate::world::World;
@@ -262,3 +265,23 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_change_whose_feed_fell_silent_is_heard_of_from_another_daemon() {
+    let world = World::start().await;
+    world.plain("i-1").await;
+    let first = world.daemon("d1").await;
+    world.store.silence(Some("op"));
+    until(|| async { world.store.silenced() > 0 }).await;
+    let mut revoked = desired(2);
+    revoked["tenants"][0]["api_keys"] = json!(["another"]);
+    world.desire(&revoked);
+    world.store.silence(None);
+    let _second = world.daemon("d2").await;
+    let refused = until(|| async {
+        let answer = world.request(&first, "/once/", "1").send().await;
+        answer.is_ok_and(|answer| answer.status() == 401)
+    });
+    // Its own feed would give up after more than 11 s.
+    tokio::time::timeout(Duration::from_secs(9), refused).await.expect("it heard of the change");
+}
--- a/crates/daemon/tests/fleet/store.rs
+++ b/crates/daemon/tests/fleet/store.rs
@@ -37,6 +37,8 @@
     version: u64,
     rows: BTreeMap<Name, Content>,
     down: bool,
+    /// Table whose feeds get no answer, and how many were asked since.
+    silent: Option<(String, usize)>,
 }
 
 /// The store.
@@ -94,6 +96,19 @@
         self.changed.notify_waiters();
     }
 
+    /// Lets feeds of a table that are asked from now on go without answers for good, or no further
+    /// ones; gives how many did.
+    pub fn silence(&self, table: Option<&str>) -> usize {
+        let silent = table.map(|table| (table.to_owned(), 0));
+        let before = std::mem::replace(&mut self.tables.lock().silent, silent);
+        before.map_or(0, |(_, count)| count)
+    }
+
+    /// Feeds that went without answers so far.
+    pub fn silenced(&self) -> usize {
+        self.tables.lock().silent.as_ref().map_or(0, |(_, count)| *count)
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if self.tables.lock().down {
             return answer(503, &json!({}));
@@ -132,6 +147,14 @@
     }
 
     async fn feed(&self, table: &str, after: u64) -> Response<Full<Bytes>> {
+        let silent = {
+            let mut tables = self.tables.lock();
+            let silent = tables.silent.as_mut().filter(|(name, _)| name == table);
+            silent.map(|(_, count)| *count += 1).is_some()
+        };
+        if silent {
+            return std::future::pending().await;
+        }
         let changed = self.changed.notified();
         let found = self.changes(table, after);
         if found.is_empty() {
