Hear teams' totals at relays only, and log first pieces, pauses and caps

Cause: since relays tell sums, the holder of the lease, which hears every daemon directly, took each admission twice: once from the words, once from the relay's sum. A daemon that turned relay would have taken everything since the start of the fleet once more; found by reading, the test failed before.

The end of a request now shows when its first piece came and the longest pause between pieces, so that late answers show in the logs.

--- a/crates/coord/src/serving/caps.rs
+++ b/crates/coord/src/serving/caps.rs
@@ -87,8 +87,10 @@
     told: IndexMap<String, Told>,
     /// Own admissions that a relay's sum may not contain yet; below zero where tokens came back.
     recent: VecDeque<(Tick, i64)>,
-    /// What a relay told last.
+    /// What a relay told last, where this daemon hears the others through it.
     relayed: Option<Relayed>,
+    /// Whether a relay ever told.
+    followed: bool,
 }
 
 impl TeamBucket {
@@ -108,6 +110,7 @@
             told: IndexMap::new(),
             recent: VecDeque::new(),
             relayed: None,
+            followed: false,
         }
     }
 
@@ -173,10 +176,11 @@
         let since = match before {
             Some(before) if before.incarnation == incarnation => total - before.total,
             Some(_) => total,
-            None if self.complete => total,
-            // It may have been admitted long before this daemon started.
+            None if self.complete && !self.followed => total,
+            // It may have been admitted long before this daemon started, or a relay told of it.
             None => 0,
         };
+        self.relayed = None;
         self.heard += since;
         self.level = (self.level - since as f64).min(self.cap.burst);
         before != Some(told)
@@ -208,6 +212,8 @@
         }
         self.level = self.level.min(told.level as f64).min(self.cap.burst);
         self.relayed = Some(told);
+        self.followed = true;
+        self.told.clear();
     }
 
     fn refill(&mut self, share: f64, now: Tick) {
--- a/crates/coord/tests/serving/caps.rs
+++ b/crates/coord/tests/serving/caps.rs
@@ -88,6 +88,25 @@
     assert_eq!(bucket.level(1.0, ms(1_200)), full - 600);
 }
 
+#[test]
+fn a_daemon_that_turns_relay_and_back_takes_nothing_twice() {
+    let cap = Cap { rate: 0.0, ..CAP };
+    let mut bucket = TeamBucket::new(cap, Tolerance::default(), true, ms(0));
+    let full = bucket.level(1.0, ms(0));
+    bucket.follow(relayed(9_000, full), 1.0, ms(0));
+    bucket.follow(relayed(9_100, full), 1.0, ms(200));
+    // It hears others itself now; the relay's sum contained what they told first.
+    bucket.hear("d2", 1, 9_100);
+    assert_eq!(bucket.level(1.0, ms(300)), full - 100);
+    bucket.hear("d2", 1, 9_300);
+    assert_eq!(bucket.level(1.0, ms(400)), full - 300);
+    // Another relay hears everybody again.
+    bucket.follow(relayed(9_400, full), 1.0, ms(600));
+    assert_eq!(bucket.level(1.0, ms(600)), full - 300);
+    bucket.hear("d2", 1, 9_900);
+    assert_eq!(bucket.level(1.0, ms(700)), full - 300);
+}
+
 #[test]
 fn a_daemon_that_admitted_nothing_for_long_gains_nothing_on_top_of_a_relays_level() {
     let mut bucket = TeamBucket::new(CAP, Tolerance::default(), true, ms(0));
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -93,6 +93,10 @@
     /// Engine that answered.
     engine: String,
     sent: u32,
+    /// When the caller's first piece of the answer came, and the last one.
+    pieces: Option<(Tick, Tick)>,
+    /// Longest pause between two pieces.
+    pause: Duration,
 }
 
 impl Record {
@@ -108,6 +112,23 @@
             outcome: None,
             engine: String::new(),
             sent: 0,
+            pieces: None,
+            pause: Duration::ZERO,
+        }
+    }
+
+    /// A piece of the answer came for the caller.
+    pub fn piece(&mut self) {
+        let now = clock::now();
+        match &mut self.pieces {
+            Some((_, last)) => {
+                self.pause = self.pause.max(now.since(*last));
+                *last = now;
+            }
+            None => {
+                self.pieces = Some((now, now));
+                self.shared.metrics.first.observe(now.since(self.arrived).as_secs_f64());
+            }
         }
     }
 
@@ -125,6 +146,7 @@
 impl Drop for Record {
     fn drop(&mut self) {
         let whole = clock::now().since(self.arrived);
+        let first = self.pieces.map(|(at, _)| at.since(self.arrived));
         let (event, status, cause) = match self.outcome {
             Some((status, cause @ ("engine" | "engine_failure"))) => {
                 (Event::Answered, status, cause)
@@ -136,12 +158,15 @@
         events::log(
             event,
             format_args!(
-                "id={} route={} status={status} cause={cause} engine={} sent={} ms={}",
+                "id={} route={} status={status} cause={cause} engine={} sent={} ms={} first_ms={} \
+                 pause_ms={}",
                 self.id,
                 self.route,
                 self.engine,
                 self.sent,
-                whole.as_millis()
+                whole.as_millis(),
+                first.map_or_else(|| "none".to_owned(), |span| span.as_millis().to_string()),
+                self.pause.as_millis()
             ),
         );
         let metrics = &self.shared.metrics;
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -91,9 +91,8 @@
     if status.is_server_error() && attempts.fails_over(&target, &head, &bytes) {
         return None;
     }
+    attempts.call.record().piece();
     attempts.call.record().answer(status.as_u16(), "engine");
-    let first = corianderyoke_util::clock::now().since(attempts.call.arrived);
-    attempts.call.shared.metrics.first.observe(first.as_secs_f64());
     Some(response(head, body::whole(bytes)))
 }
 
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use corianderyoke_coord::serving::stream::EventBuffer;
-use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
 use futures::stream;
@@ -63,8 +62,6 @@
 
 impl Relay {
     fn response(self, head: Parts, first: Option<Bytes>) -> Response<Body> {
-        let span = clock::now().since(self.attempts.call.arrived);
-        self.attempts.call.shared.metrics.first.observe(span.as_secs_f64());
         let pieces = stream::unfold((self, first), |(mut relay, first)| async move {
             if let Some(first) = first {
                 return Some((Ok(Frame::data(first)), (relay, None)));
@@ -110,6 +107,7 @@
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(events) = self.buffer.push(&bytes) {
                         live.guard.read();
+                        self.attempts.call.record().piece();
                         return Next::Events(events);
                     }
                 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -13,6 +13,8 @@
 use corianderyoke_coord::serving::desired::Route;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
 use http::header;
 use http::HeaderValue;
 use http::Request;
@@ -168,7 +170,18 @@
     let mut state = shared.state();
     let share = state.roster.share(now);
     let Some(bucket) = state.caps.get_mut(name) else { return Ok(0) };
-    bucket.admit(tokens, share, now).map_err(Refusal::OverCap)?;
+    if let Err(wait) = bucket.admit(tokens, share, now) {
+        let level = bucket.level(share, now);
+        events::log(
+            Event::CapReached,
+            format_args!(
+                "id={} team={name} tokens={tokens} level={level} share={share:.2} wait_ms={}",
+                facts.id,
+                wait.as_millis()
+            ),
+        );
+        return Err(Refusal::OverCap(wait));
+    }
     if bucket.is_low() {
         shared.urgent.notify_one();
     }
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -19,6 +19,7 @@
 use crate::peers::myself;
 use crate::peers::pause;
 use crate::peers::words;
+use crate::peers::MESH;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -143,9 +144,9 @@
     }
 }
 
-/// Takes in what a relay knows of the teams; one that hears everybody itself has no need to.
+/// Takes in what a relay knows of the teams, where this daemon doesn't hear everybody itself.
 fn follow(state: &mut State, digest: &Digest, now: Tick) {
-    if state.relays {
+    if state.relays || state.roster.size() <= MESH {
         return;
     }
     let share = state.roster.share(now);
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 
 use crate::peers::holder;
+use crate::peers::MESH;
 use crate::state::PeerWord;
 use crate::state::Shared;
 use crate::state::State;
@@ -140,8 +141,11 @@
         shared.urgent.notify_one();
     }
     let mut low = false;
-    for team in &word.teams {
-        low |= take_total(state, &word.name, word.incarnation, team, now);
+    // A daemon that follows a relay has them in the relay's sums.
+    if state.relays || state.roster.size() <= MESH {
+        for team in &word.teams {
+            low |= take_total(state, &word.name, word.incarnation, team, now);
+        }
     }
     hear_operator(shared, state, word.operator);
     if let Some(holder) = &word.holder {
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -69,6 +69,7 @@
     Sent = 405, Info, "a request was sent to an upstream";
     AttemptFailed = 406, Warn, "an upstream failed a request or refused it";
     Waiting = 407, Info, "a request waits for a model or an adapter that no upstream holds";
+    CapReached = 408, Info, "a team has too few tokens left for a request";
     CallUnknown = 410, Warn, "a call that may not be repeated ended with an unknown outcome";
     Decided = 500, Info, "a placement decision was recorded";
     Ordered = 501, Info, "an order was sent to an upstream";
