Give a busy engine longer before a prompt is read elsewhere too

Each sending again reads the prompt once more somewhere, and marks a sound engine as failing.

Now the time grows with what the engine is expected to need. The line of a sending shows model and choices.

--- a/crates/coord/src/serving/choice.rs
+++ b/crates/coord/src/serving/choice.rs
@@ -40,6 +40,20 @@
     }
 }
 
+/// Objectives after which a repeatable request that wasn't answered is sent elsewhere.
+const PATIENCE: f64 = 1.5;
+/// Least time that an engine is given to answer a repeatable request.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// Expected times to a first token that an engine is given on top: what is known of its load lags,
+/// and a prompt that is read twice makes a busy engine slower still.
+const SLACK: u32 = 3;
+
+/// Time that an engine with this `expected` time to a first token has for it, where callers want it
+/// within `aim`, before the request is sent elsewhere.
+pub fn patience(aim: Duration, expected: Duration) -> Duration {
+    aim.mul_f64(PATIENCE).max(LEAST_PATIENCE) + expected * SLACK
+}
+
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Part {
@@ -112,6 +126,11 @@
         self.load.running < self.slots && (self.capacity == 0 || fits || self.load.running == 0)
     }
 
+    /// Expected time to a first token.
+    pub fn expected(&self, settings: &ChoiceSettings, need: &Need) -> Duration {
+        Duration::from_secs_f64(self.expected_ms(settings, need) / 1e3)
+    }
+
     fn expected_ms(&self, settings: &ChoiceSettings, need: &Need) -> f64 {
         let unread = need.prompt.saturating_sub(self.kept) + self.load.unread;
         let away = if self.near { 0.0 } else { settings.away_ms };
--- a/crates/coord/tests/serving/choice.rs
+++ b/crates/coord/tests/serving/choice.rs
@@ -1,9 +1,12 @@
 //! Which engine a request goes to, by the load pattern that it answers.
 
+use std::time::Duration;
+
 use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::choice::choose;
 use corianderyoke_coord::serving::choice::home;
+use corianderyoke_coord::serving::choice::patience;
 use corianderyoke_coord::serving::choice::Candidate;
 use corianderyoke_coord::serving::choice::ChoiceSettings;
 use corianderyoke_coord::serving::choice::Load;
@@ -75,6 +78,18 @@
     assert_eq!(chosen(&[slots, memory]), None);
 }
 
+#[test]
+fn an_engine_with_much_to_read_is_given_longer_before_a_prompt_is_read_elsewhere_too() {
+    let aim = Duration::from_millis(800);
+    let settings = ChoiceSettings::default();
+    let load = Load { running: 36, unread: 20_000, tokens: 150_000 };
+    let busy = Candidate { load, ..candidate(1) };
+    let given = |engine: Candidate| patience(aim, engine.expected(&settings, &need()));
+    // Reading what lies before it alone takes 0.67 s.
+    assert!(given(busy) >= aim + Duration::from_millis(1_300));
+    assert!(given(candidate(1)) < aim * 3);
+}
+
 #[test]
 fn all_daemons_send_a_prompt_to_the_same_engine_first() {
     let names = [(UpstreamKey(1), "e1"), (UpstreamKey(2), "e2"), (UpstreamKey(3), "e3")];
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -261,6 +261,17 @@
         self.record.sent
     }
 
+    /// Name of the model that it asks for, with the adapter if any.
+    pub fn model(&self) -> Option<String> {
+        let generation = self.generation.as_ref()?;
+        let names = &self.shared.state().engines.names;
+        let name = match generation.adapter {
+            Some(adapter) => names.adapters.name(adapter),
+            None => names.models.name(generation.model),
+        };
+        Some(name.to_owned())
+    }
+
     /// Gives the tokens of a request that didn't run back to its team.
     pub fn refund(&mut self) {
         let tokens = std::mem::take(&mut self.charged);
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use corianderyoke_adapter::headers::Added;
 use corianderyoke_adapter::headers::AnswerFacts;
 use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::choice;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
@@ -44,10 +45,8 @@
 /// Time for which an engine that doesn't hold what a request asks for isn't asked again by it; its
 /// entry and the word of others may lag by that much.
 const MISPLACED_SPAN: Duration = Duration::from_millis(700);
-/// Objectives after which a repeatable request that wasn't answered is sent elsewhere.
-const PATIENCE: f64 = 1.5;
-/// Least time that an engine is given to answer a repeatable request.
-const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// Time within which the body of an engine's refusal is read to keep its connection.
+const REFUSAL_SPAN: Duration = Duration::from_millis(250);
 /// Pause before an engine that refused a request is asked again.
 const SAME_PAUSE: Duration = Duration::from_millis(40);
 /// Advice on when to come back where no engine is there.
@@ -155,14 +154,14 @@
     }
 
     /// How long an engine may take for its answer.
-    pub fn patience_for_answer(&self) -> Duration {
+    fn patience_for_answer(&self, target: &Target) -> Duration {
         let left = self.call.left();
         let repeat = self.call.route.repeat;
         let is_last = self.sent.len() >= self.call.route.attempts as usize;
         if !repeat.may_repeat() || is_last {
             return left;
         }
-        left.min(self.call.route.aim.mul_f64(PATIENCE).max(LEAST_PATIENCE))
+        left.min(choice::patience(self.call.route.aim, target.expected))
     }
 
     /// How long an engine may take for the next event of a stream before another is looked for.
@@ -234,7 +233,7 @@
                 may && misplaced.iter().all(|(other, _)| *other != key)
             };
             let missing = match pick::pick(&self.call, allowed, &self.failed, now) {
-                Pick::Go(target, guard) => return Ok((target, guard)),
+                Pick::Go(target, guard) => return Ok((*target, guard)),
                 Pick::NoEngine if exhausted => {
                     return Err(self.end(Refusal::NoEngine(NO_ENGINE_WAIT)));
                 }
@@ -276,9 +275,12 @@
         events::log(
             Event::Sent,
             format_args!(
-                "id={} engine={} nth={count} running={} kept={} left_ms={} revision={}",
+                "id={} engine={} nth={count} model={} choices={} running={} kept={} left_ms={} \
+                 revision={}",
                 self.call.id,
                 target.id,
+                self.call.model().as_deref().unwrap_or("none"),
+                target.choices,
                 target.running,
                 target.kept,
                 self.call.left().as_millis(),
@@ -298,7 +300,7 @@
     pub async fn answered<T>(&self, answer: impl Future<Output = T>, target: &Target) -> Option<T> {
         let mut answer = pin!(answer);
         loop {
-            let limit = self.patience_for_answer();
+            let limit = self.patience_for_answer(target);
             if let Ok(answer) = timeout(limit, &mut answer).await {
                 return Some(answer);
             }
@@ -346,7 +348,7 @@
         let status = head.status.as_u16();
         if facts.not_run || status == 421 {
             let read = Limited::new(body, MOST_REFUSAL).collect();
-            let read = timeout(LEAST_PATIENCE, read).await;
+            let read = timeout(REFUSAL_SPAN, read).await;
             if matches!(read, Ok(Ok(_))) {
                 self.call.shared.pool.give_back(&target.id, lane, &head.headers);
             }
--- a/crates/daemon/src/forward/pick.rs
+++ b/crates/daemon/src/forward/pick.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::choice;
@@ -30,13 +31,17 @@
     pub running: u32,
     /// Prompt tokens that it is expected to have read.
     pub kept: u64,
+    /// Engines that could have served it.
+    pub choices: usize,
+    /// Expected time to its first token.
+    pub expected: Duration,
 }
 
 /// What a look for an engine found.
 #[derive(Debug)]
 pub enum Pick {
     /// An engine, which counts the request from now on.
-    Go(Target, RunGuard),
+    Go(Box<Target>, RunGuard),
     /// No engine of the service may be used.
     NoEngine,
     /// No engine holds the model.
@@ -72,7 +77,7 @@
             candidates.retain(|candidate| candidate.key != best.key);
             continue;
         }
-        return go(call, state, best, need, now);
+        return go(call, state, best, usable.len(), now);
     }
     Pick::Full
 }
@@ -170,7 +175,9 @@
     state.cold.entry(key).or_default().take(limit, size, rank, now)
 }
 
-fn go(call: &Call, state: &mut State, best: Candidate, need: &Need, now: Tick) -> Pick {
+fn go(call: &Call, state: &mut State, best: Candidate, choices: usize, now: Tick) -> Pick {
+    let plain = Need::default();
+    let need = call.generation.as_ref().map_or(&plain, |found| &found.need);
     let Some(engine) = state.engines.get(best.key) else { return Pick::NoEngine };
     let target = Target {
         key: best.key,
@@ -178,6 +185,8 @@
         address: engine.address,
         running: best.load.running,
         kept: best.kept,
+        choices,
+        expected: best.expected(&call.shared.choice, need),
     };
     if let Some(generation) = &call.generation {
         state.prefixes.sent(reader(best.key, generation), need, now);
@@ -191,7 +200,7 @@
         tokens: need.prompt + need.output,
     };
     let guard = RunGuard::begin(&Arc::clone(&call.shared), state, best.key, run);
-    Pick::Go(target, guard)
+    Pick::Go(Box::new(target), guard)
 }
 
 fn reader(engine: UpstreamKey, generation: &Generation) -> Reader {
