Tell the holder which adapters run at other daemons

Cause: the holder chooses the adapter that makes way by when it was last used, and knew of its own requests' uses only. The test failed before (a1, which ran at the other daemon, was unloaded).

E407 names the model that is missing.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -245,8 +245,9 @@
                 events::log(
                     Event::Waiting,
                     format_args!(
-                        "id={} missing={missing:?} left_ms={}",
+                        "id={} model={} missing={missing:?} left_ms={}",
                         self.call.id,
+                        self.call.model().as_deref().unwrap_or("none"),
                         left.as_millis()
                     ),
                 );
--- a/crates/daemon/src/forward/pick.rs
+++ b/crates/daemon/src/forward/pick.rs
@@ -196,6 +196,7 @@
     }
     let run = Run {
         model: call.generation.as_ref().map(|generation| generation.model),
+        adapter: call.generation.as_ref().and_then(|generation| generation.adapter),
         unread: need.prompt.saturating_sub(best.kept),
         tokens: need.prompt + need.output,
     };
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -111,6 +111,7 @@
                     running,
                 })
                 .collect(),
+            adapters: own.adapters.keys().map(|&key| names.adapters.name(key).to_owned()).collect(),
         })
         .collect()
 }
@@ -249,6 +250,10 @@
             tokens: engine.tokens,
         };
         told.loads.insert(key, load);
+        for adapter in &engine.adapters {
+            let adapter = names.adapters.intern(adapter);
+            state.planner.use_adapter(key, adapter, now);
+        }
         for runs in &engine.models {
             told.runs.insert((key, names.models.intern(&runs.model)), runs.running);
         }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -40,6 +40,8 @@
 pub struct Run {
     /// Model that it runs, at a model engine.
     pub model: Option<ModelKey>,
+    /// Adapter that it runs.
+    pub adapter: Option<AdapterKey>,
     /// Prompt tokens that the engine has to read, until the first event came.
     pub unread: u64,
     /// Tokens of prompt and answer.
@@ -53,6 +55,8 @@
     pub load: Load,
     /// Requests by model.
     pub models: IndexMap<ModelKey, u32>,
+    /// Requests by adapter; none of them is 0.
+    pub adapters: IndexMap<AdapterKey, u32>,
 }
 
 /// What another daemon told last.
@@ -407,6 +411,9 @@
         if let Some(model) = run.model {
             *own.models.entry(model).or_default() += 1;
         }
+        if let Some(adapter) = run.adapter {
+            *own.adapters.entry(adapter).or_default() += 1;
+        }
         RunGuard { shared: Arc::clone(shared), engine, run }
     }
 
@@ -431,6 +438,13 @@
                     *count = count.saturating_sub(1);
                 }
             }
+            if let Some(adapter) = self.run.adapter {
+                let count = own.adapters.entry(adapter).or_default();
+                *count = count.saturating_sub(1);
+                if *count == 0 {
+                    own.adapters.swap_remove(&adapter);
+                }
+            }
         }
         drop(state);
         self.shared.changed.notify_waiters();
--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -73,9 +73,23 @@
     seen: Vec<Seen>,
     orders: Vec<Value>,
     models: Vec<String>,
+    /// Models and their adapters.
+    adapters: Vec<(String, String)>,
     unfinished: usize,
 }
 
+impl State {
+    /// What it holds, as its entry and its report say it.
+    fn held(&self) -> Vec<Value> {
+        let adapters = |model: &String| -> Vec<&String> {
+            let held = self.adapters.iter().filter(|(of, _)| of == model);
+            held.map(|(_, adapter)| adapter).collect()
+        };
+        let held = self.models.iter();
+        held.map(|name| json!({"name": name, "version": 1, "adapters": adapters(name)})).collect()
+    }
+}
+
 /// An engine.
 #[derive(Clone)]
 pub struct Engine {
@@ -119,9 +133,7 @@
 
     /// Writes its entry.
     pub fn list(&self, state: &str) {
-        let models = self.state.lock().models.clone();
-        let models: Vec<Value> =
-            models.iter().map(|name| json!({"name": name, "version": 1, "adapters": []})).collect();
+        let models = self.state.lock().held();
         let entry = json!({
             "service": self.service, "address": self.address.to_string(), "zone": "a",
             "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 40,
@@ -212,20 +224,29 @@
         let order: Value = serde_json::from_slice(body).expect("an order is JSON");
         let mut state = self.state.lock();
         let model = order["model"].as_str().unwrap_or_default().to_owned();
-        match order["op_type"].as_str() {
-            Some("load") => state.models.push(model),
-            _ => state.models.retain(|held| *held != model),
+        let adapter = order["adapter"].as_str().map(|adapter| (model.clone(), adapter.to_owned()));
+        let mut status = 202;
+        match (order["op_type"].as_str(), adapter) {
+            (Some("load"), Some(adapter)) => state.adapters.push(adapter),
+            (Some("load"), None) => state.models.push(model),
+            (_, Some(adapter)) => {
+                state.adapters.retain(|held| *held != adapter);
+                status = 200;
+            }
+            (_, None) => {
+                state.models.retain(|held| *held != model);
+                state.adapters.retain(|(of, _)| *of != model);
+            }
         }
         state.orders.push(order);
         drop(state);
         self.list("ready");
-        whole(202, "")
+        whole(status, "")
     }
 
     fn report(&self) -> Response<Body> {
         let state = self.state.lock();
-        let models: Vec<Value> =
-            state.models.iter().map(|name| json!({"name": name, "adapters": []})).collect();
+        let models = state.held();
         let report = json!({"busy": false, "seq": state.orders.len(), "models": models});
         whole(200, &report.to_string())
     }
--- a/crates/daemon/tests/fleet/orders.rs
+++ b/crates/daemon/tests/fleet/orders.rs
@@ -1,7 +1,11 @@
 //! Orders to engines, and the lease on them.
 
+use std::time::Duration;
+
 use serde_json::Value;
+use tokio::time::sleep;
 
+use crate::engine::Act;
 use crate::world::until;
 use crate::world::World;
 
@@ -30,6 +34,32 @@
     (text("op_type"), text("model"))
 }
 
+#[tokio::test]
+async fn an_adapter_that_runs_at_another_daemon_keeps_its_place() {
+    let world = World::start().await;
+    let engine = world.model_engine("i-1", &["m1"]).await;
+    let holder = world.daemon("d1").await;
+    let other = world.daemon("d2").await;
+    let serve = |daemon, id: &'static str, adapter: &str, events, pause| {
+        engine.next(&[Act::Stream(events, pause)]);
+        world.generation(daemon, "/resume/", id, &format!("m1/{adapter}")).send()
+    };
+    for (id, adapter) in [("1", "a1"), ("2", "a2")] {
+        let answer = serve(&other, id, adapter, 1, Duration::ZERO).await.expect("an answer");
+        assert!(answer.text().await.expect("it is whole").contains("id: 1"));
+    }
+    let long = serve(&other, "3", "a1", 20, Duration::from_millis(100)).await;
+    // Words between daemons take a fifth of a second.
+    sleep(Duration::from_millis(600)).await;
+    let answer = serve(&holder, "4", "a3", 1, Duration::ZERO).await;
+    assert_eq!(answer.expect("an answer").status(), 200);
+    let orders = engine.orders();
+    let unloads = orders.iter().filter(|order| order["op_type"] == "unload");
+    let unloaded: Vec<&str> = unloads.filter_map(|order| order["adapter"].as_str()).collect();
+    assert_eq!(unloaded, ["a2"]);
+    drop(long);
+}
+
 #[tokio::test]
 async fn a_successor_orders_with_a_higher_token() {
     let world = World::start().await;
