Tell how often models are asked for as rates, so that first words count

Cause: daemons told totals of requests by model, and the holder counted from the first total that it heard of each daemon and model on. Rates that forget alike add up without a baseline; what a daemon tells again counts once.

Two tests; with totals the planner had no way to take the first one's situation in, so they couldn't fail before.

--- a/crates/coord/src/serving/demand.rs
+++ b/crates/coord/src/serving/demand.rs
@@ -37,13 +37,42 @@
     }
 }
 
-/// Requests for one model.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Demand {
+/// How often a model was asked for lately. Rates that forget alike add up, so one daemon's can be
+/// told to another, which has the fleet's from its first word on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Asked {
     /// Requests a second, over a span in which rare models are asked for too.
     requests: Rate,
     /// Tokens a second that engines have to read, over a span that follows bursts.
     tokens: Rate,
+}
+
+impl Asked {
+    /// What a daemon told now.
+    pub fn told(requests: f64, tokens: f64, now: Tick) -> Self {
+        let rate = |value: f64| Rate { value, at: now };
+        Asked { requests: rate(requests), tokens: rate(tokens) }
+    }
+
+    /// Counts requests, and the tokens that engines have to read for them.
+    pub fn arrive(&mut self, count: u64, tokens: u64, now: Tick) {
+        self.requests.add(count as f64, RATE_SPAN, now);
+        self.tokens.add(tokens as f64, BURST_SPAN, now);
+    }
+
+    /// Requests and tokens a second.
+    pub fn rates(&self, now: Tick) -> (f64, f64) {
+        (self.requests.get(RATE_SPAN, now), self.tokens.get(BURST_SPAN, now))
+    }
+}
+
+/// Requests for one model.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Demand {
+    /// Of the whole fleet.
+    asked: Asked,
+    /// What each daemon told last, with its incarnation.
+    told: IndexMap<String, (u64, Asked)>,
     /// Requests that wait for the model, by daemon.
     waiting: IndexMap<String, (u32, Tick)>,
 }
@@ -51,8 +80,19 @@
 impl Demand {
     /// Counts requests, and the tokens that engines have to read for them.
     pub fn arrive(&mut self, count: u64, tokens: u64, now: Tick) {
-        self.requests.add(count as f64, RATE_SPAN, now);
-        self.tokens.add(tokens as f64, BURST_SPAN, now);
+        self.asked.arrive(count, tokens, now);
+    }
+
+    /// Takes in how often a daemon was asked.
+    pub fn hear(&mut self, daemon: &str, incarnation: u64, asked: Asked, now: Tick) {
+        let last = self.told.insert(daemon.to_owned(), (incarnation, asked));
+        // What a process told before it ended is forgotten like everything else.
+        let last = last.filter(|(of, _)| *of == incarnation).map(|(_, asked)| asked.rates(now));
+        let (known, told) = (last.unwrap_or_default(), asked.rates(now));
+        let sum = self.asked.rates(now);
+        let requests = (sum.0 + told.0 - known.0).max(0.0);
+        let tokens = (sum.1 + told.1 - known.1).max(0.0);
+        self.asked = Asked::told(requests, tokens, now);
     }
 
     /// A daemon says how many requests wait there.
@@ -62,7 +102,7 @@
 
     /// Requests to be expected within the span over which they count.
     pub fn expected(&self, now: Tick) -> f64 {
-        self.requests.get(RATE_SPAN, now) * RATE_SPAN.as_secs_f64()
+        self.asked.rates(now).0 * RATE_SPAN.as_secs_f64()
     }
 
     /// Requests that wait, as far as daemons told lately.
@@ -73,7 +113,7 @@
 
     /// Copies of the model that keep its engines from reading all the time.
     pub fn copies(&self, now: Tick) -> usize {
-        let busy = self.tokens.get(BURST_SPAN, now) / READ_RATE;
+        let busy = self.asked.rates(now).1 / READ_RATE;
         (busy / READ_SHARE).ceil().max(1.0) as usize
     }
 }
--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -11,12 +11,13 @@
 //! | [`roster`] | which daemons are alive |
 //! | [`looks`] | how often a daemon reads the engines' entries itself |
 //! | [`lease`] | which daemon orders loads and unloads |
+//! | [`demand`] | how much a model is asked for |
 //! | [`residency`] | what is loaded where |
 //! | [`stream`] | how much of a stream may be passed on |
 
 pub mod caps;
 pub mod choice;
-mod demand;
+pub mod demand;
 pub mod desired;
 pub mod engines;
 pub mod lease;
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -15,6 +15,7 @@
 use crate::keys::AdapterKey;
 use crate::keys::ModelKey;
 use crate::keys::UpstreamKey;
+use crate::serving::demand::Asked;
 use crate::serving::demand::Demand;
 use crate::serving::demand::WAIT_SPAN;
 use crate::serving::desired::EngineSpec;
@@ -156,6 +157,18 @@
         self.demand.entry(model).or_default().arrive(count, tokens, now);
     }
 
+    /// A daemon says how often it was asked for a model lately.
+    pub fn hear(
+        &mut self,
+        daemon: &str,
+        incarnation: u64,
+        model: ModelKey,
+        asked: Asked,
+        now: Tick,
+    ) {
+        self.demand.entry(model).or_default().hear(daemon, incarnation, asked, now);
+    }
+
     /// A daemon says how many requests wait there for a model that no engine holds.
     pub fn wait(&mut self, daemon: &str, model: ModelKey, count: u32, now: Tick) {
         self.demand.entry(model).or_default().wait(daemon, count, now);
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -1,6 +1,7 @@
 //! What is loaded where, by the load pattern that it answers.
 
 use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::serving::demand::Asked;
 use corianderyoke_coord::serving::desired::EngineSpec;
 use corianderyoke_coord::serving::engines::Engines;
 use corianderyoke_coord::serving::engines::Report;
@@ -134,6 +135,41 @@
     assert_eq!(ops(&plan(&mut planner, &spec, &engines, 3_000)), [Op::Unload(rests)]);
 }
 
+#[test]
+fn a_model_that_other_daemons_are_asked_for_is_kept_from_their_first_word_on() {
+    let mut engines = engines(&[entry("e1", &["busy"], &["m"]), entry("e2", &["idle"], &["m"])]);
+    let spec = spec(100_000.0, &["busy", "idle", "m"]);
+    let (busy, wanted) = (model(&mut engines, "busy"), model(&mut engines, "m"));
+    let idle = model(&mut engines, "idle");
+    let mut planner = Planner::default();
+    // Each of many daemons was asked once, in a fleet that just started.
+    for daemon in 0..40 {
+        let mut asked = Asked::default();
+        asked.arrive(1, 3_000, ms(daemon * 50));
+        planner.hear(&format!("d{daemon}"), 1, busy, asked, ms(daemon * 50));
+    }
+    planner.arrive(idle, 3, 3_000, ms(1_900));
+    rare(&mut planner, wanted, 1, 2_000);
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 2_000)), [Op::Unload(idle)]);
+}
+
+#[test]
+fn what_a_daemon_tells_again_counts_once() {
+    let mut engines = engines(&[entry("e1", &["twice"], &["m"]), entry("e2", &["often"], &["m"])]);
+    let spec = spec(100_000.0, &["twice", "often", "m"]);
+    let (twice, often) = (model(&mut engines, "twice"), model(&mut engines, "often"));
+    let wanted = model(&mut engines, "m");
+    let mut planner = Planner::default();
+    let mut asked = Asked::default();
+    asked.arrive(2, 3_000, ms(0));
+    for word in 0..50 {
+        planner.hear("d1", 1, twice, asked, ms(word * 20));
+    }
+    planner.arrive(often, 6, 3_000, ms(0));
+    rare(&mut planner, wanted, 1, 1_000);
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 1_000)), [Op::Unload(twice)]);
+}
+
 #[test]
 fn a_busy_model_gets_a_copy_once_room_was_made_for_it() {
     let idle = entry("e2", &["idle"], &["busy"]);
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -196,8 +196,7 @@
         let model = state.engines.names.models.intern(model);
         let count = state.models.entry(model).or_default();
         let tokens = facts.need.as_ref().map_or(0, choice::own_tokens);
-        count.arrivals += 1;
-        count.tokens += tokens;
+        count.asked.arrive(1, tokens, now);
         count.at = now;
         state.planner.arrive(model, 1, tokens, now);
     }
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use corianderyoke_coord::serving::demand::Asked;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::time::Tick;
@@ -9,7 +10,6 @@
 use corianderyoke_util::events::Event;
 use corianderyoke_wire::word;
 use corianderyoke_wire::word::Word;
-use indexmap::IndexMap;
 
 use crate::peers::holder;
 use crate::peers::MESH;
@@ -18,7 +18,7 @@
 use crate::state::State;
 
 /// Time for which a model's demand is told after it changed.
-const DEMAND_SPAN: Duration = Duration::from_secs(2);
+const DEMAND_SPAN: Duration = Duration::from_secs(4);
 /// Time for which a team's total is told after it changed.
 const TOTAL_SPAN: Duration = Duration::from_secs(1);
 /// Words of which one tells all teams' totals, which repairs what lost words told.
@@ -75,11 +75,14 @@
         .models
         .iter()
         .filter(|(_, count)| count.waiting > 0 || now.since(count.at) < DEMAND_SPAN);
-    told.map(|(&model, count)| word::ModelDemand {
-        model: names.name(model).to_owned(),
-        arrivals: count.arrivals,
-        waiting: count.waiting,
-        tokens: count.tokens,
+    told.map(|(&model, count)| {
+        let (requests, tokens) = count.asked.rates(now);
+        word::ModelDemand {
+            model: names.name(model).to_owned(),
+            waiting: count.waiting,
+            requests: requests as f32,
+            tokens: tokens as f32,
+        }
     })
     .collect()
 }
@@ -212,19 +215,11 @@
 /// Takes in what a daemon runs and waits for; whether it waits for something.
 fn take_demand(state: &mut State, word: &Word, now: Tick) -> bool {
     let names = &mut state.engines.names;
-    let before =
-        state.words.swap_remove(&word.name).filter(|last| last.incarnation == word.incarnation);
-    let mut arrivals = before.map_or_else(IndexMap::new, |last| last.arrivals);
     let mut waits = false;
     for demand in &word.models {
         let model = names.models.intern(&demand.model);
-        let told = (demand.arrivals, demand.tokens);
-        let known = arrivals.insert(model, told).unwrap_or(told);
-        let fresh = demand.arrivals.saturating_sub(known.0);
-        if fresh > 0 {
-            let tokens = demand.tokens.saturating_sub(known.1);
-            state.planner.arrive(model, fresh, tokens, now);
-        }
+        let asked = Asked::told(demand.requests.into(), demand.tokens.into(), now);
+        state.planner.hear(&word.name, word.incarnation, model, asked, now);
         state.planner.wait(&word.name, model, demand.waiting, now);
         waits |= demand.waiting > 0;
     }
@@ -238,7 +233,6 @@
         incarnation: word.incarnation,
         number: word.number,
         at: now,
-        arrivals,
         waits,
         ..PeerWord::default()
     };
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -13,6 +13,7 @@
 use corianderyoke_coord::serving::choice::ChoiceSettings;
 use corianderyoke_coord::serving::choice::Load;
 use corianderyoke_coord::serving::choice::Prefixes;
+use corianderyoke_coord::serving::demand::Asked;
 use corianderyoke_coord::serving::desired::Desired;
 use corianderyoke_coord::serving::engines::Change;
 use corianderyoke_coord::serving::engines::Engines;
@@ -70,8 +71,6 @@
     pub at: Tick,
     /// What it has running, by engine.
     pub loads: IndexMap<UpstreamKey, Load>,
-    /// Requests for each model so far, and the tokens to read for them.
-    pub arrivals: IndexMap<ModelKey, (u64, u64)>,
     /// Whether it has requests that wait for an engine to hold something.
     pub waits: bool,
     /// Requests that it has running, by engine and model.
@@ -81,10 +80,8 @@
 /// Requests of this daemon for a model.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ModelCount {
-    /// All so far.
-    pub arrivals: u64,
-    /// Prompt tokens of all so far that an engine has to read.
-    pub tokens: u64,
+    /// How often it was asked for.
+    pub asked: Asked,
     /// Those that wait until an engine holds it.
     pub waiting: u32,
     /// Last time at which either changed.
