--- a/crates/coord/src/serving/roster.rs
+++ b/crates/coord/src/serving/roster.rs
@@ -62,6 +62,8 @@
     since: Tick,
     /// When it was last new, started again or changed its fitness.
     changed: Tick,
+    /// Whether it was heard since it was last reported silent.
+    speaks: bool,
 }
 
 /// All daemons but this one.
@@ -83,7 +85,8 @@
                 .is_none_or(|known| known.daemon.incarnation < daemon.incarnation);
             if newer {
                 let fitness = Fitness::Unready;
-                let known = Known { daemon, heard: None, fitness, since: now, changed: now };
+                let known =
+                    Known { daemon, heard: None, fitness, since: now, changed: now, speaks: false };
                 self.others.insert(known.daemon.name.clone(), known);
             }
         }
@@ -100,7 +103,7 @@
         });
         let same = before.filter(|known| !new && known.fitness == fitness);
         let changed = same.map_or(now, |known| known.changed);
-        let known = Known { daemon, heard: Some(now), fitness, since: now, changed };
+        let known = Known { daemon, heard: Some(now), fitness, since: now, changed, speaks: true };
         self.others.insert(known.daemon.name.clone(), known);
         new
     }
@@ -127,6 +130,18 @@
         self.others.values().filter(quiet).map(|known| &known.daemon)
     }
 
+    /// Daemons that fell silent since this was last asked.
+    pub fn fallen_silent(&mut self, now: Tick) -> Vec<String> {
+        let silent = |known: &&mut Known| known.speaks && !known.is_heard(now);
+        let fallen = self.others.values_mut().filter(silent);
+        fallen
+            .map(|known| {
+                known.speaks = false;
+                known.daemon.name.clone()
+            })
+            .collect()
+    }
+
     /// Daemons heard lately, with what they can do for callers and when that changed.
     pub fn described(&self, now: Tick) -> impl Iterator<Item = (&Daemon, Fitness, Tick)> {
         let heard = self.others.values().filter(move |known| known.is_heard(now));
@@ -140,6 +155,7 @@
         for known in self.others.values_mut() {
             if unknown.swap_remove(&mark(&known.daemon, known.fitness)) {
                 known.heard = Some(now);
+                known.speaks = true;
             }
         }
         !unknown.is_empty()
--- a/crates/coord/tests/serving/roster.rs
+++ b/crates/coord/tests/serving/roster.rs
@@ -51,6 +51,18 @@
     }
 }
 
+#[test]
+fn a_daemon_that_falls_silent_is_reported_once_each_time() {
+    let mut roster = Roster::default();
+    roster.rows(vec![daemon("never heard", 1)], ms(0));
+    for start in [0, 10_000] {
+        roster.hear(daemon("d", 1), Fitness::Ready, ms(start));
+        assert_eq!(roster.fallen_silent(ms(start + 1_400)), Vec::<String>::new());
+        assert_eq!(roster.fallen_silent(ms(start + 1_600)), ["d"]);
+        assert_eq!(roster.fallen_silent(ms(start + 1_700)), Vec::<String>::new());
+    }
+}
+
 #[test]
 fn word_of_an_earlier_start_is_dropped() {
     let mut roster = Roster::default();
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -19,6 +19,8 @@
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
 use corianderyoke_wire::word::datagram::Body;
 use corianderyoke_wire::word::Datagram;
 use prost::Message;
@@ -124,6 +126,9 @@
 ) -> Vec<(Body, Vec<SocketAddr>)> {
     let mut guard = shared.state();
     let state = &mut *guard;
+    for name in state.roster.fallen_silent(now) {
+        events::log(Event::PeerSilent, format_args!("name={name}"));
+    }
     let word = Body::Word(words::compose(shared, state, number, now));
     let all = |state: &State| state.roster.known().map(|daemon| daemon.peers).collect();
     if state.roster.size() <= MESH {
