Soak the daemon with random faults, and describe what daemons tell

A seeded series of faults against three real daemons with six callers on kept connections: kills, restarts, pauses and signals, a store that is down or goes silent, engines that leave, fail, cut, stall or answer for others, overlapping where they come from the store. Checked: requests that run once run once, what is said not to have run didn't, whole answers of the right request, streams without gaps, service once the faults are over.

--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -65,6 +65,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether it ran, as far as the engine tells it.
+    pub ran: bool,
 }
 
 #[derive(Default)]
@@ -148,6 +150,15 @@
         self.state.lock().acts.extend(acts);
     }
 
+    /// What it does with a request where nothing else was said.
+    fn usual(&self, path: &str) -> Act {
+        if path.starts_with("/resume/soak") {
+            Act::Stream(4, Duration::from_millis(15))
+        } else {
+            Act::Answer(Duration::ZERO)
+        }
+    }
+
     /// Requests that reached it.
     pub fn seen(&self) -> Vec<Seen> {
         self.state.lock().seen.clone()
@@ -179,8 +190,10 @@
         let after: u64 = after.and_then(|value| value.parse().ok()).unwrap_or(0);
         let act = {
             let mut state = self.state.lock();
-            state.seen.push(Seen { path, headers, body });
-            state.acts.pop_front().unwrap_or(Act::Answer(Duration::ZERO))
+            let act = state.acts.pop_front().unwrap_or_else(|| self.usual(&path));
+            let ran = !matches!(act, Act::Refuse | Act::Misplaced);
+            state.seen.push(Seen { path, headers, body, ran });
+            act
         };
         let _work = Work::begin(&self.state);
         let mut response = match act {
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod faults;
 mod orders;
+mod soak;
 mod stopping;
 mod store;
 mod world;
