Ask an engine before the next order where an older entry came in

The next load passed the engine's check of the count and was more than its memory holds.

Now an entry that lacks something which nobody was told to unload makes the planner ask the engine first. The test failed before.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -238,6 +238,11 @@
             }
         }
         engine.settle_arriving();
+        // An entry may have been written before what a report or an order showed since. The engine
+        // has to say what it holds before it is given another order.
+        if engine.lacks_some_of(old) {
+            engine.orders = None;
+        }
         let change = match (old.stage, engine.stage) {
             (Stage::Ready, Stage::Draining) => Change::Left,
             (Stage::Draining, Stage::Ready) => Change::Updated,
@@ -507,6 +512,18 @@
         self.models.len() == other.models.len() && self.models.keys().all(same)
     }
 
+    /// Whether something that another state held is missing though it wasn't told to unload it.
+    fn lacks_some_of(&self, old: &Engine) -> bool {
+        let expected = old.models.iter().filter(|(model, _)| old.unloading != Some(**model));
+        let mut expected = expected.map(|(&model, adapters)| (model, adapters));
+        expected.any(|(model, adapters)| match self.models.get(&model) {
+            Some(held) => adapters.iter().any(|&adapter| {
+                !held.contains(&adapter) && !self.arriving.contains(&(model, adapter))
+            }),
+            None => true,
+        })
+    }
+
     /// Adapters of a model that take a place, those on their way included.
     pub fn adapters(&self, model: ModelKey) -> usize {
         let held = self.models.get(&model);
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -328,6 +328,26 @@
     assert_eq!(next, [Order { engine: key, op: Op::UnloadAdapter(base, a1), expected: 1 }]);
 }
 
+#[test]
+fn an_entry_that_is_older_than_a_report_frees_no_memory() {
+    let fresh = entry("e1", &["m", "loaded"], &["wanted"]);
+    let mut engines = engines(std::slice::from_ref(&fresh));
+    let spec = spec(130_000.0, &["m", "loaded", "wanted"]);
+    let key = engine(&engines, "e1");
+    let wanted = model(&mut engines, "wanted");
+    engines.report(key, &report(&fresh, 13));
+    // The store was away while the engine loaded a model, and brings its entry of before.
+    engines.list(entry("e1", &["m"], &["wanted"]), ms(100));
+    let mut planner = Planner::default();
+    rare(&mut planner, wanted, 1, 100);
+    assert_eq!(plan(&mut planner, &spec, &engines, 100), [Action::Inspect(key)]);
+    engines.report(key, &report(&fresh, 13));
+    planner.inspected(key, false, ms(110));
+    rare(&mut planner, wanted, 1, 110);
+    let next = ops(&plan(&mut planner, &spec, &engines, 110));
+    assert!(matches!(next[..], [Op::Unload(_)]), "{next:?}");
+}
+
 #[test]
 fn adapters_wait_while_their_engine_carries_out_an_order_on_a_model() {
     let mut engines = engines(&[entry("e1", &["m"], &[])]);
