--- a/crates/coord/src/serving/looks.rs
+++ b/crates/coord/src/serving/looks.rs
@@ -1,14 +1,14 @@
 //! How often a daemon reads the engines' entries itself.
 //!
-//! Engines rewrite their entries all the time, so each look brings something. The daemon that gives
-//! orders looks as often as it can and tells the others what changed; they look for themselves
-//! where they don't hear it, missed some of it, or it can't read the entries either.
+//! Engines rewrite their entries all the time, so each look brings something. The holder of the
+//! lease looks as often as it can and tells the others what changed; they look for themselves where
+//! they don't hear it, missed some of it, or it can't read the entries either.
 
 use std::time::Duration;
 
 use crate::time::Tick;
 
-/// Least time between two looks of the daemon that gives orders.
+/// Least time between two looks of the holder.
 const SHORTEST: Duration = Duration::from_millis(40);
 /// Time between two looks of a daemon that is told, which repair what telling may have missed.
 const TOLD: Duration = Duration::from_secs(6);
@@ -18,9 +18,9 @@
 /// Part of the time within which a leaving engine must get nothing new that lies between two looks
 /// of a daemon that isn't told.
 const ALONE_SHARE: f64 = 0.25;
-/// Part of that time by which the teller's last read may be old.
+/// Part of that time by which the holder's last read may be old.
 const AGE_SHARE: f64 = 0.5;
-/// Pauses between words after which a teller that isn't heard counts as silent.
+/// Pauses between words after which a holder that isn't heard counts as silent.
 const SILENT_PAUSES: u32 = 3;
 
 /// What the time between two looks depends on besides what was heard.
@@ -34,14 +34,14 @@
     pub drain: Duration,
 }
 
-/// What a daemon heard of the engines' entries.
+/// What a daemon heard from the holder of the engines' entries.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Told {
-    /// When the teller was last heard.
+    /// When the holder was last heard.
     at: Option<Tick>,
-    /// How old the teller's own read was then.
+    /// How old the holder's own read was then.
     age: Duration,
-    /// Fencing token of the teller.
+    /// Fencing token of the holder.
     token: u64,
     /// Changes that it told so far.
     count: u64,
@@ -56,7 +56,7 @@
 }
 
 impl Told {
-    /// The last change taken in from the teller with this token.
+    /// The last change taken in from the holder with this token.
     pub fn last(&self, token: u64) -> u64 {
         if self.token == token {
             self.count
@@ -67,7 +67,7 @@
 
     /// Takes a word in that lists the changes from `first` to `count`.
     pub fn hear(&mut self, token: u64, first: u64, count: u64, age: Duration, now: Tick) {
-        // What a new teller told before can't be known.
+        // What a new holder told before can't be known.
         self.missed |= self.token != token || first > self.count + 1;
         // Words may overtake each other.
         let count = count.max(self.last(token));
@@ -84,9 +84,9 @@
         self.missed |= look.missed;
     }
 
-    /// Time between two looks of a daemon that `gives` orders or not.
-    pub fn gap(&self, gives: bool, fleet: Fleet, now: Tick) -> Duration {
-        if gives {
+    /// Time between two looks of the holder, or of another daemon.
+    pub fn gap(&self, holds: bool, fleet: Fleet, now: Tick) -> Duration {
+        if holds {
             return SHORTEST;
         }
         let since = self.at.map(|at| now.since(at));
--- a/crates/coord/tests/serving/looks.rs
+++ b/crates/coord/tests/serving/looks.rs
@@ -15,7 +15,7 @@
     told.gap(false, FLEET, ms(at))
 }
 
-/// A daemon that heard the teller with token 1 and looked for itself once.
+/// A daemon that heard the holder with token 1 and looked for itself once.
 fn told() -> Told {
     let mut told = Told::default();
     told.hear(1, 1, 0, FRESH, ms(0));
@@ -38,7 +38,7 @@
     let alone = Duration::from_millis(80);
     assert_eq!(gap(&Told::default(), 0), alone);
     let mut told = told();
-    assert_eq!(gap(&told, 700), alone, "the teller fell silent");
+    assert_eq!(gap(&told, 700), alone, "the holder fell silent");
     told.hear(1, 2, 2, FRESH, ms(800));
     assert_eq!(gap(&told, 900), alone, "the first change was lost");
     told.look();
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn a_teller_that_cannot_read_the_entries_does_not_count() {
+fn a_holder_that_cannot_read_the_entries_does_not_count() {
     let mut told = told();
     told.hear(1, 1, 0, Duration::from_millis(900), ms(200));
     assert_eq!(gap(&told, 350), Duration::from_millis(80));
@@ -70,7 +70,7 @@
 #[test]
 fn a_large_fleet_does_not_press_the_store_where_nobody_tells() {
     let told = Told::default();
-    let gap = |gives, size| told.gap(gives, Fleet { size, ..FLEET }, ms(0));
+    let gap = |holds, size| told.gap(holds, Fleet { size, ..FLEET }, ms(0));
     assert_eq!(gap(false, 40), Duration::from_millis(400));
     // It still hears in time of engines that leave.
     assert_eq!(gap(false, 300), Duration::from_millis(500));
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -30,20 +30,13 @@
 /// Pauses between words for which the holder's last word is passed on.
 const HOLDER_PAUSES: u32 = 3;
 
-/// A relay's digest: of teams, of the holder, and where it is `whole` of daemons and engines.
+/// A relay's digest: of teams, and where it is `whole` of daemons, engines and the holder.
 pub fn compose(shared: &Shared, state: &mut State, whole: bool, now: Tick) -> Digest {
-    let span = pause(state) * HOLDER_PAUSES;
-    let own = holder::compose(state, now).map(|own| (shared.settings.name.clone(), own));
-    let heard = state.holder.as_ref().filter(|(_, _, at)| now.since(*at) < span);
-    let (holder_name, holder) =
-        own.or_else(|| heard.map(|(name, holder, _)| (name.clone(), holder.clone()))).unzip();
     let mut digest = Digest {
         relay: shared.settings.name.clone(),
         incarnation: shared.incarnation(),
         teams: teams(state, whole, now),
         operator: state.operator.known,
-        holder,
-        holder_name: holder_name.unwrap_or_default(),
         ..Digest::default()
     };
     if whole {
@@ -58,10 +51,24 @@
         let marks = described.iter().map(|&(daemon, fitness, _)| roster::mark(daemon, fitness));
         digest.marks = marks.collect();
         digest.loads = loads(state, now);
+        if let Some((name, holder)) = holder(shared, state, now) {
+            digest.holder_name = name;
+            digest.holder = Some(holder);
+        }
     }
     digest
 }
 
+/// The last word of the lease's holder, with its name.
+fn holder(shared: &Shared, state: &mut State, now: Tick) -> Option<(String, word::Holder)> {
+    if let Some(own) = holder::compose(state, now) {
+        return Some((shared.settings.name.clone(), own));
+    }
+    let span = pause(state) * HOLDER_PAUSES;
+    let heard = state.holder.as_ref().filter(|(_, _, at)| now.since(*at) < span);
+    heard.map(|(name, holder, _)| (name.clone(), holder.clone()))
+}
+
 fn teams(state: &mut State, all: bool, now: Tick) -> Vec<word::TeamSum> {
     let share = state.roster.share(now);
     let sums = state.caps.iter_mut().map(|(team, bucket)| {
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -27,12 +27,12 @@
 
 /// Time for which a feed waits for a change.
 const FEED_WAIT: Duration = Duration::from_secs(10);
-/// Part of the time within which a leaving engine must get nothing new for which the feed of the
-/// daemon that gives orders waits.
-const TELLER_SHARE: f64 = 0.25;
-/// Age of the last read from which the whole table is shorter than its history: engines rewrite
-/// their entries about once a second.
-const HISTORY_SPAN: Duration = Duration::from_millis(2_500);
+/// Time for which the holder's feed of the engines waits, as a part of the time within which a
+/// leaving engine must get nothing new.
+const HOLDER_SHARE: f64 = 0.25;
+/// Age of the last read from which the table is read whole: engines rewrite their entries about
+/// once a second, so from there on it is shorter than its changes.
+const WHOLE_AGE: Duration = Duration::from_millis(2_500);
 /// First pause after a failed call; doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two tries to reach the store.
@@ -53,12 +53,12 @@
 }
 
 impl Table {
-    /// Time for which a feed waits for a change. The daemon that gives orders tells how old its read
-    /// of the engines is, and asks again before that would make others look for themselves.
+    /// Time for which a feed waits for a change. The holder tells how old its read of the engines
+    /// is, and asks again before that would make others look for themselves.
     fn wait(self, shared: &Shared) -> Duration {
-        let tells = self == Table::Engines && shared.state().orders(clock::now());
-        if tells {
-            shared.settings.bounds.drain().mul_f64(TELLER_SHARE)
+        let holds = self == Table::Engines && shared.state().orders(clock::now());
+        if holds {
+            shared.settings.bounds.drain().mul_f64(HOLDER_SHARE)
         } else {
             FEED_WAIT
         }
@@ -148,7 +148,7 @@
                 let mut state = shared.state();
                 (state.told.look(), clock::now().since(state.read))
             };
-            let after = after.filter(|_| age < HISTORY_SPAN);
+            let after = after.filter(|_| age < WHOLE_AGE);
             let read = fetch(table, shared, after, table.wait(shared)).await;
             let mut state = shared.state();
             match read {
