Describe a daemon once, and wait, accept and draw numbers in one place

- A daemon's description stood in words and in members of digests, with a decoder each and a third form for its row in the store: words carry a member now, peers::member encodes and decodes it, and the row is the roster's Daemon.
- Attempts::answered and ::continued were one loop twice; so were the loops that take connections, and reads and feeds of the store.
- shares::rank and entry::rank were one formula: hash::rank.
- What an engine reads in a second stood in two constants.
- TeamBucket::followed could be told by `complete`.
- A plan looked for usable engines once for each model and adapter; once now.
- dispatch::budget needn't be public, since its type is exported.
- The soak had its own generator of numbers; it uses rand_chacha like the rest.

--- a/crates/coord/src/dispatch/mod.rs
+++ b/crates/coord/src/dispatch/mod.rs
@@ -11,7 +11,7 @@
 //! models and its slots need a single count.
 
 mod bound;
-pub mod budget;
+mod budget;
 mod caps;
 mod changes;
 mod commands;
--- a/crates/coord/src/entry/mod.rs
+++ b/crates/coord/src/entry/mod.rs
@@ -7,8 +7,7 @@
 
 use std::time::Duration;
 
-use crate::hash::hash;
-use crate::hash::mix;
+use crate::hash::rank;
 use crate::keys::ZoneKey;
 
 /// State of a router as the members' table and the rules tell.
@@ -129,8 +128,3 @@
     }
     rest.iter().copied().find(|router| router.zone != zone)
 }
-
-/// Rendezvous rank of a router for a team.
-fn rank(team: &str, router: &str) -> u64 {
-    mix(hash(0, team.bytes().chain([0]).chain(router.bytes())))
-}
--- a/crates/coord/src/hash.rs
+++ b/crates/coord/src/hash.rs
@@ -14,3 +14,8 @@
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
 }
+
+/// Rendezvous rank of `candidate` for `thing`: the highest of all candidates is its home.
+pub(crate) fn rank(thing: &str, candidate: &str) -> u64 {
+    mix(hash(0, thing.bytes().chain([0]).chain(candidate.bytes())))
+}
--- a/crates/coord/src/serving/caps.rs
+++ b/crates/coord/src/serving/caps.rs
@@ -89,8 +89,6 @@
     recent: VecDeque<(Tick, i64)>,
     /// What a relay told last, where this daemon hears the others through it.
     relayed: Option<Relayed>,
-    /// Whether a relay ever told.
-    followed: bool,
 }
 
 impl TeamBucket {
@@ -110,7 +108,6 @@
             told: IndexMap::new(),
             recent: VecDeque::new(),
             relayed: None,
-            followed: false,
         }
     }
 
@@ -176,7 +173,7 @@
         let since = match before {
             Some(before) if before.incarnation == incarnation => total - before.total,
             Some(_) => total,
-            None if self.complete && !self.followed => total,
+            None if self.complete => total,
             // It may have been admitted long before this daemon started, or a relay told of it.
             None => 0,
         };
@@ -212,7 +209,8 @@
         }
         self.level = self.level.min(told.level as f64).min(self.cap.burst);
         self.relayed = Some(told);
-        self.followed = true;
+        // What others tell first from now on is in the relay's sum.
+        self.complete = false;
         self.told.clear();
     }
 
--- a/crates/coord/src/serving/choice.rs
+++ b/crates/coord/src/serving/choice.rs
@@ -21,10 +21,13 @@
 /// Parts remembered at most; the oldest are forgotten first.
 const MOST_PARTS: usize = 8_192;
 
+/// Prompt tokens that an engine reads in a millisecond, until something better is known.
+pub(super) const READ_RATE: f64 = 30.0;
+
 /// Figures for the expected time to a first token.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChoiceSettings {
-    /// Prompt tokens that an engine reads in a millisecond, until something better is known.
+    /// Prompt tokens that an engine reads in a millisecond.
     pub read_rate: f64,
     /// Milliseconds that each running request adds to a first token.
     pub beside_ms: f64,
@@ -36,7 +39,7 @@
 
 impl Default for ChoiceSettings {
     fn default() -> Self {
-        ChoiceSettings { read_rate: 30.0, beside_ms: 4.0, away_ms: 12.0, memory_share: 0.95 }
+        ChoiceSettings { read_rate: READ_RATE, beside_ms: 4.0, away_ms: 12.0, memory_share: 0.95 }
     }
 }
 
--- a/crates/coord/src/serving/demand.rs
+++ b/crates/coord/src/serving/demand.rs
@@ -4,14 +4,13 @@
 
 use indexmap::IndexMap;
 
+use crate::serving::choice::READ_RATE;
 use crate::time::Tick;
 
 /// Time over which requests count towards a model's rate.
 const RATE_SPAN: Duration = Duration::from_secs(12);
 /// Time over which tokens count towards the number of a model's copies.
 const BURST_SPAN: Duration = Duration::from_secs(3);
-/// Prompt tokens that an engine reads in a second.
-const READ_RATE: f64 = 30_000.0;
 /// Part of the time that an engine may read prompts for one model before it gets another copy;
 /// beyond about half, prompts wait for each other and hold up the tokens of what runs.
 const READ_SHARE: f64 = 0.4;
@@ -113,7 +112,7 @@
 
     /// Copies of the model that keep its engines from reading all the time.
     pub fn copies(&self, now: Tick) -> usize {
-        let busy = self.asked.rates(now).1 / READ_RATE;
+        let busy = self.asked.rates(now).1 / (READ_RATE * 1e3);
         (busy / READ_SHARE).ceil().max(1.0) as usize
     }
 }
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -250,7 +250,8 @@
     ) -> Vec<Action> {
         self.refill(spec, now);
         let mut actions = Vec::new();
-        for key in engines.usable(service, now) {
+        let usable = engines.usable(service, now);
+        for &key in &usable {
             // Nothing is ordered before it is known what the engine has accepted.
             let unknown = engines.get(key).is_some_and(|engine| engine.orders.is_none());
             if unknown && !self.work.contains_key(&key) {
@@ -259,17 +260,17 @@
         }
         self.settle(engines, now, &mut actions);
         self.continue_planned(spec, engines, now, &mut actions);
-        for model in self.wanted(service, spec, engines, now) {
-            let Some(way) = self.best(service, spec, engines, model, now) else { continue };
+        for model in self.wanted(&usable, spec, engines, now) {
+            let Some(way) = self.best(&usable, spec, engines, model, now) else { continue };
             self.start(way, model, engines, now, &mut actions);
         }
-        for model in self.crowded(service, spec, engines, now) {
-            let Some(way) = self.best(service, spec, engines, model, now) else { continue };
+        for model in self.crowded(&usable, spec, engines, now) {
+            let Some(way) = self.best(&usable, spec, engines, model, now) else { continue };
             if !way.remote && way.cost < COPY_LOSS + COPY_TIME {
                 self.start(way, model, engines, now, &mut actions);
             }
         }
-        self.plan_adapters(service, spec, engines, now, &mut actions);
+        self.plan_adapters(&usable, spec, engines, now, &mut actions);
         actions
     }
 
@@ -352,13 +353,12 @@
     /// first.
     fn wanted(
         &self,
-        service: &str,
+        usable: &[UpstreamKey],
         spec: &EngineSpec,
         engines: &Engines,
         now: Tick,
     ) -> Vec<ModelKey> {
-        let usable: Vec<&Engine> =
-            engines.usable(service, now).iter().filter_map(|key| engines.get(*key)).collect();
+        let usable: Vec<&Engine> = usable.iter().filter_map(|key| engines.get(*key)).collect();
         let coming: IndexSet<ModelKey> = self.coming().collect();
         let is_wanted = |model: &ModelKey| {
             let known = spec.models.contains_key(engines.names.models.name(*model));
@@ -375,12 +375,11 @@
     /// Models whose engines have more to read than they should, the busiest first.
     fn crowded(
         &self,
-        service: &str,
+        usable: &[UpstreamKey],
         spec: &EngineSpec,
         engines: &Engines,
         now: Tick,
     ) -> Vec<ModelKey> {
-        let usable = engines.usable(service, now);
         let mut crowded: Vec<(ModelKey, usize)> = Vec::new();
         for (&model, demand) in &self.demand {
             if !spec.models.contains_key(engines.names.models.name(model)) {
@@ -410,17 +409,16 @@
     /// The cheapest way to load a model.
     fn best(
         &self,
-        service: &str,
+        usable: &[UpstreamKey],
         spec: &EngineSpec,
         engines: &Engines,
         model: ModelKey,
         now: Tick,
     ) -> Option<Way> {
-        let keys = engines.usable(service, now);
-        let free = keys
-            .into_iter()
-            .filter(|key| !self.work.contains_key(key) && !self.planned.contains_key(key));
-        let ways = free.filter_map(|key| {
+        let free = usable
+            .iter()
+            .filter(|key| !self.work.contains_key(*key) && !self.planned.contains_key(*key));
+        let ways = free.filter_map(|&key| {
             let engine = engines.get(key).filter(|engine| !engine.models.contains_key(&model))?;
             self.way(spec, engines, key, engine, model, now)
         });
@@ -529,7 +527,7 @@
     /// Adapters that requests wait for, one order an engine.
     fn plan_adapters(
         &mut self,
-        service: &str,
+        usable: &[UpstreamKey],
         spec: &EngineSpec,
         engines: &Engines,
         now: Tick,
@@ -539,10 +537,9 @@
         let wanted: Vec<(AdapterKey, ModelKey)> =
             self.adapters.iter().map(|(&adapter, &(model, _))| (adapter, model)).collect();
         for (adapter, model) in wanted {
-            let usable = engines.usable(service, now);
             let holders: Vec<(UpstreamKey, &Engine)> = usable
-                .into_iter()
-                .filter_map(|key| Some((key, engines.get(key)?)))
+                .iter()
+                .filter_map(|&key| Some((key, engines.get(key)?)))
                 .filter(|(_, engine)| engine.holds(model, None))
                 .collect();
             if holders.iter().any(|(_, engine)| engine.holds(model, Some(adapter))) {
--- a/crates/coord/src/serving/roster.rs
+++ b/crates/coord/src/serving/roster.rs
@@ -9,6 +9,8 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::hash::hash;
 use crate::hash::mix;
@@ -27,7 +29,7 @@
 pub const SILENCE: Duration = Duration::from_millis(1_500);
 
 /// A daemon, as its row or its own word describes it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Daemon {
     /// Instance name.
     pub name: String,
@@ -40,6 +42,7 @@
     /// Availability zone.
     pub zone: String,
     /// How much its instance can do, as a weight among the fleet's.
+    #[serde(default)]
     pub capacity: u32,
 }
 
--- a/crates/coord/src/serving/shares.rs
+++ b/crates/coord/src/serving/shares.rs
@@ -6,9 +6,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::dispatch::budget::RetryBudget;
-use crate::hash::hash;
-use crate::hash::mix;
+use crate::dispatch::RetryBudget;
+use crate::hash::rank as weight;
 use crate::time::Tick;
 
 /// Part of an allowance that is given out; the rest covers daemons that aren't known yet.
@@ -73,7 +72,6 @@
 
 /// Position of `daemon` among `others` for a thing, the same at every daemon.
 pub fn rank<'a>(thing: &str, daemon: &str, others: impl Iterator<Item = &'a str>) -> usize {
-    let weight = |name: &str| mix(hash(0, thing.bytes().chain([0]).chain(name.bytes())));
-    let own = weight(daemon);
-    others.filter(|name| *name != daemon && weight(name) > own).count()
+    let own = weight(thing, daemon);
+    others.filter(|name| *name != daemon && weight(thing, name) > own).count()
 }
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -135,12 +135,17 @@
     assert_eq!(ops(&plan(&mut planner, &spec, &engines, 3_000)), [Op::Unload(rests)]);
 }
 
+/// Two engines that hold one model each and have a third on their disks, and room for one.
+fn rivals(first: &str, second: &str) -> (Engines, EngineSpec, [ModelKey; 3]) {
+    let mut engines = engines(&[entry("e1", &[first], &["m"]), entry("e2", &[second], &["m"])]);
+    let spec = spec(100_000.0, &[first, second, "m"]);
+    let keys = [first, second, "m"].map(|name| model(&mut engines, name));
+    (engines, spec, keys)
+}
+
 #[test]
 fn a_model_that_other_daemons_are_asked_for_is_kept_from_their_first_word_on() {
-    let mut engines = engines(&[entry("e1", &["busy"], &["m"]), entry("e2", &["idle"], &["m"])]);
-    let spec = spec(100_000.0, &["busy", "idle", "m"]);
-    let (busy, wanted) = (model(&mut engines, "busy"), model(&mut engines, "m"));
-    let idle = model(&mut engines, "idle");
+    let (engines, spec, [busy, idle, wanted]) = rivals("busy", "idle");
     let mut planner = Planner::default();
     // Each of many daemons was asked once, in a fleet that just started.
     for daemon in 0..40 {
@@ -155,10 +160,7 @@
 
 #[test]
 fn what_a_daemon_tells_again_counts_once() {
-    let mut engines = engines(&[entry("e1", &["twice"], &["m"]), entry("e2", &["often"], &["m"])]);
-    let spec = spec(100_000.0, &["twice", "often", "m"]);
-    let (twice, often) = (model(&mut engines, "twice"), model(&mut engines, "often"));
-    let wanted = model(&mut engines, "m");
+    let (engines, spec, [twice, often, wanted]) = rivals("twice", "often");
     let mut planner = Planner::default();
     let mut asked = Asked::default();
     asked.arrive(2, 3_000, ms(0));
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -19,8 +19,8 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
 
+use crate::accept;
 use crate::body;
 use crate::body::Body;
 use crate::state::Shared;
@@ -29,18 +29,13 @@
 const KEEP: Duration = Duration::from_secs(2);
 /// Time for which a connection may be idle.
 const IDLE: Duration = Duration::from_secs(15);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
 /// Takes connections until the task is ended.
 pub async fn run(listener: TcpListener, shared: Arc<Shared>, registry: Arc<Registry>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept::next(&listener).await;
         let (shared, registry) = (Arc::clone(&shared), Arc::clone(&registry));
         let service = service_fn(move |request| {
             let answer = answer(&shared, &registry, &request);
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -178,10 +178,25 @@
 
     /// Waits for the next piece of an answer that began; `None` once it should go on elsewhere.
     pub async fn continued<T>(&self, piece: impl Future<Output = T>, target: &Target) -> Option<T> {
-        let mut piece = pin!(piece);
+        self.wait(piece, target, || self.patience_for_event()).await
+    }
+
+    /// Waits for an engine; `None` once another engine should be tried, or the time is over.
+    pub async fn answered<T>(&self, answer: impl Future<Output = T>, target: &Target) -> Option<T> {
+        self.wait(answer, target, || self.patience_for_answer(target)).await
+    }
+
+    /// Waits for as long as `patience` says, and on while no other engine could do better.
+    async fn wait<T>(
+        &self,
+        awaited: impl Future<Output = T>,
+        target: &Target,
+        patience: impl Fn() -> Duration,
+    ) -> Option<T> {
+        let mut awaited = pin!(awaited);
         loop {
-            if let Ok(piece) = timeout(self.patience_for_event(), &mut piece).await {
-                return Some(piece);
+            if let Ok(found) = timeout(patience(), &mut awaited).await {
+                return Some(found);
             }
             if self.call.left() < LEAST_LEFT || self.has_other(target) {
                 return None;
@@ -297,20 +312,6 @@
         self.judge(response, lane, target, guard).await
     }
 
-    /// Waits for an engine; `None` once another engine should be tried, or the time is over.
-    pub async fn answered<T>(&self, answer: impl Future<Output = T>, target: &Target) -> Option<T> {
-        let mut answer = pin!(answer);
-        loop {
-            let limit = self.patience_for_answer(target);
-            if let Ok(answer) = timeout(limit, &mut answer).await {
-                return Some(answer);
-            }
-            if self.call.left() < LEAST_LEFT || self.has_other(target) {
-                return None;
-            }
-        }
-    }
-
     /// Whether another engine could serve the call now.
     fn has_other(&self, target: &Target) -> bool {
         let other = |key| key != target.key && !self.failed.contains(&key);
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -29,9 +29,9 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::accept;
 use crate::body::Body;
 use crate::call;
 use crate::call::Call;
@@ -43,19 +43,14 @@
 use crate::state::Shared;
 use crate::state::State;
 
-/// Pause after a failed accept, which mostly means that descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Least buffer of a connection, in bytes; hyper takes no less than 8 KiB.
 const LEAST_BUFFER: usize = 32 << 10;
 
 /// Takes connections until the task is ended.
 pub async fn run(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(connection(stream, Arc::clone(&shared)))),
-            Err(_) => sleep(ACCEPT_PAUSE).await,
-        }
+        let stream = accept::next(&listener).await;
+        tokio::spawn(connection(stream, Arc::clone(&shared)));
     }
 }
 
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderyoke_adapter::store::StoreRow;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_platform::Condition;
 use corianderyoke_platform::Error;
@@ -16,10 +17,9 @@
 use ring::hmac;
 use ring::rand::SecureRandom;
 use ring::rand::SystemRandom;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::sleep;
 
+use crate::peers;
 use crate::state::Shared;
 
 /// Table of the daemons' rows.
@@ -41,18 +41,6 @@
 /// Time without word after which a daemon's row is removed.
 const GONE: Duration = Duration::from_secs(30);
 
-/// A daemon's row.
-#[derive(Deserialize, Serialize)]
-struct Row {
-    name: String,
-    incarnation: u64,
-    peers: std::net::SocketAddr,
-    callers: std::net::SocketAddr,
-    zone: String,
-    #[serde(default)]
-    capacity: u32,
-}
-
 /// The key under which daemons seal their words; made by the first daemon that asks for it.
 pub async fn peer_key(shared: &Shared) -> hmac::Key {
     loop {
@@ -119,17 +107,9 @@
 }
 
 async fn write(shared: &Shared) -> Result<(), Error> {
-    let settings = &shared.settings;
-    let row = Row {
-        name: settings.name.clone(),
-        incarnation: shared.incarnation(),
-        peers: settings.peers,
-        callers: settings.callers,
-        zone: settings.zone.clone(),
-        capacity: settings.capacity,
-    };
-    let value = serde_json::to_string(&row).map_err(|e| Error::Invalid(e.to_string()))?;
-    let (table, key) = (DAEMONS.to_owned(), settings.name.clone());
+    let daemon = peers::myself(shared);
+    let value = serde_json::to_string(&daemon).map_err(|e| Error::Invalid(e.to_string()))?;
+    let (table, key) = (DAEMONS.to_owned(), daemon.name);
     let writes = vec![Write::Put { table, key, value }];
     shared.store.transact(&Transaction { conditions: Vec::new(), writes }).await.map(drop)
 }
@@ -137,20 +117,10 @@
 async fn read(shared: &Shared) -> Result<(), Error> {
     let rows = shared.store.rows(DAEMONS).await?;
     let now = clock::now();
-    let mut daemons = Vec::new();
-    let mut own = false;
-    for row in &rows.rows {
-        let Some(row) = row.value.as_deref().and_then(|v| serde_json::from_slice::<Row>(v).ok())
-        else {
-            continue;
-        };
-        if row.name == shared.settings.name {
-            own = true;
-            continue;
-        }
-        let Row { name, incarnation, peers, callers, zone, capacity } = row;
-        daemons.push(Daemon { name, incarnation, peers, callers, zone, capacity });
-    }
+    let decode = |row: &StoreRow| serde_json::from_slice(row.value.as_deref()?).ok();
+    let daemons = rows.rows.iter().filter_map(decode);
+    let (own, daemons): (Vec<Daemon>, Vec<Daemon>) =
+        daemons.partition(|daemon: &Daemon| daemon.name == shared.settings.name);
     let gone: Vec<(String, u64)> = {
         let mut state = shared.state();
         state.roster.rows(daemons, now);
@@ -166,7 +136,7 @@
             .collect()
     };
     shared.urgent.notify_one();
-    if !own {
+    if own.is_empty() {
         // Somebody took this daemon for gone while it couldn't be heard.
         write(shared).await?;
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+mod accept;
 mod body;
 mod call;
 mod directory;
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -7,19 +7,18 @@
 use corianderyoke_coord::serving::choice::Load;
 use corianderyoke_coord::serving::engines;
 use corianderyoke_coord::serving::roster;
-use corianderyoke_coord::serving::roster::Daemon;
-use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_wire::word;
 use corianderyoke_wire::word::Digest;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::peers::hears_all;
 use crate::peers::holder;
+use crate::peers::member;
 use crate::peers::myself;
 use crate::peers::pause;
 use crate::peers::words;
-use crate::peers::MESH;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -47,7 +46,8 @@
         let own = (&relay, words::own_fitness(state), now);
         let described: Vec<_> = state.roster.described(now).chain([own]).collect();
         let changed = described.iter().filter(|(.., at)| all || now.since(*at) < CHANGED_SPAN);
-        digest.members = changed.map(|&(daemon, fitness, _)| member(daemon, fitness)).collect();
+        let members = changed.map(|&(daemon, fitness, _)| member::encode(daemon, fitness));
+        digest.members = members.collect();
         let marks = described.iter().map(|&(daemon, fitness, _)| roster::mark(daemon, fitness));
         digest.marks = marks.collect();
         digest.loads = loads(state, now);
@@ -82,18 +82,6 @@
     roster::mark(&myself(shared), words::own_fitness(state))
 }
 
-fn member(daemon: &Daemon, fitness: Fitness) -> word::Member {
-    word::Member {
-        name: daemon.name.clone(),
-        incarnation: daemon.incarnation,
-        peers: daemon.peers.to_string(),
-        callers: daemon.callers.to_string(),
-        zone: daemon.zone.clone(),
-        fitness: words::told(fitness).into(),
-        capacity: daemon.capacity,
-    }
-}
-
 /// What all daemons have at each engine.
 fn loads(state: &State, now: Tick) -> Vec<word::LoadSum> {
     let own = state.own.iter().filter(|(_, own)| own.load.running > 0).map(|(&key, _)| key);
@@ -119,19 +107,9 @@
     let mut guard = shared.state();
     let state = &mut *guard;
     let own = &shared.settings.name;
-    for member in digest.members.iter().filter(|member| member.name != *own) {
-        let (Ok(peers), Ok(callers)) = (member.peers.parse(), member.callers.parse()) else {
-            continue;
-        };
-        let daemon = Daemon {
-            name: member.name.clone(),
-            incarnation: member.incarnation,
-            peers,
-            callers,
-            zone: member.zone.clone(),
-            capacity: member.capacity,
-        };
-        state.roster.hear(daemon, words::fitness(member.fitness()), now);
+    let others = digest.members.iter().filter(|member| member.name != *own);
+    for (daemon, fitness) in others.filter_map(member::decode) {
+        state.roster.hear(daemon, fitness, now);
     }
     if !digest.marks.is_empty() {
         // A daemon that isn't known as it is now is described before long.
@@ -153,7 +131,7 @@
 
 /// Takes in what a relay knows of the teams, where this daemon doesn't hear everybody itself.
 fn follow(state: &mut State, digest: &Digest, now: Tick) {
-    if state.relays || state.roster.size() <= MESH {
+    if hears_all(state) {
         return;
     }
     let share = state.roster.share(now);
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -9,6 +9,7 @@
 
 mod digest;
 mod holder;
+mod member;
 mod words;
 
 use std::net::SocketAddr;
@@ -117,6 +118,11 @@
     Fleet { size: state.roster.size(), pause: pause(state), drain }
 }
 
+/// Whether this daemon hears the words of all others itself.
+fn hears_all(state: &State) -> bool {
+    state.relays || state.roster.size() <= MESH
+}
+
 /// What is to be sent now, and to whom.
 fn compose(
     shared: &Shared,
--- a/crates/daemon/src/peers/words.rs
+++ b/crates/daemon/src/peers/words.rs
@@ -11,8 +11,10 @@
 use corianderyoke_wire::word;
 use corianderyoke_wire::word::Word;
 
+use crate::peers::hears_all;
 use crate::peers::holder;
-use crate::peers::MESH;
+use crate::peers::member;
+use crate::peers::myself;
 use crate::state::PeerWord;
 use crate::state::Shared;
 use crate::state::State;
@@ -26,22 +28,15 @@
 
 /// This daemon's word.
 pub fn compose(shared: &Shared, state: &mut State, number: u64, now: Tick) -> Word {
-    let settings = &shared.settings;
     Word {
-        name: settings.name.clone(),
-        incarnation: shared.incarnation(),
+        daemon: Some(member::encode(&myself(shared), own_fitness(state))),
         number,
-        peers: settings.peers.to_string(),
-        callers: settings.callers.to_string(),
-        zone: settings.zone.clone(),
-        fitness: told(own_fitness(state)).into(),
         operator: state.operator.known,
         teams: teams(state, number.is_multiple_of(ALL_TEAMS_EVERY), now),
         models: models(state, now),
         adapters: adapters(state),
         engines: engines(state),
         holder: holder::compose(state, now),
-        capacity: settings.capacity,
     }
 }
 
@@ -121,43 +116,36 @@
 
 /// Takes another daemon's word in.
 pub fn take(shared: &Shared, word: Word, now: Tick) {
-    let (Ok(peers), Ok(callers)) = (word.peers.parse(), word.callers.parse()) else { return };
-    if word.name == shared.settings.name {
+    let Some((daemon, fitness)) = word.daemon.as_ref().and_then(member::decode) else { return };
+    let Daemon { name, incarnation, peers, .. } = daemon.clone();
+    if name == shared.settings.name {
         return;
     }
     let mut guard = shared.state();
     let state = &mut *guard;
-    let last = state.words.get(&word.name).map_or((0, 0), |last| (last.incarnation, last.number));
-    if (word.incarnation, word.number) <= last {
+    let last = state.words.get(&name).map_or((0, 0), |last| (last.incarnation, last.number));
+    if (incarnation, word.number) <= last {
         return;
     }
-    let daemon = Daemon {
-        name: word.name.clone(),
-        incarnation: word.incarnation,
-        peers,
-        callers,
-        zone: word.zone.clone(),
-        capacity: word.capacity,
-    };
-    if state.roster.hear(daemon, fitness(word.fitness()), now) {
-        events::log(Event::PeerHeard, format_args!("name={} address={peers}", word.name));
+    if state.roster.hear(daemon, fitness, now) {
+        events::log(Event::PeerHeard, format_args!("name={name} address={peers}"));
         state.introduce = true;
         shared.urgent.notify_one();
     }
     let mut low = false;
     // A daemon that follows a relay has them in the relay's sums.
-    if state.relays || state.roster.size() <= MESH {
+    if hears_all(state) {
         for team in &word.teams {
-            low |= take_total(state, &word.name, word.incarnation, team, now);
+            low |= take_total(state, &name, incarnation, team, now);
         }
     }
     hear_operator(shared, state, word.operator);
     if let Some(holder) = &word.holder {
-        state.holder = Some((word.name.clone(), holder.clone(), now));
+        state.holder = Some((name.clone(), holder.clone(), now));
     }
     let mut changed =
-        word.holder.as_ref().is_some_and(|told| holder::take(shared, state, &word.name, told, now));
-    changed |= take_demand(state, &word, now);
+        word.holder.as_ref().is_some_and(|told| holder::take(shared, state, &name, told, now));
+    changed |= take_demand(state, &name, incarnation, &word, now);
     // Only a relay passes it on; the others told the relays themselves.
     state.pass_on |= low;
     drop(guard);
@@ -178,24 +166,6 @@
     }
 }
 
-/// What a message says of a daemon's fitness.
-pub fn fitness(told: word::Fitness) -> Fitness {
-    match told {
-        word::Fitness::Unready => Fitness::Unready,
-        word::Fitness::Ready => Fitness::Ready,
-        word::Fitness::Leaving => Fitness::Leaving,
-    }
-}
-
-/// The message for a daemon's fitness.
-pub fn told(fitness: Fitness) -> word::Fitness {
-    match fitness {
-        Fitness::Unready => word::Fitness::Unready,
-        Fitness::Ready => word::Fitness::Ready,
-        Fitness::Leaving => word::Fitness::Leaving,
-    }
-}
-
 /// Takes in what a daemon admitted of a team's tokens; whether the other daemons should hear of it
 /// at once.
 fn take_total(
@@ -213,14 +183,14 @@
 }
 
 /// Takes in what a daemon runs and waits for; whether it waits for something.
-fn take_demand(state: &mut State, word: &Word, now: Tick) -> bool {
+fn take_demand(state: &mut State, name: &str, incarnation: u64, word: &Word, now: Tick) -> bool {
     let names = &mut state.engines.names;
     let mut waits = false;
     for demand in &word.models {
         let model = names.models.intern(&demand.model);
         let asked = Asked::told(demand.requests.into(), demand.tokens.into(), now);
-        state.planner.hear(&word.name, word.incarnation, model, asked, now);
-        state.planner.wait(&word.name, model, demand.waiting, now);
+        state.planner.hear(name, incarnation, model, asked, now);
+        state.planner.wait(name, model, demand.waiting, now);
         waits |= demand.waiting > 0;
     }
     for want in &word.adapters {
@@ -229,13 +199,8 @@
         state.planner.want_adapter(model, adapter, now);
         waits = true;
     }
-    let mut told = PeerWord {
-        incarnation: word.incarnation,
-        number: word.number,
-        at: now,
-        waits,
-        ..PeerWord::default()
-    };
+    let mut told =
+        PeerWord { incarnation, number: word.number, at: now, waits, ..PeerWord::default() };
     for engine in &word.engines {
         let key = names.engines.intern(&engine.engine);
         let load = corianderyoke_coord::serving::choice::Load {
@@ -252,6 +217,6 @@
             told.runs.insert((key, names.models.intern(&runs.model)), runs.running);
         }
     }
-    state.words.insert(word.name.clone(), told);
+    state.words.insert(name.to_owned(), told);
     waits
 }
--- a/crates/daemon/tests/fleet/soak.rs
+++ b/crates/daemon/tests/fleet/soak.rs
@@ -12,6 +12,9 @@
 
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
 use crate::engine::Act;
@@ -27,20 +30,8 @@
 /// Callers that ask all the time.
 const CALLERS: u64 = 6;
 
-/// Numbers that a seed decides.
-struct Dice(u64);
-
-impl Dice {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (mixed ^ (mixed >> 31)) % bound
-    }
-
-    fn span(&mut self, most_ms: u64) -> Duration {
-        Duration::from_millis(20 + self.below(most_ms))
-    }
+fn span(dice: &mut ChaCha8Rng, most_ms: u64) -> Duration {
+    Duration::from_millis(dice.random_range(20..20 + most_ms))
 }
 
 /// What a caller got.
@@ -61,16 +52,16 @@
 async fn caller(number: u64, addresses: Addresses, outcomes: Outcomes, stop: Arc<AtomicBool>) {
     let client = reqwest::Client::builder().no_proxy().timeout(Duration::from_secs(6));
     let client = client.build().expect("a client");
-    let mut dice = Dice(number);
+    let mut dice = ChaCha8Rng::seed_from_u64(number);
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
         count += 1;
         let address = {
             let addresses = addresses.lock();
-            addresses[dice.below(addresses.len() as u64) as usize]
+            addresses[dice.random_range(0..addresses.len())]
         };
         let (kind, path) =
-            [("a", "/once/"), ("b", "/again/"), ("c", "/resume/soak")][dice.below(3) as usize];
+            [("a", "/once/"), ("b", "/again/"), ("c", "/resume/soak")][dice.random_range(0..3)];
         let id = format!("{kind}{number:x}{count:04x}");
         let request = client
             .post(format!("http://{address}{path}"))
@@ -113,29 +104,29 @@
     engines: Vec<Engine>,
     daemons: Vec<Daemon>,
     addresses: Addresses,
-    dice: Dice,
+    dice: ChaCha8Rng,
 }
 
 impl Faults {
     async fn one(&mut self) {
-        let daemon = self.dice.below(DAEMONS.len() as u64) as usize;
-        let engine = self.dice.below(self.engines.len() as u64) as usize;
-        match self.dice.below(9) {
+        let daemon = self.dice.random_range(0..DAEMONS.len());
+        let engine = self.dice.random_range(0..self.engines.len());
+        match self.dice.random_range(0..9) {
             0 => self.restart(daemon).await,
             1 => {
                 self.daemons[daemon].signal(Signal::SIGTERM);
-                sleep(self.dice.span(1_500)).await;
+                sleep(span(&mut self.dice, 1_500)).await;
                 self.restart(daemon).await;
             }
             2 => {
                 self.daemons[daemon].signal(Signal::SIGSTOP);
-                sleep(self.dice.span(2_000)).await;
+                sleep(span(&mut self.dice, 2_000)).await;
                 self.daemons[daemon].signal(Signal::SIGCONT);
             }
             3 => self.daemons[daemon].signal(Signal::SIGHUP),
             4 => {
                 // The store's faults overlap with those that come next.
-                let (store, span) = (self.world.store.clone(), self.dice.span(1_500));
+                let (store, span) = (self.world.store.clone(), span(&mut self.dice, 1_500));
                 store.set_down(true);
                 tokio::spawn(async move {
                     sleep(span).await;
@@ -143,8 +134,8 @@
                 });
             }
             5 => {
-                let table = ["op", "servers"][self.dice.below(2) as usize];
-                let (store, span) = (self.world.store.clone(), self.dice.span(800));
+                let table = ["op", "servers"][self.dice.random_range(0..2)];
+                let (store, span) = (self.world.store.clone(), span(&mut self.dice, 800));
                 store.silence(Some(table));
                 tokio::spawn(async move {
                     sleep(span).await;
@@ -154,13 +145,13 @@
             6 => {
                 let engine = &self.engines[engine];
                 engine.list("draining");
-                sleep(self.dice.span(400)).await;
+                sleep(span(&mut self.dice, 400)).await;
                 engine.list("ready");
             }
             7 => {
                 let engine = &self.engines[engine];
                 self.world.store.remove("servers", &engine.id);
-                sleep(self.dice.span(400)).await;
+                sleep(span(&mut self.dice, 400)).await;
                 engine.list("ready");
             }
             _ => {}
@@ -175,7 +166,7 @@
             Act::Unsigned,
             Act::Fail,
         ];
-        let act = acts[self.dice.below(acts.len() as u64) as usize];
+        let act = acts[self.dice.random_range(0..acts.len())];
         let streams = matches!(act, Act::Cut(_) | Act::Stall(_));
         let of = if streams { "advice" } else { "orders" };
         if self.engines[engine].service == of {
@@ -214,11 +205,16 @@
             tokio::spawn(caller(number, addresses, outcomes, Arc::clone(&stop)))
         })
         .collect();
-    let mut faults =
-        Faults { world, engines, daemons, addresses: Arc::clone(&addresses), dice: Dice(seed) };
+    let mut faults = Faults {
+        world,
+        engines,
+        daemons,
+        addresses: Arc::clone(&addresses),
+        dice: ChaCha8Rng::seed_from_u64(seed),
+    };
     for _ in 0..FAULTS {
         faults.one().await;
-        let pause = faults.dice.span(150);
+        let pause = span(&mut faults.dice, 150);
         sleep(pause).await;
     }
     let served =
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,9 @@
 //! Messages and transport between the system's own processes.
 //!
-//! [`peer`] and [`word`] hold the messages, generated from the schemas in `proto/`. [`Transport`] carries them over
-//! QUIC with mutual TLS: each process makes a self-signed [`Identity`] at start, publishes its
-//! [`Fingerprint`] in its member row, and accepts only the fingerprints in its [`Trust`] set.
+//! [`peer`] and [`word`] hold the messages, generated from the schemas in `proto/`. [`Transport`]
+//! carries those of [`peer`] over QUIC with mutual TLS: each process makes a self-signed
+//! [`Identity`] at start, publishes its [`Fingerprint`] in its member row, and accepts only the
+//! fingerprints in its [`Trust`] set.
 
 #![forbid(unsafe_code)]
 
