Give the lease of a fleet that starts to its largest instance

Cause: the first daemon that asked for the row of the lease got it, whatever its instance.

Ruled out: the bytes of reports alone (180 KB/s of 1,250, a trial that counted them), the store (all other daemons had the revision within 2 s).

--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -20,6 +20,9 @@
     pub validity: Duration,
     /// Least time between the orders of two holders.
     pub handover: Duration,
+    /// Time after the first read of the row for which nobody claims a row that doesn't exist, so
+    /// that daemons which start at the same time learn of each other's ranks.
+    pub settling: Duration,
     /// Largest clock drift over the other durations. It is also the delay between successive
     /// candidates that try to claim an expired lease.
     pub drift: Duration,
@@ -31,6 +34,7 @@
             renewal: Duration::from_millis(300),
             validity: Duration::from_millis(800),
             handover: Duration::from_secs(3),
+            settling: Duration::from_millis(1_500),
             drift: Duration::from_millis(60),
         }
     }
@@ -123,6 +127,8 @@
     next_renewal: Tick,
     snapshot: RowSnapshot,
     clock: Option<ClockReading>,
+    /// Time of the first read of the row.
+    first_read: Option<Tick>,
     /// Whether the row must be read before the next write.
     must_read: bool,
     rank: usize,
@@ -138,6 +144,7 @@
             next_renewal: Tick(0),
             snapshot: RowSnapshot::default(),
             clock: None,
+            first_read: None,
             must_read: true,
             rank: 0,
         }
@@ -174,7 +181,7 @@
                 self.prepare_write(token, clock, now)
             }
             (Some(_), Some(_)) => Step::Wait(self.next_renewal),
-            (_, None) => self.prepare_write(1, clock, now),
+            (_, None) => self.await_candidates(clock, now),
             // This instance held the lease before it restarted, so no handover period is needed.
             (None, Some(row)) if row.holder == self.name => {
                 self.prepare_write(row.token + 1, clock, now)
@@ -186,6 +193,7 @@
     /// Processes a read of the row; `None` if it doesn't exist.
     pub fn record_read(&mut self, row: Option<LeaseRow>, version: u64, clock: ClockReading) {
         self.clock = Some(clock);
+        self.first_read.get_or_insert(clock.sent);
         self.must_read = false;
         self.snapshot = RowSnapshot { row, version };
         let own = self.snapshot.row.as_ref().filter(|row| row.holder == self.name);
@@ -230,6 +238,21 @@
         Some(LeaseWrite { expected: self.snapshot.version, row })
     }
 
+    /// Claims a row that doesn't exist after the settling time, in the order of the ranks.
+    fn await_candidates(&self, clock: ClockReading, now: Tick) -> Step {
+        let first_read = self.first_read.unwrap_or(clock.sent);
+        let claim_at = first_read + self.settings.settling + self.settings.drift * self.rank as u32;
+        if now < claim_at {
+            return Step::Wait(claim_at);
+        }
+        // A candidate with a lower rank may have written the row, so it is read before it is
+        // claimed.
+        if now.since(clock.received) > self.settings.drift {
+            return Step::Read;
+        }
+        self.prepare_write(1, clock, now)
+    }
+
     fn await_expiry(&self, row: &LeaseRow, clock: ClockReading, now: Tick) -> Step {
         let claimable = row.until.after(self.settings.handover);
         if clock.time < claimable {
--- a/crates/coord/src/serving/roster.rs
+++ b/crates/coord/src/serving/roster.rs
@@ -186,21 +186,22 @@
     /// same ones, on the largest instances. A daemon that hasn't reported yet counts while it may
     /// have just started.
     pub fn relays(&self, own: &Daemon, count: usize, now: Tick) -> Vec<Daemon> {
-        let is_candidate =
-            |peer: &&Peer| peer.is_live(now) || now.since(peer.recorded_at) < PEER_TIMEOUT;
-        let others = self.others.values().filter(is_candidate).map(|peer| &peer.daemon);
+        let others = self.others.values().filter(|peer| peer.may_be_live(now));
+        let others = others.map(|peer| &peer.daemon);
         let mut all: Vec<&Daemon> = others.chain([own]).collect();
         let rank = |daemon: &Daemon| mix(hash(RELAY_SEED, daemon.name.bytes()));
         all.sort_by_cached_key(|daemon| Reverse((daemon.capacity, rank(daemon))));
         all.into_iter().take(count).cloned().collect()
     }
 
-    /// Returns the rank of a daemon among the live candidates for a duty; larger instances come
-    /// first.
+    /// Returns the rank of a daemon among the candidates for a duty; larger instances come first. A
+    /// daemon that hasn't reported yet counts while it may have just started.
     pub fn rank(&self, own: &Daemon, now: Tick) -> usize {
         let weight = |daemon: &Daemon| (daemon.capacity, mix(hash(DUTY_SEED, daemon.name.bytes())));
         let mine = weight(own);
-        self.live(now).filter(|daemon| weight(daemon) > mine).count()
+        let is_candidate = |peer: &&Peer| peer.fitness != Fitness::Leaving && peer.may_be_live(now);
+        let candidates = self.others.values().filter(is_candidate);
+        candidates.filter(|peer| weight(&peer.daemon) > mine).count()
     }
 
     /// Returns the fraction of the fleet that is alive, including this daemon.
@@ -226,4 +227,9 @@
     fn is_live(&self, now: Tick) -> bool {
         self.last_heard.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
     }
+
+    /// Returns whether the daemon is alive or may have just started.
+    fn may_be_live(&self, now: Tick) -> bool {
+        self.is_live(now) || now.since(self.recorded_at) < PEER_TIMEOUT
+    }
 }
--- a/crates/coord/tests/serving/lease.rs
+++ b/crates/coord/tests/serving/lease.rs
@@ -43,8 +43,10 @@
     }
 }
 
+/// Returns the state of a daemon that doesn't wait for other candidates.
 fn lease(name: &str) -> Lease {
-    Lease::new(LeaseSettings::default(), name)
+    let settings = LeaseSettings { settling: Duration::ZERO, ..LeaseSettings::default() };
+    Lease::new(settings, name)
 }
 
 /// Returns when a daemon that checks the lease every 20 ms acquires it, from `from` on.
@@ -67,6 +69,40 @@
     assert_eq!(first.token(ms(1_000)), Some(1));
 }
 
+#[test]
+fn best_candidate_claims_missing_row_of_fleet_that_starts() {
+    let mut row = Row::default();
+    let start = |index: usize| {
+        let mut lease = Lease::new(LeaseSettings::default(), &format!("d{index}"));
+        lease.set_rank(index);
+        lease
+    };
+    // The worst candidates start first, and the best one 300 ms later.
+    let mut leases: Vec<(usize, Lease)> = (0..8).rev().map(|index| (index, start(index))).collect();
+    let mut holders = Vec::new();
+    for at in (0..4_000).step_by(20) {
+        for (index, lease) in &mut leases {
+            if at >= 300 - *index as u64 * 40 {
+                drive(lease, &mut row, ms(at));
+            }
+            if lease.token(ms(at)).is_some() {
+                holders.push((*index, at));
+            }
+        }
+    }
+    assert_eq!(holders.first(), Some(&(0, 1_800)));
+    assert!(holders.iter().all(|(index, _)| *index == 0), "{holders:?}");
+}
+
+#[test]
+fn next_candidate_claims_missing_row_if_the_best_one_is_slow() {
+    let mut row = Row::default();
+    let mut second = Lease::new(LeaseSettings::default(), "d1");
+    second.set_rank(1);
+    let taken = takeover_at(&mut second, &mut row, 0).expect("it acquires the lease");
+    assert!((1_500..1_700).contains(&taken), "{taken} ms");
+}
+
 #[test]
 fn successor_waits_for_handover_period_after_last_order() {
     let (mut row, mut first, mut second) = (Row::default(), lease("d1"), lease("d2"));
--- a/crates/coord/tests/serving/roster.rs
+++ b/crates/coord/tests/serving/roster.rs
@@ -124,3 +124,19 @@
     assert_eq!(names(1_400), ["large"]);
     assert_ne!(names(1_600), ["large"]);
 }
+
+#[test]
+fn candidates_for_a_duty_are_ranked_by_capacity() {
+    let mut roster = Roster::default();
+    let own = Daemon { capacity: 5, ..daemon("own", 1) };
+    let rank = |roster: &Roster, at| roster.rank(&own, ms(at));
+    // Daemons that start at the same time know each other's rows before their reports.
+    let large = Daemon { capacity: 9, ..daemon("large", 1) };
+    roster.apply_rows(vec![large.clone(), daemon("small", 1)], ms(0));
+    assert_eq!(rank(&roster, 100), 1);
+    roster.record_report(large.clone(), Fitness::Ready, ms(1_000));
+    assert_eq!(rank(&roster, 2_400), 1);
+    assert_eq!(rank(&roster, 2_600), 0);
+    roster.record_report(large, Fitness::Leaving, ms(2_700));
+    assert_eq!(rank(&roster, 2_800), 0);
+}
