Read a large configuration over a busy link to its end

Cause: a read of the store had one limit for head and body, and a daemon that was behind others gave up its feed after 0.4 s also while the configuration was coming in. Over a link where 522 KB take longer than 2 s it asked for them again and again, and never had them whole.

A feed is replaced by another one only until its response begins.

--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -6,6 +6,7 @@
 use corianderyoke_adapter::desired;
 use corianderyoke_adapter::entries;
 use corianderyoke_adapter::store::Feed;
+use corianderyoke_adapter::store::FeedResponse;
 use corianderyoke_adapter::store::Rows;
 use corianderyoke_adapter::store::StoreRow;
 use corianderyoke_adapter::store::MAX_ROWS;
@@ -135,11 +136,7 @@
 async fn poll(table: Table, shared: &Shared, after: Option<u64>) -> Result<Option<u64>, Error> {
     match table {
         Table::Operator => {
-            let version = tokio::select! {
-                version = fetch(table, shared, after, FEED_TIMEOUT) => version?,
-                // Uses another connection and doesn't wait for a change.
-                () = falls_behind(shared) => fetch(table, shared, after, Duration::ZERO).await?,
-            };
+            let version = fetch(table, shared, after, FEED_TIMEOUT).await?;
             let mut state = shared.state();
             state.operator.read_version = version.unwrap_or(0);
             Ok(version)
@@ -188,9 +185,8 @@
     };
     let (mut after, mut wait) = (after, wait);
     loop {
-        let Feed::Changes(changes) = shared.store.feed(table.name(), after, wait).await? else {
-            return Ok(None);
-        };
+        let response = begin_feed(table, shared, after, wait).await?;
+        let Feed::Changes(changes) = response.read().await? else { return Ok(None) };
         after = changes.version.max(after);
         wait = Duration::ZERO;
         let count = changes.rows.len();
@@ -206,6 +202,28 @@
     }
 }
 
+/// Requests the changes of a table. A request for the operator's table that waits on a connection
+/// which may be unresponsive is replaced, but not once its response has begun: the response may be
+/// large and the link busy.
+async fn begin_feed(
+    table: Table,
+    shared: &Shared,
+    after: u64,
+    wait: Duration,
+) -> Result<FeedResponse<'_>, Error> {
+    let response = shared.store.begin_feed(table.name(), after, wait);
+    if table != Table::Operator {
+        return response.await;
+    }
+    tokio::select! {
+        response = response => response,
+        // Uses another connection and doesn't wait for a change.
+        () = falls_behind(shared) => {
+            shared.store.begin_feed(table.name(), after, Duration::ZERO).await
+        }
+    }
+}
+
 /// Applies a read of the whole table: what it doesn't contain no longer exists.
 fn replace_table(table: Table, shared: &Shared, rows: Rows) {
     match table {
--- a/crates/daemon/tests/fleet/faults.rs
+++ b/crates/daemon/tests/fleet/faults.rs
@@ -291,3 +291,22 @@
         .await
         .expect("the daemon learns of the change");
 }
+
+#[tokio::test]
+async fn configuration_on_a_slow_link_is_read_to_its_end_while_others_are_ahead() {
+    let fixture = Fixture::start().await;
+    fixture.plain_engine("i-1").await;
+    let slow = fixture.daemon("d1").await;
+    // Longer than a daemon that is behind waits before it asks on another connection.
+    fixture.store.slow_feeds("op", Duration::from_millis(2_500));
+    let mut revoked = desired_state(2);
+    revoked["tenants"][0]["api_keys"] = json!(["another"]);
+    fixture.write_desired_state(&revoked);
+    // Reads the whole table at its start, which isn't slow, and tells its version.
+    let _ahead = fixture.daemon("d2").await;
+    wait_until(|| async {
+        let response = fixture.request(&slow, "/once/", "1").send().await;
+        response.is_ok_and(|response| response.status() == 401)
+    })
+    .await;
+}
--- a/crates/daemon/tests/fleet/store.rs
+++ b/crates/daemon/tests/fleet/store.rs
@@ -12,8 +12,11 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,6 +30,11 @@
 /// Longest time that a feed request waits for a change, regardless of the time it requests.
 const FEED_WAIT: Duration = Duration::from_millis(500);
 
+/// Number of pieces in which a slow response body is sent.
+const SLOW_PIECES: usize = 10;
+
+/// Response body of the store.
+type Body = UnsyncBoxBody<Bytes, Infallible>;
 /// Table and key of a row.
 type RowKey = (String, String);
 /// Value and version of a row. The value is `None` if the row is deleted.
@@ -39,6 +47,8 @@
     down: bool,
     /// Table whose feed requests get no response, and the number of those requests so far.
     stalled: Option<(String, usize)>,
+    /// Table whose feed responses take this long after their head.
+    slow: Option<(String, Duration)>,
 }
 
 /// Store that a test controls.
@@ -109,7 +119,27 @@
         self.tables.lock().stalled.as_ref().map_or(0, |(_, count)| *count)
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Makes the bodies of all later feed responses of `table` take `span`.
+    pub fn slow_feeds(&self, table: &str, span: Duration) {
+        self.tables.lock().slow = Some((table.to_owned(), span));
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let slow = self.tables.lock().slow.clone();
+        let slow = slow.filter(|(table, _)| {
+            path == "/rows-feed" && query.split('&').any(|pair| pair == format!("table={table}"))
+        });
+        let (head, body) = self.answer(request).await.into_parts();
+        let body = match slow {
+            Some((_, span)) => slow_body(body, span).await,
+            None => body.boxed_unsync(),
+        };
+        Response::from_parts(head, body)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if self.tables.lock().down {
             return json_response(503, &json!({}));
         }
@@ -222,6 +252,20 @@
     }
 }
 
+/// Returns a body that is sent in pieces over `span`.
+async fn slow_body(body: Full<Bytes>, span: Duration) -> Body {
+    let Ok(collected) = body.collect().await;
+    let bytes = collected.to_bytes();
+    let size = bytes.len().div_ceil(SLOW_PIECES).max(1);
+    let pieces: Vec<Bytes> = bytes.chunks(size).map(Bytes::copy_from_slice).collect();
+    let stream = futures::stream::unfold(pieces.into_iter(), move |mut pieces| async move {
+        let piece = pieces.next()?;
+        tokio::time::sleep(span / SLOW_PIECES as u32).await;
+        Some((Ok(Frame::data(piece)), pieces))
+    });
+    StreamBody::new(stream).boxed_unsync()
+}
+
 fn json_response(status: u16, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body.to_string().into()));
     *response.status_mut() = status.try_into().expect("a valid status");
