Keep the messages between daemons small in a large fleet

After a start one digest described all 195 (15 KB and more), later each 25th did.

Now a fingerprint shows the fitness of any process whose row is known, a digest describes at most 28 daemons, changed ones first and again for 1.5 s, and a fingerprint that stays unknown for 2 s has the rows read again. The holder tells a daemon at once only of changes that let a request proceed which waits there; all else goes with its regular report.

The test of fingerprints said that one with another fitness matches nothing. It is replaced by one that demands that the fitness is taken over, that leaving is final, and that an unknown process still matches nothing.

--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -11,10 +11,12 @@
 //! | [`roster`] | which daemons are alive |
 //! | [`polling`] | how often a daemon polls the engines' entries |
 //! | [`lease`] | which daemon orders loads and unloads |
+//! | [`announcements`] | which changes of engines the lease holder tells whom |
 //! | [`demand`] | how high the demand for a model is |
 //! | [`residency`] | which engine loads which models |
 //! | [`stream`] | which part of an event stream is complete |
 
+pub mod announcements;
 pub mod caps;
 pub mod choice;
 pub mod demand;
--- a/crates/coord/src/serving/polling.rs
+++ b/crates/coord/src/serving/polling.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use crate::time::Tick;
 
 /// Shortest interval between two polls.
@@ -35,7 +37,7 @@
 }
 
 /// Announcements received from the lease holder about changed entries.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct HolderUpdates {
     /// Time of the latest announcement.
     last_heard: Option<Tick>,
@@ -45,6 +47,8 @@
     token: u64,
     /// Number of the latest change announced under that token.
     count: u64,
+    /// Numbers above it of changes that the holder told this daemon directly.
+    told: IndexSet<u64>,
     /// Whether announcements were missed since the latest poll.
     missed: bool,
 }
@@ -56,7 +60,7 @@
 }
 
 impl HolderUpdates {
-    /// Returns the number of the latest change received from the holder with this token; 0 if none.
+    /// Returns the number of the latest change announced by the holder with this token; 0 if none.
     pub fn last_change(&self, token: u64) -> u64 {
         if self.token == token {
             self.count
@@ -65,6 +69,19 @@
         }
     }
 
+    /// Returns whether a change hasn't been received yet. Marks it as received if the holder told
+    /// it directly, ahead of the announcement that contains it.
+    pub fn take_change(&mut self, token: u64, number: u64, is_direct: bool) -> bool {
+        if self.token != token {
+            return true;
+        }
+        let is_new = number > self.count && !self.told.contains(&number);
+        if is_new && is_direct {
+            self.told.insert(number);
+        }
+        is_new
+    }
+
     /// Processes an announcement that lists the changes numbered `first` to `count`. `age` is the
     /// age of the holder's latest read.
     pub fn record_announcement(
@@ -79,7 +96,11 @@
         self.missed |= self.token != token || first > self.count + 1;
         // Announcements may arrive out of order.
         let count = count.max(self.last_change(token));
-        *self = HolderUpdates { last_heard: Some(now), age, token, count, missed: self.missed };
+        self.told.retain(|number| self.token == token && *number > count);
+        self.last_heard = Some(now);
+        self.age = age;
+        self.token = token;
+        self.count = count;
     }
 
     /// Starts a poll, which recovers all missed changes unless it fails.
--- a/crates/coord/src/serving/roster.rs
+++ b/crates/coord/src/serving/roster.rs
@@ -26,6 +26,14 @@
 /// Seed of the hash that stands for a daemon in digests.
 const FINGERPRINT_SEED: u64 = 3;
 
+/// Time for which a daemon is described repeatedly after a change, since descriptions can be lost.
+const DESCRIBE_TIME: Duration = Duration::from_millis(1_500);
+/// Most daemons that one digest describes after a change, so that a digest stays small when many
+/// daemons start at once.
+const MAX_CHANGED_DESCRIBED: usize = 24;
+/// Most daemons that one digest describes without a change.
+const MAX_UNCHANGED_DESCRIBED: usize = 4;
+
 /// Time without a report after which a daemon counts as unreachable. It covers the loss of several
 /// consecutive reports.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -55,19 +63,27 @@
     Ready,
     /// Can't accept requests at present.
     Unready,
-    /// Is shutting down.
+    /// Is shutting down. This is final until the process starts again.
     Leaving,
 }
 
+impl Fitness {
+    const ALL: [Fitness; 3] = [Fitness::Ready, Fitness::Unready, Fitness::Leaving];
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     daemon: Daemon,
+    /// Fingerprints of the daemon in each state of [`Fitness::ALL`].
+    fingerprints: [u32; 3],
     last_heard: Option<Tick>,
     fitness: Fitness,
     /// Time of the row or report that this record comes from.
     recorded_at: Tick,
     /// Time at which the daemon was added, restarted or changed its fitness.
     changed: Tick,
+    /// Time at which this daemon, as a relay, last described the daemon to all others.
+    described: Option<Tick>,
     /// Whether a report arrived since the daemon was last returned as timed out.
     responsive: bool,
 }
@@ -90,16 +106,7 @@
                 .get(&daemon.name)
                 .is_none_or(|peer| peer.daemon.incarnation < daemon.incarnation);
             if newer {
-                let fitness = Fitness::Unready;
-                let peer = Peer {
-                    daemon,
-                    last_heard: None,
-                    fitness,
-                    recorded_at: now,
-                    changed: now,
-                    responsive: false,
-                };
-                self.others.insert(peer.daemon.name.clone(), peer);
+                self.others.insert(daemon.name.clone(), Peer::new(daemon, now));
             }
         }
     }
@@ -110,19 +117,12 @@
         if before.is_some_and(|peer| peer.daemon.incarnation > daemon.incarnation) {
             return false;
         }
-        let new = before.is_none_or(|peer| {
-            peer.last_heard.is_none() || peer.daemon.incarnation < daemon.incarnation
-        });
-        let same = before.filter(|peer| !new && peer.fitness == fitness);
-        let changed = same.map_or(now, |peer| peer.changed);
-        let peer = Peer {
-            daemon,
-            last_heard: Some(now),
-            fitness,
-            recorded_at: now,
-            changed,
-            responsive: true,
-        };
+        let same = before.filter(|peer| peer.daemon.incarnation == daemon.incarnation).cloned();
+        let mut peer = same.unwrap_or_else(|| Peer::new(daemon.clone(), now));
+        let new = peer.last_heard.is_none();
+        peer.daemon = daemon;
+        peer.recorded_at = now;
+        peer.record_fitness(fitness, now);
         self.others.insert(peer.daemon.name.clone(), peer);
         new
     }
@@ -143,6 +143,11 @@
         self.others.values().map(|peer| &peer.daemon)
     }
 
+    /// Returns the address for reports of a daemon.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.others.get(name).map(|peer| peer.daemon.peers)
+    }
+
     /// Iterates over daemons that sent no report for longer than `span`.
     pub fn silent_for(&self, span: Duration, now: Tick) -> impl Iterator<Item = &Daemon> {
         let is_silent =
@@ -162,21 +167,43 @@
             .collect()
     }
 
-    /// Iterates over live daemons with their fitness and the time at which their state changed.
-    pub fn live_states(&self, now: Tick) -> impl Iterator<Item = (&Daemon, Fitness, Tick)> {
-        let live = self.others.values().filter(move |peer| peer.is_live(now));
-        live.map(|peer| (&peer.daemon, peer.fitness, peer.changed))
+    /// Returns the fingerprints of live daemons, without this one.
+    pub fn live_fingerprints(&self, now: Tick) -> Vec<u32> {
+        let live = self.others.values().filter(|peer| peer.is_live(now));
+        live.map(|peer| fingerprint(&peer.daemon, peer.fitness)).collect()
     }
 
-    /// Processes the fingerprints of daemons that a relay considers alive. Returns whether one of
-    /// them matches no known daemon.
-    pub fn record_fingerprints(&mut self, fingerprints: &[u32], own: u32, now: Tick) -> bool {
+    /// Returns the daemons that the next digest of a relay describes: those that changed, and in
+    /// turn some of the others. Each counts as described afterwards.
+    pub fn take_descriptions(&mut self, now: Tick) -> Vec<(Daemon, Fitness)> {
+        let mut live: Vec<&mut Peer> =
+            self.others.values_mut().filter(|peer| peer.is_live(now)).collect();
+        live.sort_by_key(|peer| peer.described);
+        let (changed, unchanged): (Vec<&mut Peer>, Vec<&mut Peer>) = live
+            .into_iter()
+            .partition(|peer| peer.described.is_none_or(|at| at < peer.changed + DESCRIBE_TIME));
+        let changed = changed.into_iter().take(MAX_CHANGED_DESCRIBED);
+        let described = changed.chain(unchanged.into_iter().take(MAX_UNCHANGED_DESCRIBED));
+        described
+            .map(|peer| {
+                peer.described = Some(now);
+                (peer.daemon.clone(), peer.fitness)
+            })
+            .collect()
+    }
+
+    /// Processes the fingerprints of daemons that a relay considers alive. A fingerprint shows the
+    /// fitness of a daemon whose process is known. Returns whether one of them matches no known
+    /// process.
+    pub fn record_fingerprints(&mut self, fingerprints: &[u32], own: &Daemon, now: Tick) -> bool {
+        let own = Fitness::ALL.map(|fitness| fingerprint(own, fitness));
         let mut unknown: IndexSet<u32> =
-            fingerprints.iter().copied().filter(|other| *other != own).collect();
+            fingerprints.iter().copied().filter(|other| !own.contains(other)).collect();
         for peer in self.others.values_mut() {
-            if unknown.swap_remove(&fingerprint(&peer.daemon, peer.fitness)) {
-                peer.last_heard = Some(now);
-                peer.responsive = true;
+            for (mark, fitness) in peer.fingerprints.into_iter().zip(Fitness::ALL) {
+                if unknown.swap_remove(&mark) {
+                    peer.record_fitness(fitness, now);
+                }
             }
         }
         !unknown.is_empty()
@@ -224,6 +251,32 @@
 }
 
 impl Peer {
+    /// Creates the record of a daemon that hasn't reported yet.
+    fn new(daemon: Daemon, now: Tick) -> Self {
+        Peer {
+            fingerprints: Fitness::ALL.map(|fitness| fingerprint(&daemon, fitness)),
+            daemon,
+            last_heard: None,
+            fitness: Fitness::Unready,
+            recorded_at: now,
+            changed: now,
+            described: None,
+            responsive: false,
+        }
+    }
+
+    /// Records that the daemon is alive in this state.
+    fn record_fitness(&mut self, fitness: Fitness, now: Tick) {
+        // A relay's digest may be older than the report that the daemon is leaving.
+        let fitness = if self.fitness == Fitness::Leaving { Fitness::Leaving } else { fitness };
+        if self.last_heard.is_none() || self.fitness != fitness {
+            self.changed = now;
+        }
+        self.fitness = fitness;
+        self.last_heard = Some(now);
+        self.responsive = true;
+    }
+
     fn is_live(&self, now: Tick) -> bool {
         self.last_heard.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
     }
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a daemon's decisions on the users' platform.
 
+mod announcements;
 mod caps;
 mod choice;
 mod desired;
--- a/crates/coord/tests/serving/polling.rs
+++ b/crates/coord/tests/serving/polling.rs
@@ -78,3 +78,19 @@
     assert_eq!(interval(false, 300), Duration::from_millis(500));
     assert_eq!(interval(true, 300), Duration::from_millis(40));
 }
+
+#[test]
+fn change_that_the_holder_told_directly_is_applied_once() {
+    let mut updates = informed();
+    updates.record_announcement(1, 1, 2, FRESH, ms(200));
+    assert!(!updates.take_change(1, 2, true), "it was announced");
+    assert!(updates.take_change(1, 5, true));
+    assert!(!updates.take_change(1, 5, true), "the datagram was duplicated");
+    assert!(!updates.take_change(1, 5, false), "the announcement follows");
+    assert!(updates.take_change(1, 3, false));
+    updates.record_announcement(1, 3, 5, FRESH, ms(400));
+    assert!(interval(&updates, 500) > DRAIN, "no change was missed");
+    // Another holder numbers its changes from the start.
+    updates.record_announcement(2, 1, 0, FRESH, ms(600));
+    assert!(updates.take_change(2, 5, true));
+}
--- a/crates/coord/tests/serving/roster.rs
+++ b/crates/coord/tests/serving/roster.rs
@@ -34,22 +34,84 @@
 }
 
 #[test]
-fn fingerprint_of_unchanged_daemon_replaces_its_report() {
+fn fingerprint_replaces_report_of_known_process() {
     let mut roster = Roster::default();
     roster.record_report(daemon("d2", 1), Fitness::Ready, ms(0));
     roster.record_report(daemon("d3", 1), Fitness::Ready, ms(0));
-    let own = fingerprint(&daemon("d1", 1), Fitness::Ready);
-    let fingerprints = [own, fingerprint(&daemon("d2", 1), Fitness::Ready)];
-    assert!(!roster.record_fingerprints(&fingerprints, own, ms(1_400)));
+    let own = daemon("d1", 1);
+    let fingerprints =
+        [fingerprint(&own, Fitness::Ready), fingerprint(&daemon("d2", 1), Fitness::Ready)];
+    assert!(!roster.record_fingerprints(&fingerprints, &own, ms(1_400)));
     assert_eq!(ready(&roster, 1_600), ["d2"]);
-    // The daemon restarted or can no longer serve, so its known state is outdated.
-    for changed in [
-        fingerprint(&daemon("d2", 2), Fitness::Ready),
-        fingerprint(&daemon("d2", 1), Fitness::Leaving),
-    ] {
-        assert!(roster.record_fingerprints(&[changed], own, ms(2_800)));
-        assert_eq!(ready(&roster, 3_000), Vec::<String>::new());
+    // The daemon restarted, so nothing is known about its process.
+    let restarted = fingerprint(&daemon("d2", 2), Fitness::Ready);
+    assert!(roster.record_fingerprints(&[restarted], &own, ms(2_800)));
+    assert_eq!(ready(&roster, 3_000), Vec::<String>::new());
+}
+
+#[test]
+fn fingerprint_shows_fitness_of_process_known_from_its_row() {
+    let mut roster = Roster::default();
+    let own = daemon("own", 1);
+    roster.apply_rows(vec![daemon("d", 1)], ms(0));
+    let mut ready_after = |fitness, at| {
+        assert!(!roster.record_fingerprints(
+            &[fingerprint(&daemon("d", 1), fitness)],
+            &own,
+            ms(at)
+        ));
+        ready(&roster, at)
+    };
+    assert_eq!(ready_after(Fitness::Ready, 100), ["d"]);
+    assert_eq!(ready_after(Fitness::Unready, 200), Vec::<String>::new());
+    assert_eq!(ready_after(Fitness::Ready, 300), ["d"]);
+    assert_eq!(ready_after(Fitness::Leaving, 400), Vec::<String>::new());
+    // The digest was composed before the relay learned that the daemon is leaving.
+    assert_eq!(ready_after(Fitness::Ready, 500), Vec::<String>::new());
+}
+
+#[test]
+fn digests_of_a_fleet_that_starts_are_small_and_describe_every_daemon() {
+    let mut relay = Roster::default();
+    let all: Vec<Daemon> = (0..510).map(|index| daemon(&format!("d{index}"), 1)).collect();
+    for other in &all {
+        relay.record_report(other.clone(), Fitness::Ready, ms(0));
     }
+    let mut other = Roster::default();
+    let mut digests = 0;
+    while other.size() < all.len() + 1 {
+        digests += 1;
+        let at = digests * 50;
+        let described = relay.take_descriptions(ms(at));
+        assert!(described.len() <= 28, "{}", described.len());
+        for (daemon, fitness) in described {
+            other.record_report(daemon, fitness, ms(at));
+        }
+        assert!(digests < 30, "{} known", other.size());
+    }
+}
+
+#[test]
+fn change_is_described_repeatedly_and_before_unchanged_daemons() {
+    let mut relay = Roster::default();
+    let at_start = |relay: &mut Roster, at| {
+        for index in 0..100 {
+            relay.record_report(daemon(&format!("d{index}"), 1), Fitness::Ready, ms(at));
+        }
+    };
+    at_start(&mut relay, 0);
+    for at in (0..4_000).step_by(200) {
+        at_start(&mut relay, at);
+        relay.take_descriptions(ms(at));
+    }
+    relay.record_report(daemon("d50", 2), Fitness::Unready, ms(4_000));
+    let described = (4_000..5_400).step_by(200).filter(|at| {
+        at_start(&mut relay, *at);
+        let described = relay.take_descriptions(ms(*at));
+        assert!(described.len() <= 5, "{}", described.len());
+        described.iter().any(|(daemon, _)| daemon.incarnation == 2)
+    });
+    assert_eq!(described.count(), 7);
 }
 
 #[test]
--- a/crates/daemon/src/forward/wait.rs
+++ b/crates/daemon/src/forward/wait.rs
@@ -34,7 +34,7 @@
         let shared = Arc::clone(&call.shared);
         let guard = WaitGuard { shared, generation, missing };
         guard.adjust_count(1);
-        guard.shared.report_now.notify_one();
+        guard.shared.report_soon(&mut guard.shared.state());
         guard.shared.replan.notify_one();
         Some(guard)
     }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -184,7 +184,7 @@
         return Err(Refusal::RateLimited(wait));
     }
     if bucket.is_low() {
-        shared.report_now.notify_one();
+        shared.report_soon(&mut state);
     }
     Ok(tokens)
 }
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -19,6 +19,7 @@
 use ring::rand::SecureRandom;
 use ring::rand::SystemRandom;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::peers;
 use crate::state::Shared;
@@ -37,6 +38,8 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
 /// Least interval between two reads of all rows. Reports between daemons are much faster.
 const MIN_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Least interval between two reads of all rows because of an unknown daemon.
+const MIN_REREAD_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval between two reads of all rows, per daemon of the fleet.
 const READ_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(500);
 /// Time without a report after which a daemon's row is removed.
@@ -99,7 +102,10 @@
             Ok(()) => {
                 backoff = INITIAL_BACKOFF;
                 let size = shared.state().roster.size();
-                sleep(MIN_READ_INTERVAL.max(READ_INTERVAL_PER_DAEMON * size as u32)).await;
+                sleep(MIN_REREAD_INTERVAL).await;
+                let left = MIN_READ_INTERVAL.max(READ_INTERVAL_PER_DAEMON * size as u32);
+                // Wakes on a notification, or when the next read is due.
+                let _ = timeout(left, shared.unknown_peer.notified()).await;
             }
             Err(_) => {
                 sleep(backoff).await;
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -11,6 +11,7 @@
 use corianderyoke_adapter::orders::Operation;
 use corianderyoke_adapter::store::Outcome;
 use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::announcements::ChangeKind;
 use corianderyoke_coord::serving::engines::Report;
 use corianderyoke_coord::serving::lease::ClockReading;
 use corianderyoke_coord::serving::lease::LeaseRow;
@@ -46,7 +47,6 @@
 use crate::metrics::OrderLabels;
 use crate::peers;
 use crate::pool::Connection;
-use crate::state::ChangeKind;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -223,7 +223,7 @@
         return Vec::new();
     }
     for engine in expired {
-        state.announce(engine, ChangeKind::Leaving, now);
+        state.announcements.record(engine, ChangeKind::Leaving, now);
     }
     let Some(desired) = state.desired.clone() else { return Vec::new() };
     for (&model, requests) in &state.model_requests {
@@ -265,7 +265,7 @@
         _ => matches!(answer, Answer::Accepted | Answer::Holds),
     };
     if has_changed {
-        state.announce(order.engine, change_kind(order.op), clock::now());
+        state.announcements.record(order.engine, change_kind(order.op), clock::now());
     }
     if answer == Answer::Fenced {
         state.lease.record_conflict();
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -22,11 +22,9 @@
 use crate::state::Shared;
 use crate::state::State;
 
-/// Time for which a daemon is described in full after a change. Other daemons appear only as
-/// fingerprints.
-const DESCRIBE_TIME: Duration = Duration::from_secs(2);
-/// One full digest in this many describes all daemons.
-const DESCRIBE_ALL_PERIOD: u64 = 25;
+/// Time after which a daemon reads the rows of all daemons because no digest described one of those
+/// that it doesn't know.
+const UNKNOWN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Number of report intervals for which the lease holder's latest announcement is forwarded.
 const HOLDER_INTERVALS: u32 = 3;
 
@@ -41,18 +39,14 @@
         ..Digest::default()
     };
     if is_full {
-        state.digest_count += 1;
-        let all = state.digest_count.is_multiple_of(DESCRIBE_ALL_PERIOD);
-        let all = std::mem::take(&mut state.describe_all) || all;
         let relay = own_daemon(shared);
-        let own = (&relay, reports::own_fitness(state), now);
-        let described: Vec<_> = state.roster.live_states(now).chain([own]).collect();
-        let changed = described.iter().filter(|(.., at)| all || now.since(*at) < DESCRIBE_TIME);
-        let members = changed.map(|&(daemon, fitness, _)| member::encode(daemon, fitness));
-        digest.members = members.collect();
-        let fingerprints =
-            described.iter().map(|&(daemon, fitness, _)| roster::fingerprint(daemon, fitness));
-        digest.marks = fingerprints.collect();
+        let fitness = reports::own_fitness(state);
+        let described = state.roster.take_descriptions(now);
+        let described = described.iter().map(|(daemon, fitness)| (daemon, *fitness));
+        let members = described.chain([(&relay, fitness)]);
+        digest.members = members.map(|(daemon, fitness)| member::encode(daemon, fitness)).collect();
+        digest.marks = state.roster.live_fingerprints(now);
+        digest.marks.push(roster::fingerprint(&relay, fitness));
         digest.loads = loads(state, now);
         if let Some((name, holder)) = latest_announcement(shared, state, now) {
             digest.holder_name = name;
@@ -85,10 +79,6 @@
     sums.filter(|(is_low, _)| all || *is_low).map(|(_, sum)| sum).collect()
 }
 
-fn own_fingerprint(shared: &Shared, state: &State) -> u32 {
-    roster::fingerprint(&own_daemon(shared), reports::own_fitness(state))
-}
-
 /// Returns the load of each engine, summed over all daemons.
 fn loads(state: &State, now: Tick) -> Vec<word::LoadSum> {
     let own = state.own_loads.iter().filter(|(_, own)| own.load.running > 0).map(|(&key, _)| key);
@@ -119,8 +109,12 @@
         state.roster.record_report(daemon, fitness, now);
     }
     if !digest.marks.is_empty() {
-        // A fingerprint without a match is skipped; a later digest describes that daemon.
-        state.roster.record_fingerprints(&digest.marks, own_fingerprint(shared, state), now);
+        let own = own_daemon(shared);
+        let has_unknown = state.roster.record_fingerprints(&digest.marks, &own, now);
+        state.unknown_since = has_unknown.then(|| state.unknown_since.unwrap_or(now));
+        if state.unknown_since.is_some_and(|since| now.since(since) > UNKNOWN_TIMEOUT) {
+            shared.unknown_peer.notify_one();
+        }
         state.load_digest = Some((decode_loads(state, &digest.loads), now));
     }
     apply_team_sums(state, &digest, now);
--- a/crates/daemon/src/peers/holder.rs
+++ b/crates/daemon/src/peers/holder.rs
@@ -1,8 +1,11 @@
 //! Announcements of the lease holder about changes of engines, and their handling on other daemons.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::announcements::ChangeKind;
+use corianderyoke_coord::serving::announcements::EngineChange;
 use corianderyoke_coord::serving::engines::Engine;
 use corianderyoke_coord::serving::engines::Entry;
 use corianderyoke_coord::serving::engines::Stage;
@@ -14,8 +17,6 @@
 use corianderyoke_wire::word;
 
 use crate::peers::report_interval;
-use crate::state::ChangeKind;
-use crate::state::EngineChange;
 use crate::state::Shared;
 use crate::state::State;
 use crate::watch;
@@ -28,22 +29,51 @@
 pub fn compose(state: &mut State, now: Tick) -> Option<word::Holder> {
     let token = state.lease.token(now)?;
     let span = report_interval(state) * CHANGE_INTERVALS;
-    state.engine_changes.retain(|change| now.since(change.at) < span);
+    state.announcements.prune(span, now);
     let (version, until) = state.lease.last_seen();
     Some(word::Holder {
         token,
         version,
         effects: state
-            .engine_changes
-            .iter()
+            .announcements
+            .recent()
             .map(|change| encode_change(state, change, now))
             .collect(),
         until: until.0,
-        count: state.change_count,
+        count: state.announcements.count(),
         age: u32::try_from(now.since(state.last_poll).as_millis()).unwrap_or(u32::MAX),
     })
 }
 
+/// Composes the messages for daemons with requests that a change lets proceed, each with its
+/// recipient. Returns none if this daemon doesn't hold the lease.
+pub fn compose_direct(state: &mut State, now: Tick) -> Vec<(word::Changes, SocketAddr)> {
+    let Some(token) = state.lease.token(now) else { return Vec::new() };
+    let count = state.announcements.count();
+    let mut told = Vec::new();
+    for (name, report) in &state.reports {
+        if report.wants.is_empty() || report.told_change == count || !report.is_fresh(now) {
+            continue;
+        }
+        let changes =
+            state.announcements.relevant(report.told_change, &report.wants, &state.engines);
+        told.push((name.clone(), changes));
+    }
+    let mut messages = Vec::new();
+    for (name, changes) in told {
+        let address = state.roster.address(&name);
+        if let Some(report) = state.reports.get_mut(&name) {
+            report.told_change = count;
+        }
+        let effects: Vec<_> =
+            changes.iter().map(|change| encode_change(state, change, now)).collect();
+        if let Some(address) = address.filter(|_| !effects.is_empty()) {
+            messages.push((word::Changes { token, effects }, address));
+        }
+    }
+    messages
+}
+
 fn encode_change(state: &State, change: &EngineChange, now: Tick) -> word::Effect {
     let names = &state.engines.names;
     let mut encoded = word::Effect {
@@ -105,13 +135,7 @@
     let row =
         LeaseRow { holder: name.to_owned(), token: holder.token, until: StoreTime(holder.until) };
     state.lease.record_announcement(row, holder.version);
-    let last = state.holder_updates.last_change(holder.token);
-    let fresh = holder.effects.iter().filter(|effect| effect.number > last);
-    let mut has_changes = false;
-    for change in fresh {
-        has_changes = true;
-        apply_change(shared, state, change, now);
-    }
+    let has_changes = apply_changes(shared, state, holder.token, &holder.effects, false, now);
     let first = holder.effects.first().map_or(holder.count + 1, |effect| effect.number);
     let age = Duration::from_millis(u64::from(holder.age));
     state.holder_updates.record_announcement(holder.token, first, holder.count, age, now);
@@ -120,6 +144,34 @@
     has_changes
 }
 
+/// Handles changes that the lease holder told this daemon directly.
+pub fn handle_direct(shared: &Shared, changes: &word::Changes, now: Tick) {
+    let mut state = shared.state();
+    let has_new = apply_changes(shared, &mut state, changes.token, &changes.effects, true, now);
+    drop(state);
+    if has_new {
+        shared.changed.notify_waiters();
+    }
+}
+
+fn apply_changes(
+    shared: &Shared,
+    state: &mut State,
+    token: u64,
+    changes: &[word::Effect],
+    is_direct: bool,
+    now: Tick,
+) -> bool {
+    let mut has_new = false;
+    for change in changes {
+        if state.holder_updates.take_change(token, change.number, is_direct) {
+            has_new = true;
+            apply_change(shared, state, change, now);
+        }
+    }
+    has_new
+}
+
 fn apply_change(shared: &Shared, state: &mut State, change: &word::Effect, now: Tick) {
     if let Some(encoded) = &change.entry {
         let Some(entry) = decode_entry(&change.engine, encoded) else {
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! In a small fleet, every daemon sends its reports to all others. In a larger one, it sends them
 //! to two relays and the lease holder. The first relay sends a digest of all reports to the whole
-//! fleet; the second does so while the first is silent. The traffic of a daemon that isn't a relay
+//! fleet; the second does so while the first is silent. The lease holder tells a daemon directly of
+//! changes that let its waiting requests proceed. The traffic of a daemon that isn't a relay
 //! therefore grows with the fleet only in the length of the digest.
 //!
 //! Each datagram carries a MAC under a key from the store, which proves that it comes from a daemon
@@ -56,23 +57,24 @@
 /// Length of the MAC at the end of a datagram.
 const MAC_BYTES: usize = 32;
 
-/// Times at which this daemon, as a relay, sent its latest digests.
+/// Latest messages that this daemon sent.
 #[derive(Clone, Copy, Debug, Default)]
-struct DigestTimes {
-    /// Latest digest of either kind.
-    latest: Tick,
-    /// Latest full digest, which covers daemons, engines and the lease holder.
-    latest_full: Tick,
+struct SentMessages {
+    /// Sequence number of the latest report.
+    number: u64,
+    /// Time of the latest report.
+    report: Tick,
+    /// Time of the latest digest of either kind, as a relay.
+    digest: Tick,
+    /// Time of the latest full digest, which covers daemons, engines and the lease holder.
+    full_digest: Tick,
 }
 
 /// Sends reports, and digests if this daemon is a relay, until the task is aborted.
 pub async fn send_reports(socket: Arc<UdpSocket>, key: hmac::Key, shared: Arc<Shared>) {
-    let mut number = 0;
-    let mut digest_times = DigestTimes::default();
+    let mut sent = SentMessages::default();
     loop {
-        number += 1;
-        let now = clock::now();
-        let outgoing = compose(&shared, number, now, &mut digest_times);
+        let (outgoing, due) = compose(&shared, clock::now(), &mut sent);
         for (body, addresses) in outgoing {
             let datagram = sign(&key, Datagram { body: Some(body) }.encode_to_vec());
             for address in addresses {
@@ -81,16 +83,8 @@
             }
         }
         sleep(MIN_REPORT_GAP).await;
-        let left = {
-            let state = shared.state();
-            if state.relay_pending {
-                MIN_DIGEST_GAP
-            } else {
-                report_interval(&state) - MIN_REPORT_GAP
-            }
-        };
-        // Wakes on a notification, or when the next report is due.
-        let _ = timeout(left, shared.report_now.notified()).await;
+        // Wakes on a notification, or when the next message is due.
+        let _ = timeout(due.since(clock::now()), shared.report_now.notified()).await;
     }
 }
 
@@ -106,6 +100,7 @@
         match verify(&key, &buffer[..length]) {
             Some(Body::Word(report)) => reports::handle_report(&shared, report, now),
             Some(Body::Digest(digest)) => digest::handle_digest(&shared, digest, now),
+            Some(Body::Changes(changes)) => holder::handle_direct(&shared, &changes, now),
             None => {}
         }
     }
@@ -127,65 +122,79 @@
     state.is_relay || state.roster.size() <= MAX_MESH_SIZE
 }
 
-/// Returns the messages to send now, each with its recipients.
+/// Returns the messages to send now, each with its recipients, and the time at which the next one is
+/// due unless a notification arrives before.
 fn compose(
     shared: &Shared,
-    number: u64,
     now: Tick,
-    digest_times: &mut DigestTimes,
-) -> Vec<(Body, Vec<SocketAddr>)> {
+    sent: &mut SentMessages,
+) -> (Vec<(Body, Vec<SocketAddr>)>, Tick) {
     let mut guard = shared.state();
     let state = &mut *guard;
     for name in state.roster.take_timed_out(now) {
         events::log(Event::PeerSilent, format_args!("name={name}"));
     }
-    let report = Body::Word(reports::compose(shared, state, number, now));
+    let interval = report_interval(state);
     let all_addresses = |state: &State| state.roster.known().map(|daemon| daemon.peers).collect();
     if state.roster.size() <= MAX_MESH_SIZE {
         state.is_relay = false;
-        return vec![(report, all_addresses(state))];
+        let report = compose_report(shared, state, now, sent);
+        return (vec![(report, all_addresses(state))], now + interval);
     }
+    let direct = holder::compose_direct(state, now);
+    let mut outgoing: Vec<(Body, Vec<SocketAddr>)> =
+        direct.into_iter().map(|(changes, to)| (Body::Changes(changes), vec![to])).collect();
     let relays = state.roster.relays(&own_daemon(shared), RELAY_COUNT, now);
     let rank = relays.iter().position(|relay| relay.name == shared.settings.name);
     state.is_relay = rank.is_some();
-    let others = relays.iter().filter(|relay| relay.name != shared.settings.name);
-    let mut recipients: Vec<SocketAddr> = others.map(|relay| relay.peers).collect();
-    recipients.extend(direct_recipients(state, now));
-    recipients.sort_unstable();
-    recipients.dedup();
-    let mut outgoing = vec![(report, recipients)];
-    let is_full = now.since(digest_times.latest_full) >= report_interval(state) - MIN_REPORT_GAP;
-    let is_due =
-        is_full || (state.relay_pending && now.since(digest_times.latest) >= MIN_DIGEST_GAP);
-    let sends_digest = match rank {
-        Some(0) => is_due,
-        Some(_) => is_due && state.digest_age(now) > RELAY_TIMEOUT,
+    if state.report_pending || now.since(sent.report) >= interval {
+        let others = relays.iter().filter(|relay| relay.name != shared.settings.name);
+        let mut recipients: Vec<SocketAddr> = others.map(|relay| relay.peers).collect();
+        recipients.extend(holder_address(state, now));
+        recipients.sort_unstable();
+        recipients.dedup();
+        outgoing.push((compose_report(shared, state, now, sent), recipients));
+    }
+    let mut due = sent.report + interval;
+    let sends_digests = match rank {
+        Some(0) => true,
+        Some(_) => state.digest_age(now) > RELAY_TIMEOUT,
         None => false,
     };
-    if sends_digest {
-        digest_times.latest = now;
+    if !sends_digests {
+        state.relay_pending = false;
+        return (outgoing, due);
+    }
+    let is_full = now.since(sent.full_digest) >= interval;
+    if is_full || (state.relay_pending && now.since(sent.digest) >= MIN_DIGEST_GAP) {
+        sent.digest = now;
         if is_full {
-            digest_times.latest_full = now;
+            sent.full_digest = now;
         }
         state.relay_pending = false;
         let digest = digest::compose(shared, state, is_full, now);
         outgoing.push((Body::Digest(digest), all_addresses(state)));
     }
-    outgoing
+    due = due.min(sent.full_digest + interval);
+    if state.relay_pending {
+        due = due.min(sent.digest + MIN_DIGEST_GAP);
+    }
+    (outgoing, due)
 }
 
-/// Returns the recipients of reports in addition to the relays: the lease holder, or, if this
-/// daemon is the holder, all daemons with requests that wait for a load.
-fn direct_recipients(state: &State, now: Tick) -> Vec<SocketAddr> {
-    let address_of = |name: &str| {
-        state.roster.known().find(|daemon| daemon.name == name).map(|daemon| daemon.peers)
-    };
-    if !state.holds_lease(now) {
-        return state.lease.holder().and_then(address_of).into_iter().collect();
+fn compose_report(shared: &Shared, state: &mut State, now: Tick, sent: &mut SentMessages) -> Body {
+    sent.number += 1;
+    sent.report = now;
+    state.report_pending = false;
+    Body::Word(reports::compose(shared, state, sent.number, now))
+}
+
+/// Returns the address of the lease holder, unless this daemon is the holder.
+fn holder_address(state: &State, now: Tick) -> Option<SocketAddr> {
+    if state.holds_lease(now) {
+        return None;
     }
-    let waiting =
-        state.reports.iter().filter(|(_, report)| report.has_waiting && report.is_fresh(now));
-    waiting.filter_map(|(name, _)| address_of(name)).collect()
+    state.roster.address(state.lease.holder()?)
 }
 
 /// Returns the description of this daemon that the others receive.
--- a/crates/daemon/src/peers/reports.rs
+++ b/crates/daemon/src/peers/reports.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use corianderyoke_coord::serving::announcements::Wants;
 use corianderyoke_coord::serving::demand::DemandRate;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
@@ -130,7 +131,6 @@
     }
     if state.roster.record_report(daemon, fitness, now) {
         events::log(Event::PeerHeard, format_args!("name={name} address={peers}"));
-        state.describe_all = true;
         shared.report_now.notify_one();
     }
     let mut is_low = false;
@@ -194,25 +194,32 @@
     now: Tick,
 ) -> bool {
     let names = &mut state.engines.names;
-    let mut has_waiting = false;
+    let mut wants = Wants::default();
     for demand in &report.models {
         let model = names.models.intern(&demand.model);
         let rate = DemandRate::from_rates(demand.requests.into(), demand.tokens.into(), now);
         state.planner.record_peer_demand(name, incarnation, model, rate, now);
         state.planner.record_waiting(name, model, demand.waiting, now);
-        has_waiting |= demand.waiting > 0;
+        if demand.waiting > 0 {
+            wants.models.insert(model);
+        }
     }
     for want in &report.adapters {
         let model = names.models.intern(&want.model);
         let adapter = names.adapters.intern(&want.adapter);
         state.planner.request_adapter(model, adapter, now);
-        has_waiting = true;
+        wants.adapters.insert(adapter);
     }
+    let has_waiting = !wants.is_empty();
+    // Earlier changes may concern requests that have started to wait since.
+    let previous = state.reports.get(name).filter(|previous| wants.is_subset(&previous.wants));
+    let told_change = previous.map_or(0, |previous| previous.told_change);
     let mut peer = PeerReport {
         incarnation,
         number: report.number,
         received: now,
-        has_waiting,
+        wants,
+        told_change,
         ..PeerReport::default()
     };
     for engine in &report.engines {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -131,10 +131,10 @@
     let open = {
         let mut state = shared.state();
         state.leaving = true;
+        shared.report_soon(&mut state);
         state.open_requests
     };
     events::log(Event::Stopping, format_args!("open={open}"));
-    shared.report_now.notify_one();
     lease.abort();
     orders::release(shared).await;
     let exit_at = stop_requested + shared.settings.stop().saturating_sub(EXIT_MARGIN);
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -9,6 +9,9 @@
 use corianderyoke_coord::keys::AdapterKey;
 use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::announcements::Announcements;
+use corianderyoke_coord::serving::announcements::ChangeKind;
+use corianderyoke_coord::serving::announcements::Wants;
 use corianderyoke_coord::serving::caps::TeamBucket;
 use corianderyoke_coord::serving::choice::ChoiceSettings;
 use corianderyoke_coord::serving::choice::Load;
@@ -71,8 +74,10 @@
     pub received: Tick,
     /// Load of the daemon's requests in flight, by engine.
     pub loads: IndexMap<UpstreamKey, Load>,
-    /// Whether requests wait there for a model or an adapter to be loaded.
-    pub has_waiting: bool,
+    /// What requests wait there for.
+    pub wants: Wants,
+    /// Number of the latest change that this daemon, as the lease holder, told that daemon.
+    pub told_change: u64,
     /// Number of the daemon's requests in flight, by engine and model.
     pub running_requests: IndexMap<(UpstreamKey, ModelKey), u32>,
 }
@@ -141,9 +146,7 @@
     /// Planner of orders, which acts only while this daemon holds the lease.
     pub planner: Planner,
     /// Recent changes of engines, announced to the other daemons.
-    pub engine_changes: Vec<EngineChange>,
-    /// Number of changes announced so far.
-    pub change_count: u64,
+    pub announcements: Announcements,
     /// Announcements received from the lease holder.
     pub holder_updates: HolderUpdates,
     /// Time of the latest successful poll of the engines' entries.
@@ -154,14 +157,14 @@
     pub team_totals: IndexMap<String, (i64, Tick)>,
     /// Load of the whole fleet by engine, from the latest digest, and its time of receipt.
     pub load_digest: Option<(IndexMap<UpstreamKey, Load>, Tick)>,
+    /// Whether this daemon must send its next report without delay.
+    pub report_pending: bool,
     /// Whether a report arrived that a relay must forward without delay.
     pub relay_pending: bool,
     /// Whether this daemon is a relay, which receives the reports of all others.
     pub is_relay: bool,
-    /// Whether the next full digest must describe all daemons, because a new one appeared.
-    pub describe_all: bool,
-    /// Number of full digests sent so far.
-    pub digest_count: u64,
+    /// Time since which each digest listed a daemon that this one doesn't know.
+    pub unknown_since: Option<Tick>,
     /// Whether the process received the signal to stop.
     pub leaving: bool,
     /// Whether the process accepts no more requests because it is about to exit.
@@ -170,32 +173,6 @@
     pub open_requests: usize,
 }
 
-/// Change of an engine, announced to daemons that poll its entry later.
-#[derive(Clone, Copy, Debug)]
-pub struct EngineChange {
-    /// Engine that changed.
-    pub engine: UpstreamKey,
-    /// Kind of change.
-    pub kind: ChangeKind,
-    /// Time at which this daemon learned of it.
-    pub at: Tick,
-    /// Sequence number among the changes that this daemon announced.
-    pub number: u64,
-}
-
-/// Kind of change of an engine.
-#[derive(Clone, Copy, Debug)]
-pub enum ChangeKind {
-    /// The engine is draining or has ended.
-    Leaving,
-    /// The engine's entry was added or updated.
-    Updated,
-    /// A model was loaded (`true`) or no longer accepts requests (`false`).
-    Model(ModelKey, bool),
-    /// An adapter was loaded (`true`) or unloaded (`false`).
-    Adapter(ModelKey, AdapterKey, bool),
-}
-
 /// Resources and state that all tasks of a daemon share.
 #[derive(Debug)]
 pub struct Shared {
@@ -213,7 +190,7 @@
     pub choice: ChoiceSettings,
     /// Notified when engines, routes or loads changed, so that waiting requests retry the choice.
     pub changed: Notify,
-    /// Notified when the next report to the other daemons is due immediately.
+    /// Notified when a message to other daemons may be due before the regular interval is over.
     pub report_now: Notify,
     /// Notified when the planner must run again.
     pub replan: Notify,
@@ -221,6 +198,8 @@
     pub recheck_poll: Notify,
     /// Notified when another daemon has read an operator's row that this one hasn't.
     pub operator_behind: Notify,
+    /// Notified when the rows of all daemons must be read because one of them is unknown.
+    pub unknown_peer: Notify,
     state: Mutex<State>,
 }
 
@@ -248,17 +227,16 @@
             wanted_adapters: IndexMap::new(),
             lease: Lease::new(lease, &settings.name),
             planner: Planner::default(),
-            engine_changes: Vec::new(),
-            change_count: 0,
+            announcements: Announcements::default(),
             holder_updates: HolderUpdates::default(),
             last_poll: Tick(0),
             holder_report: None,
             team_totals: IndexMap::new(),
             load_digest: None,
+            report_pending: false,
             relay_pending: false,
             is_relay: false,
-            describe_all: false,
-            digest_count: 0,
+            unknown_since: None,
             leaving: false,
             closed: false,
             open_requests: 0,
@@ -275,6 +253,7 @@
             replan: Notify::new(),
             recheck_poll: Notify::new(),
             operator_behind: Notify::new(),
+            unknown_peer: Notify::new(),
             state: Mutex::new(state),
         })
     }
@@ -294,6 +273,12 @@
         self.incarnation.get().copied().unwrap_or(0)
     }
 
+    /// Makes this daemon send its next report without delay. `state` is the locked state.
+    pub fn report_soon(&self, state: &mut State) {
+        state.report_pending = true;
+        self.report_now.notify_one();
+    }
+
     /// Returns the retry allowance of the whole fleet.
     pub fn retry_allowance(&self) -> RetryAllowance {
         let bounds = &self.settings.bounds;
@@ -333,16 +318,10 @@
                 ChangeKind::Updated
             }
         };
-        self.announce(engine, kind, at);
+        self.announcements.record(engine, kind, at);
         true
     }
 
-    /// Queues a change of an engine for announcement to the other daemons.
-    pub fn announce(&mut self, engine: UpstreamKey, kind: ChangeKind, at: Tick) {
-        self.change_count += 1;
-        self.engine_changes.push(EngineChange { engine, kind, at, number: self.change_count });
-    }
-
     /// Returns the age of the latest digest with loads; [`Duration::MAX`] if there was none.
     pub fn digest_age(&self, now: Tick) -> Duration {
         self.load_digest.as_ref().map_or(Duration::MAX, |(_, at)| now.since(*at))
