Evict models whose callers can wait, and load from near copies first

The cost of an eviction used an average over 12 s, the same for callers that expect an answer in 0.25 s and in 3 s, and wasn't compared with the gain at all. And loads from the weight store, four at once of 6 s each, were started for models that an engine had on its disk, only because that engine executed another order for half a second, so models without any copy never got one.

Now a loss is counted in requests that can't wait for a load, over 4 s; a load is ordered only if it gains more than it loses; the gain grows with the duration of the shortage; a model that is near somewhere is loaded there; the second for which a model is kept counts from the end of its load.

Ruled out: engines' slots (few running requests at each), the lease (a gap of 3 s explains the losses at 17 to 20 s only).

The test of first reports of demand now lets three requests wait in place of one, since a load that loses more than it gains isn't ordered any more.

--- a/crates/coord/src/serving/demand.rs
+++ b/crates/coord/src/serving/demand.rs
@@ -11,10 +11,18 @@
 const REQUEST_DECAY: Duration = Duration::from_secs(12);
 /// Time constant of the decaying token rate, which determines the number of replicas.
 const TOKEN_DECAY: Duration = Duration::from_secs(3);
+/// Time constant of the decaying rate of requests that can't wait for a load. It is short enough to
+/// protect a model whose demand has just risen.
+const URGENT_DECAY: Duration = Duration::from_secs(4);
+/// Time that a request loses while its model is evicted and loaded again from a disk.
+const RELOAD_TIME: Duration = Duration::from_millis(1_200);
 /// Fraction of its time that an engine may spend on prefill for one model before the model gets
 /// another replica. Beyond about half, prompts queue behind each other and delay the tokens of
 /// running requests.
 const MAX_PREFILL_SHARE: f64 = 0.4;
+/// Value that is lost per request and second of the request rate if a model that only patient
+/// requests ask for isn't held. It ranks these models by their demand.
+const PATIENT_LOSS: f64 = 0.3;
 /// Time after which a daemon's report of waiting requests expires.
 pub(super) const WAITING_TTL: Duration = Duration::from_millis(1_200);
 
@@ -37,35 +45,62 @@
     }
 }
 
+/// Requests and tokens per second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Rates {
+    /// Requests, over a period that is long enough for rarely used models.
+    pub requests: f64,
+    /// Prompt tokens to prefill, over a period that is short enough to follow bursts.
+    pub tokens: f64,
+    /// Requests, each counted with the fraction of its value that it loses if its model has to be
+    /// loaded first, over a period that is short enough to follow rising demand.
+    pub urgent: f64,
+}
+
 /// Recent demand for a model. Rates with the same time constant can be added, so a daemon's rates
 /// can be reported to another one, which knows the demand of the fleet from the first reports on.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DemandRate {
-    /// Requests per second, over a period that is long enough for rarely used models.
     requests: DecayingRate,
-    /// Prompt tokens to prefill per second, over a period that is short enough to follow bursts.
     tokens: DecayingRate,
+    urgent: DecayingRate,
 }
 
 impl DemandRate {
-    /// Creates the demand from requests and tokens per second at `now`.
-    pub fn from_rates(requests: f64, tokens: f64, now: Tick) -> Self {
+    /// Creates the demand from its rates at `now`.
+    pub fn from_rates(rates: Rates, now: Tick) -> Self {
         let rate = |value: f64| DecayingRate { value, at: now };
-        DemandRate { requests: rate(requests), tokens: rate(tokens) }
+        DemandRate {
+            requests: rate(rates.requests),
+            tokens: rate(rates.tokens),
+            urgent: rate(rates.urgent),
+        }
     }
 
-    /// Records requests and the number of prompt tokens to prefill for them.
-    pub fn record(&mut self, count: u64, tokens: u64, now: Tick) {
-        self.requests.add(count as f64, REQUEST_DECAY, now);
+    /// Records a request with the latency that its caller expects and the number of prompt tokens
+    /// to prefill for it.
+    pub fn record(&mut self, target: Duration, tokens: u64, now: Tick) {
+        self.requests.add(1.0, REQUEST_DECAY, now);
         self.tokens.add(tokens as f64, TOKEN_DECAY, now);
+        self.urgent.add(reload_loss(target), URGENT_DECAY, now);
     }
 
-    /// Returns requests and tokens per second at `now`.
-    pub fn rates(&self, now: Tick) -> (f64, f64) {
-        (self.requests.get(REQUEST_DECAY, now), self.tokens.get(TOKEN_DECAY, now))
+    /// Returns the rates at `now`.
+    pub fn rates(&self, now: Tick) -> Rates {
+        Rates {
+            requests: self.requests.get(REQUEST_DECAY, now),
+            tokens: self.tokens.get(TOKEN_DECAY, now),
+            urgent: self.urgent.get(URGENT_DECAY, now),
+        }
     }
 }
 
+/// Returns the fraction of its value that a request loses if its model has to be loaded first.
+fn reload_loss(target: Duration) -> f64 {
+    let ratio = RELOAD_TIME.as_secs_f64() / target.as_secs_f64().max(1e-3);
+    (ratio * ratio).min(1.0)
+}
+
 /// Demand of the whole fleet for one model.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Demand {
@@ -78,9 +113,9 @@
 }
 
 impl Demand {
-    /// Records requests and the number of prompt tokens to prefill for them.
-    pub fn record(&mut self, count: u64, tokens: u64, now: Tick) {
-        self.fleet.record(count, tokens, now);
+    /// Records a request, as [`DemandRate::record`] does.
+    pub fn record(&mut self, target: Duration, tokens: u64, now: Tick) {
+        self.fleet.record(target, tokens, now);
     }
 
     /// Applies the demand that a daemon reports, in place of what it reported before.
@@ -90,9 +125,13 @@
         let last = last.filter(|(of, _)| *of == incarnation).map(|(_, rate)| rate.rates(now));
         let (previous, reported) = (last.unwrap_or_default(), rate.rates(now));
         let sum = self.fleet.rates(now);
-        let requests = (sum.0 + reported.0 - previous.0).max(0.0);
-        let tokens = (sum.1 + reported.1 - previous.1).max(0.0);
-        self.fleet = DemandRate::from_rates(requests, tokens, now);
+        let replace = |sum: f64, reported: f64, previous: f64| (sum + reported - previous).max(0.0);
+        let rates = Rates {
+            requests: replace(sum.requests, reported.requests, previous.requests),
+            tokens: replace(sum.tokens, reported.tokens, previous.tokens),
+            urgent: replace(sum.urgent, reported.urgent, previous.urgent),
+        };
+        self.fleet = DemandRate::from_rates(rates, now);
     }
 
     /// Records how many requests wait at a daemon.
@@ -102,7 +141,14 @@
 
     /// Returns the number of requests expected within the time constant of the request rate.
     pub fn expected_requests(&self, now: Tick) -> f64 {
-        self.fleet.rates(now).0 * REQUEST_DECAY.as_secs_f64()
+        self.fleet.rates(now).requests * REQUEST_DECAY.as_secs_f64()
+    }
+
+    /// Returns the value, in requests, that is expected to be lost if the model isn't held and its
+    /// next request has to wait for a load.
+    pub fn reload_loss(&self, now: Tick) -> f64 {
+        let rates = self.fleet.rates(now);
+        rates.urgent * (1.0 + RELOAD_TIME.as_secs_f64()) + rates.requests * PATIENT_LOSS
     }
 
     /// Returns the number of waiting requests, according to recent reports.
@@ -113,7 +159,7 @@
 
     /// Returns the number of replicas that keeps prefill within its share of the engines' time.
     pub fn target_replicas(&self, now: Tick) -> usize {
-        let busy_engines = self.fleet.rates(now).1 / (PREFILL_RATE * 1e3);
+        let busy_engines = self.fleet.rates(now).tokens / (PREFILL_RATE * 1e3);
         (busy_engines / MAX_PREFILL_SHARE).ceil().max(1.0) as usize
     }
 }
--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -544,6 +544,11 @@
         held.map_or(0, IndexSet::len) + pending_adapters.count()
     }
 
+    /// Returns whether the weights of a model are cached in the engine's memory or on its disk.
+    pub fn has_nearby(&self, model: ModelKey) -> bool {
+        self.in_memory.contains(&model) || self.on_disk.contains(&model)
+    }
+
     /// Returns whether the engine is still in its cold period.
     pub fn is_cold(&self, now: Tick) -> bool {
         now < self.warm_at
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -2,8 +2,12 @@
 //! orders runs the plan.
 //!
 //! A model that has waiting requests and no replica is loaded on the engine where it costs the
-//! least: the load time, which depends on where the weights are stored, plus the eviction cost of
-//! the models that have to be unloaded first. An engine executes one model order at a time. The
+//! least: the load time, which depends on where the weights are stored, plus the value that is
+//! expected to be lost by evicting other models. That value counts requests whose callers can't
+//! wait for a load more than others, so models with patient callers make way first. A load that
+//! loses more than it gains is put off, and gains weight with the duration of the shortage. The
+//! weight store loads few models at once, so it is used only for models that no engine can load from
+//! its memory or disk within a short time. An engine executes one model order at a time. The
 //! planner learns what an engine holds only from its entry or report, so a new lease holder needs
 //! no state from the previous one. Each order carries the number of orders that the engine has
 //! accepted before, so an engine refuses an order that arrives late.
@@ -30,8 +34,8 @@
 const SPARE_REPLICA_WEIGHT: f64 = 0.05;
 /// Longest load, in seconds, that an additional replica may take.
 const MAX_REPLICA_LOAD_S: f64 = 1.0;
-/// Highest eviction cost, in seconds of waiting, that an additional replica may cause.
-const MAX_REPLICA_EVICTION_S: f64 = 0.4;
+/// Highest loss by evictions, in requests, that an additional replica may cause.
+const MAX_REPLICA_LOSS: f64 = 0.4;
 /// Concurrent loads from the weight store. The store serves this many at full speed; more slow each
 /// other down.
 const MAX_REMOTE_LOADS: usize = 4;
@@ -46,6 +50,19 @@
 const REPORT_LAG: Duration = Duration::from_millis(250);
 /// Seconds that an unload takes on an engine without running requests.
 const UNLOAD_S: f64 = 0.05;
+/// Longest time for which a load waits for an engine that has the model nearby but executes another
+/// order.
+const MAX_BUSY_WAIT: Duration = Duration::from_secs(2);
+/// Duration of a shortage after which the value of loading the model has doubled.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Duration of a shortage from which on the value of loading the model grows with the square of the
+/// time, so that it soon exceeds the loss by any eviction.
+const MAX_SHORTAGE: Duration = Duration::from_secs(10);
+/// Time without a waiting request after which a shortage is over. Requests that were refused in
+/// between belong to the same shortage.
+const SHORTAGE_TTL: Duration = Duration::from_secs(8);
+/// Weight of an expected request for a model relative to a waiting one.
+const EXPECTED_WEIGHT: f64 = 0.5;
 /// Time after a load during which a model isn't evicted. Without it, engines swap the same two
 /// models back and forth while requests wait for both.
 const MIN_RESIDENCE: Duration = Duration::from_millis(1_000);
@@ -131,13 +148,40 @@
     }
 }
 
-/// A possible load, with the evictions it requires and its cost in seconds of waiting.
+/// A possible load, with the evictions that it requires.
 #[derive(Clone, Debug)]
 struct LoadCandidate {
     engine: UpstreamKey,
     victims: Vec<ModelKey>,
     remote: bool,
-    cost: f64,
+    /// Value that the evictions lose, in requests.
+    loss: f64,
+    /// Time until the model is loaded, in seconds.
+    time: f64,
+}
+
+impl LoadCandidate {
+    /// Returns the cost by which candidates are compared. A second of waiting costs as much as a
+    /// lost request.
+    fn cost(&self) -> f64 {
+        self.loss + self.time
+    }
+}
+
+/// Period in which requests waited again and again for a model that no engine held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Shortage {
+    since: Tick,
+    /// Time at which a request waited last.
+    last: Tick,
+}
+
+/// Load that waits for an eviction on its engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct DeferredLoad {
+    model: ModelKey,
+    /// Whether the load will read from the weight store.
+    remote: bool,
 }
 
 /// Plans the orders for all engines.
@@ -148,17 +192,20 @@
     adapter_uses: IndexMap<(UpstreamKey, AdapterKey), Tick>,
     loaded_at: IndexMap<(UpstreamKey, ModelKey), Tick>,
     pending: IndexMap<UpstreamKey, PendingOrder>,
+    /// Models that requests waited for recently although no engine held them.
+    shortages: IndexMap<ModelKey, Shortage>,
     /// Loads that wait for an eviction on their engine.
-    deferred: IndexMap<UpstreamKey, ModelKey>,
+    deferred: IndexMap<UpstreamKey, DeferredLoad>,
     running: IndexMap<(UpstreamKey, ModelKey), u32>,
     remote_permits: f64,
     refilled_at: Tick,
 }
 
 impl Planner {
-    /// Records requests for a model and the number of prompt tokens to prefill for them.
-    pub fn record_arrivals(&mut self, model: ModelKey, count: u64, tokens: u64, now: Tick) {
-        self.demand.entry(model).or_default().record(count, tokens, now);
+    /// Records a request for a model, with the latency that its caller expects and the number of
+    /// prompt tokens to prefill for it.
+    pub fn record_arrival(&mut self, model: ModelKey, target: Duration, tokens: u64, now: Tick) {
+        self.demand.entry(model).or_default().record(target, tokens, now);
     }
 
     /// Records the demand for a model as reported by another daemon.
@@ -268,17 +315,17 @@
         }
         self.reconcile(engines, now, &mut actions);
         self.resume_deferred(spec, engines, now, &mut actions);
-        for model in self.missing_models(&usable, spec, engines, now) {
-            let Some(candidate) = self.cheapest_load(&usable, spec, engines, model, now) else {
-                continue;
-            };
-            self.issue_order(candidate, model, engines, now, &mut actions);
+        for (model, benefit) in self.missing_models(&usable, spec, engines, now) {
+            let candidate = self.cheapest_load(&usable, spec, engines, model, benefit, now);
+            if let Some(candidate) = candidate {
+                self.issue_order(candidate, model, engines, now, &mut actions);
+            }
         }
         for model in self.overloaded_models(&usable, spec, engines, now) {
-            let Some(candidate) = self.cheapest_load(&usable, spec, engines, model, now) else {
-                continue;
-            };
-            if !candidate.remote && candidate.cost < MAX_REPLICA_EVICTION_S + MAX_REPLICA_LOAD_S {
+            let candidate =
+                self.cheapest_load(&usable, spec, engines, model, MAX_REPLICA_LOSS, now);
+            let Some(candidate) = candidate else { continue };
+            if !candidate.remote && candidate.time < MAX_REPLICA_LOAD_S {
                 self.issue_order(candidate, model, engines, now, &mut actions);
             }
         }
@@ -295,13 +342,14 @@
     ) {
         let (time, remote) = match order.op {
             Op::Load(model) => {
-                self.loaded_at.insert((order.engine, model), now);
                 let model_spec = spec.models.get(engines.names.models.name(model));
                 let engine = engines.get(order.engine);
                 let estimate = model_spec
                     .zip(engine)
                     .map(|(model_spec, engine)| load_time(model_spec, engine, model));
-                estimate.unwrap_or((Duration::ZERO, false))
+                let (time, remote) = estimate.unwrap_or((Duration::ZERO, false));
+                self.loaded_at.insert((order.engine, model), now + time);
+                (time, remote)
             }
             Op::Unload(model) => {
                 engines.begin_unload(order.engine, model);
@@ -354,13 +402,13 @@
         now: Tick,
         actions: &mut Vec<Action>,
     ) {
-        let free: Vec<(UpstreamKey, ModelKey)> = self
+        let free: Vec<(UpstreamKey, DeferredLoad)> = self
             .deferred
             .iter()
             .filter(|(key, _)| !self.pending.contains_key(*key))
-            .map(|(&key, &model)| (key, model))
+            .map(|(&key, &deferred)| (key, deferred))
             .collect();
-        for (key, model) in free {
+        for (key, DeferredLoad { model, .. }) in free {
             self.deferred.shift_remove(&key);
             let Some(engine) = engines.get(key) else { continue };
             let Some(candidate) = self.load_candidate(spec, engines, key, engine, model, now)
@@ -373,15 +421,16 @@
         }
     }
 
-    /// Returns models that have waiting requests, no replica and no load in progress, ordered by
-    /// descending number of waiting requests.
+    /// Returns models that have waiting requests, no replica and no load in progress, with the value
+    /// of loading them in requests, ordered by descending value. The value grows with the duration of
+    /// the shortage, so that busy models don't keep out a rarely used one for good.
     fn missing_models(
-        &self,
+        &mut self,
         usable: &[UpstreamKey],
         spec: &EngineSpec,
         engines: &Engines,
         now: Tick,
-    ) -> Vec<ModelKey> {
+    ) -> Vec<(ModelKey, f64)> {
         let usable: Vec<&Engine> = usable.iter().filter_map(|key| engines.get(*key)).collect();
         let loading: IndexSet<ModelKey> = self.loading_models().collect();
         let is_missing = |model: &ModelKey| {
@@ -389,11 +438,25 @@
             let held = usable.iter().any(|engine| engine.holds(*model, None));
             known && !held && !loading.contains(model)
         };
-        let waiting = self.demand.iter().map(|(&model, demand)| (model, demand.waiting(now)));
-        let mut wanted: Vec<(ModelKey, u32)> =
-            waiting.filter(|(model, count)| *count > 0 && is_missing(model)).collect();
-        wanted.sort_by_key(|&(_, count)| Reverse(count));
-        wanted.into_iter().map(|(model, _)| model).collect()
+        let waiting = self.demand.iter().filter(|(_, demand)| demand.waiting(now) > 0);
+        let missing: Vec<ModelKey> =
+            waiting.map(|(&model, _)| model).filter(|model| is_missing(model)).collect();
+        self.shortages.retain(|_, shortage| now.since(shortage.last) < SHORTAGE_TTL);
+        let mut wanted: Vec<(ModelKey, f64)> = Vec::new();
+        for model in missing {
+            let shortage =
+                self.shortages.entry(model).or_insert(Shortage { since: now, last: now });
+            shortage.last = now;
+            let Some(demand) = self.demand.get(&model) else { continue };
+            let lasted = now.since(shortage.since);
+            let overdue = lasted.saturating_sub(MAX_SHORTAGE).as_secs_f64();
+            let urgency = 1.0 + lasted.as_secs_f64() / PATIENCE.as_secs_f64() + overdue * overdue;
+            let expected = demand.expected_requests(now) * EXPECTED_WEIGHT;
+            let requests = f64::from(demand.waiting(now)) + expected;
+            wanted.push((model, requests * urgency));
+        }
+        wanted.sort_by(|a, b| b.1.total_cmp(&a.1));
+        wanted
     }
 
     /// Returns models that need more replicas than they have, ordered by descending number of
@@ -429,26 +492,48 @@
             Some(Op::Load(model)) => Some(model),
             _ => None,
         });
-        executing.chain(self.deferred.values().copied())
+        executing.chain(self.deferred.values().map(|deferred| deferred.model))
     }
 
-    /// Returns the load of a model with the lowest cost.
+    /// Returns the load of a model with the lowest cost among those that lose at most `max_loss`. The
+    /// weight store is slow and shared by all engines, so a model that an engine has nearby is loaded
+    /// there, even if that engine executes another order at present.
     fn cheapest_load(
         &self,
         usable: &[UpstreamKey],
         spec: &EngineSpec,
         engines: &Engines,
         model: ModelKey,
+        max_loss: f64,
         now: Tick,
     ) -> Option<LoadCandidate> {
-        let free = usable
-            .iter()
-            .filter(|key| !self.pending.contains_key(*key) && !self.deferred.contains_key(*key));
-        let candidates = free.filter_map(|&key| {
-            let engine = engines.get(key).filter(|engine| !engine.models.contains_key(&model))?;
-            self.load_candidate(spec, engines, key, engine, model, now)
-        });
-        candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        let mut awaited = false;
+        let mut candidates = Vec::new();
+        for &key in usable {
+            let Some(engine) = engines.get(key) else { continue };
+            if engine.models.contains_key(&model) {
+                continue;
+            }
+            if self.pending.contains_key(&key) || self.deferred.contains_key(&key) {
+                awaited |= engine.has_nearby(model) && !self.is_blocked(key, now);
+            } else {
+                let candidate = self.load_candidate(spec, engines, key, engine, model, now);
+                candidates.extend(candidate.filter(|candidate| candidate.loss <= max_loss));
+            }
+        }
+        let has_near = candidates.iter().any(|candidate| !candidate.remote);
+        if has_near || awaited {
+            candidates.retain(|candidate| !candidate.remote);
+        }
+        candidates.into_iter().min_by(|a, b| a.cost().total_cmp(&b.cost()))
+    }
+
+    /// Returns whether an engine executes an order that ends so late that other engines should load
+    /// what requests wait for.
+    fn is_blocked(&self, key: UpstreamKey, now: Tick) -> bool {
+        self.pending.get(&key).is_some_and(|pending| {
+            pending.remote && pending.inspect_at.since(now) > INSPECT_AFTER + MAX_BUSY_WAIT
+        })
     }
 
     /// Returns the cost of a load at one engine, or `None` if the load isn't possible now.
@@ -471,60 +556,56 @@
             .models
             .keys()
             .filter(|held| **held != model)
-            .map(|&held| (held, self.eviction_cost(spec, engines, key, held, now)))
+            .map(|&held| (held, self.eviction_loss(engines, key, held, now)))
             .collect();
         victims.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let mut cost = time.as_secs_f64();
+        let (mut time, mut loss) = (time.as_secs_f64(), 0.0);
         let mut evicted = Vec::new();
-        for (victim, eviction_cost) in victims {
+        for (victim, eviction_loss) in victims {
             if free_mb >= model_spec.size_mb {
                 break;
             }
             let name = engines.names.models.name(victim);
             let Some(held) = spec.models.get(name) else { continue };
-            if !eviction_cost.is_finite() {
+            if !eviction_loss.is_finite() {
                 continue;
             }
             free_mb += held.size_mb + adapters_mb(spec, engines, engine, victim);
-            cost += eviction_cost + UNLOAD_S;
+            loss += eviction_loss;
+            time += UNLOAD_S;
             evicted.push(victim);
         }
         if free_mb < model_spec.size_mb {
             return None;
         }
-        Some(LoadCandidate { engine: key, victims: evicted, remote, cost })
+        Some(LoadCandidate { engine: key, victims: evicted, remote, loss, time })
     }
 
-    /// Returns the seconds of waiting that an eviction is expected to cause; infinite if the model
-    /// was loaded too recently.
-    fn eviction_cost(
+    /// Returns the value, in requests, that is expected to be lost by an eviction; infinite if the
+    /// model was loaded too recently.
+    fn eviction_loss(
         &self,
-        spec: &EngineSpec,
         engines: &Engines,
         key: UpstreamKey,
         model: ModelKey,
         now: Tick,
     ) -> f64 {
-        if self.loaded_at.get(&(key, model)).is_some_and(|at| now.since(*at) < MIN_RESIDENCE) {
+        if self.loaded_at.get(&(key, model)).is_some_and(|at| now < *at + MIN_RESIDENCE) {
             return f64::INFINITY;
         }
-        let Some(model_spec) = spec.models.get(engines.names.models.name(model)) else {
-            return 0.0;
-        };
         let demand = self.demand.get(&model);
-        let expected_requests = demand.map_or(0.0, |demand| demand.expected_requests(now));
+        let loss = demand.map_or(0.0, |demand| demand.reload_loss(now));
         let others = engines
             .iter()
             .filter(|(other, engine)| *other != key && engine.holds(model, None))
             .count();
-        let reload_s = model_spec.times.disk.as_secs_f64();
         let running = self.running.get(&(key, model)).copied().unwrap_or(0);
         // An unload waits for running requests to finish and delays the engine's next order.
         let drain_s = if running > 0 { 0.5 + 0.1 * f64::from(running) } else { 0.0 };
         let replicas = demand.map_or(1, |demand| demand.target_replicas(now));
         let weight =
             if others >= replicas { SPARE_REPLICA_WEIGHT } else { 1.0 / (1 + others) as f64 };
-        expected_requests * reload_s * weight + drain_s
+        loss * weight + drain_s
     }
 
     fn issue_order(
@@ -539,7 +620,8 @@
         let Some(expected) = accepted else { return };
         let op = match candidate.victims.first() {
             Some(&victim) => {
-                self.deferred.insert(candidate.engine, model);
+                let deferred = DeferredLoad { model, remote: candidate.remote };
+                self.deferred.insert(candidate.engine, deferred);
                 Op::Unload(victim)
             }
             None => {
@@ -553,7 +635,7 @@
             phase: Phase::Sent,
             op: Some(op),
             inspect_at: now,
-            remote: candidate.remote,
+            remote: candidate.remote && candidate.victims.is_empty(),
         };
         self.pending.insert(candidate.engine, pending);
         actions.push(Action::Send(Order { engine: candidate.engine, op, expected }));
@@ -615,8 +697,9 @@
     }
 
     fn may_load_remote(&self) -> bool {
-        let loading = self.pending.values().filter(|pending| pending.remote);
-        self.remote_permits >= 1.0 && loading.count() < MAX_REMOTE_LOADS
+        let loading = self.pending.values().filter(|pending| pending.remote).count();
+        let deferred = self.deferred.values().filter(|deferred| deferred.remote).count();
+        self.remote_permits >= 1.0 + deferred as f64 && loading + deferred < MAX_REMOTE_LOADS
     }
 
     fn refill_permits(&mut self, spec: &EngineSpec, now: Tick) {
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -11,4 +11,5 @@
 mod quotas;
 mod residency;
 mod roster;
+mod scarcity;
 mod stream;
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -1,5 +1,7 @@
 //! Tests of the plan for loading models and adapters.
 
+use std::time::Duration;
+
 use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::serving::demand::DemandRate;
 use corianderyoke_coord::serving::desired::EngineSpec;
@@ -20,6 +22,9 @@
 use crate::fixtures::spec;
 use crate::fixtures::SERVICE;
 
+/// Latency that callers of the models expect.
+const TARGET: Duration = Duration::from_millis(500);
+
 fn plan(planner: &mut Planner, spec: &EngineSpec, engines: &Engines, at: u64) -> Vec<Action> {
     planner.plan(SERVICE, spec, engines, ms(at))
 }
@@ -38,7 +43,9 @@
 
 /// Records `waiting` requests that wait for a model without a replica.
 fn request_missing(planner: &mut Planner, model: ModelKey, waiting: u32, at: u64) {
-    planner.record_arrivals(model, u64::from(waiting), 3_000, ms(at));
+    for _ in 0..waiting {
+        planner.record_arrival(model, TARGET, 3_000 / u64::from(waiting), ms(at));
+    }
     planner.record_waiting("daemon-1", model, waiting, ms(at));
 }
 
@@ -105,9 +112,11 @@
     let (often, seldom) = (model(&mut engines, "often"), model(&mut engines, "seldom"));
     let mut planner = Planner::default();
     for at in 0..8 {
-        planner.record_arrivals(often, 4, 100, ms(at * 500));
+        for _ in 0..4 {
+            planner.record_arrival(often, TARGET, 100 / 4, ms(at * 500));
+        }
     }
-    planner.record_arrivals(seldom, 1, 100, ms(0));
+    planner.record_arrival(seldom, TARGET, 100, ms(0));
     request_missing(&mut planner, wanted, 1, 4_000);
     let first = orders(&plan(&mut planner, &spec, &engines, 4_000));
     assert_eq!(first.iter().map(|order| order.op).collect::<Vec<_>>(), [Op::Unload(seldom)]);
@@ -130,7 +139,7 @@
     let key = engine(&engines, "e1");
     let mut planner = Planner::default();
     planner.set_running(key, runs, 3);
-    planner.record_arrivals(rests, 1, 100, ms(3_000));
+    planner.record_arrival(rests, TARGET, 100, ms(3_000));
     request_missing(&mut planner, wanted, 1, 3_000);
     assert_eq!(ops(&plan(&mut planner, &spec, &engines, 3_000)), [Op::Unload(rests)]);
 }
@@ -150,24 +159,123 @@
     // Each of many daemons has received one request, in a fleet that has just started.
     for daemon in 0..40 {
         let mut demand = DemandRate::default();
-        demand.record(1, 3_000, ms(daemon * 50));
+        demand.record(TARGET, 3_000, ms(daemon * 50));
         planner.record_peer_demand(&format!("d{daemon}"), 1, busy, demand, ms(daemon * 50));
     }
-    planner.record_arrivals(idle, 3, 3_000, ms(1_900));
-    request_missing(&mut planner, wanted, 1, 2_000);
+    for _ in 0..3 {
+        planner.record_arrival(idle, TARGET, 3_000 / 3, ms(1_900));
+    }
+    // As many requests wait as were made for the model that has to make way.
+    request_missing(&mut planner, wanted, 3, 2_000);
     assert_eq!(ops(&plan(&mut planner, &spec, &engines, 2_000)), [Op::Unload(idle)]);
 }
 
+/// The demand for a model has just risen, while many others are asked for now and then.
+#[test]
+fn rising_model_is_not_evicted_for_rarely_used_one() {
+    let (engines, spec, [rising, seldom, wanted]) = two_holders("rising", "seldom");
+    let mut planner = Planner::default();
+    let patient = Duration::from_secs(3);
+    for at in 0..10 {
+        planner.record_arrival(seldom, patient, 500, ms(at * 400));
+    }
+    // Fewer requests than for the other model, in the last 400 ms, by callers that can't wait.
+    for at in 0..4 {
+        planner.record_arrival(rising, Duration::from_millis(250), 500, ms(3_600 + at * 100));
+    }
+    planner.record_arrival(wanted, patient, 500, ms(4_000));
+    planner.record_waiting("daemon-1", wanted, 1, ms(4_000));
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 4_000)), [Op::Unload(seldom)]);
+}
+
+/// All engines hold busy models. A request for another one neither displaces them at once nor waits
+/// for good.
+#[test]
+fn load_that_loses_more_than_it_gains_is_ordered_only_after_waiting() {
+    let (engines, spec, [first, second, wanted]) = two_holders("first", "second");
+    let mut planner = Planner::default();
+    let ordered_at = (0..200).map(|step| step * 100).find(|&at| {
+        for busy in [first, second] {
+            planner.record_arrival(busy, TARGET, 500, ms(at));
+        }
+        planner.record_waiting("daemon-1", wanted, 1, ms(at));
+        // The demand has lasted for some time when the request arrives.
+        at >= 4_000 && !ops(&plan(&mut planner, &spec, &engines, at)).is_empty()
+    });
+    let ordered_at = ordered_at.expect("the request isn't starved");
+    assert!(ordered_at > 6_000, "{ordered_at} ms");
+}
+
+/// The only engine with a model on its disk unloads another one at the moment.
+#[test]
+fn load_waits_for_engine_that_has_the_model_nearby() {
+    let near = entry("e1", &["old"], &["m", "next"]);
+    let mut engines = engines(&[near, entry("e2", &[], &[])]);
+    let spec = spec(100_000.0, &["m", "next", "old"]);
+    let (wanted, next) = (model(&mut engines, "m"), model(&mut engines, "next"));
+    let mut planner = Planner::default();
+    plan(&mut planner, &spec, &engines, 0);
+    request_missing(&mut planner, next, 1, 4_000);
+    let unload = orders(&plan(&mut planner, &spec, &engines, 4_000))[0];
+    assert_eq!(unload.engine, engine(&engines, "e1"));
+    planner.handle_answer(unload, Answer::Accepted, &spec, &mut engines, ms(4_005));
+    // A load from the weight store on the other engine would take 6 s.
+    request_missing(&mut planner, wanted, 1, 4_100);
+    planner.record_waiting("daemon-1", next, 1, ms(4_100));
+    assert_eq!(plan(&mut planner, &spec, &engines, 4_100), []);
+}
+
+#[test]
+fn load_from_weight_store_replaces_blocked_engine() {
+    let near = entry("e1", &[], &["m"]);
+    let mut engines = engines(&[near, entry("e2", &[], &[])]);
+    let spec = spec(130_000.0, &["m", "slow"]);
+    let (wanted, slow) = (model(&mut engines, "m"), model(&mut engines, "slow"));
+    let mut planner = Planner::default();
+    plan(&mut planner, &spec, &engines, 0);
+    request_missing(&mut planner, slow, 1, 4_000);
+    let remote = orders(&plan(&mut planner, &spec, &engines, 4_000))[0];
+    let key = engine(&engines, "e1");
+    // The engine with the model on its disk loads another one from the weight store for 6 s.
+    planner.handle_answer(remote, Answer::Accepted, &spec, &mut engines, ms(4_005));
+    request_missing(&mut planner, wanted, 1, 4_100);
+    let next = orders(&plan(&mut planner, &spec, &engines, 4_100));
+    assert_eq!(next.len(), 1);
+    assert_eq!(remote.engine == key, next[0].engine != key);
+}
+
+#[test]
+fn loaded_model_is_kept_for_a_minimum_time_after_the_load_ends() {
+    let held = entry("e1", &[], &["m", "other"]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    let spec = spec(100_000.0, &["m", "other"]);
+    let (wanted, other) = (model(&mut engines, "m"), model(&mut engines, "other"));
+    let mut planner = Planner::default();
+    planner.record_waiting("daemon-1", wanted, 1, ms(0));
+    let load = orders(&plan(&mut planner, &spec, &engines, 0))[0];
+    planner.handle_answer(load, Answer::Accepted, &spec, &mut engines, ms(0));
+    engines.upsert(entry("e1", &["m"], &["other"]), ms(400));
+    let evicted_at = (400..5_000).step_by(50).find(|&at| {
+        planner.record_waiting("daemon-1", other, 1, ms(at));
+        !ops(&plan(&mut planner, &spec, &engines, at)).is_empty()
+    });
+    // The load takes 0.4 s, and requests can use the model only afterwards.
+    assert_eq!(evicted_at, Some(1_400));
+}
+
 #[test]
 fn repeated_demand_report_counts_once() {
     let (engines, spec, [twice, often, wanted]) = two_holders("twice", "often");
     let mut planner = Planner::default();
     let mut demand = DemandRate::default();
-    demand.record(2, 3_000, ms(0));
+    demand.record(TARGET, 1_500, ms(0));
+    demand.record(TARGET, 1_500, ms(0));
     for round in 0..50 {
         planner.record_peer_demand("d1", 1, twice, demand, ms(round * 20));
     }
-    planner.record_arrivals(often, 6, 3_000, ms(0));
+    for _ in 0..6 {
+        planner.record_arrival(often, TARGET, 3_000 / 6, ms(0));
+    }
     request_missing(&mut planner, wanted, 1, 1_000);
     assert_eq!(ops(&plan(&mut planner, &spec, &engines, 1_000)), [Op::Unload(twice)]);
 }
@@ -181,7 +289,7 @@
     let mut planner = Planner::default();
     // 20,000 tokens per second, of which one engine should prefill at most 12,000.
     for at in 0..40 {
-        planner.record_arrivals(busy, 1, 2_000, ms(at * 100));
+        planner.record_arrival(busy, TARGET, 2_000, ms(at * 100));
     }
     let first = orders(&plan(&mut planner, &spec, &engines, 4_000));
     assert_eq!(first.iter().map(|order| order.op).collect::<Vec<_>>(), [Op::Unload(idle)]);
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -109,7 +109,7 @@
     let time_limit = facts.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(body, desired.callers.body_bytes, time_limit).await?;
     let charged_tokens = charge_tokens(shared, facts, &desired, team.as_deref(), arrived)?;
-    count_request(shared, facts, &service, arrived);
+    count_request(shared, facts, &route, &service, arrived);
     let outgoing =
         OutgoingRequest { method: head.method, uri: head.uri, headers: head.headers, body };
     Ok((RoutingDecision { desired, route, service, team, charged_tokens }, outgoing))
@@ -190,15 +190,15 @@
 }
 
 /// Adds a request to the retry budget of its service and to the demand of its model.
-fn count_request(shared: &Shared, facts: &RequestHeaders, service: &str, now: Tick) {
+fn count_request(shared: &Shared, facts: &RequestHeaders, route: &Route, service: &str, now: Tick) {
     let mut state = shared.state();
     state.retry_budget(shared, service).admit();
     if let Some(model) = &facts.model {
         let model = state.engines.names.models.intern(model);
         let requests = state.model_requests.entry(model).or_default();
         let tokens = facts.need.as_ref().map_or(0, choice::unshared_tokens);
-        requests.rate.record(1, tokens, now);
+        requests.rate.record(route.latency_target, tokens, now);
         requests.changed = now;
-        state.planner.record_arrivals(model, 1, tokens, now);
+        state.planner.record_arrival(model, route.latency_target, tokens, now);
     }
 }
--- a/crates/daemon/src/peers/reports.rs
+++ b/crates/daemon/src/peers/reports.rs
@@ -4,6 +4,7 @@
 
 use corianderyoke_coord::serving::announcements::Wants;
 use corianderyoke_coord::serving::demand::DemandRate;
+use corianderyoke_coord::serving::demand::Rates;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_coord::serving::roster::Fitness;
 use corianderyoke_coord::time::Tick;
@@ -72,12 +73,13 @@
     });
     reported
         .map(|(&model, requests)| {
-            let (request_rate, token_rate) = requests.rate.rates(now);
+            let rates = requests.rate.rates(now);
             word::ModelDemand {
                 model: names.name(model).to_owned(),
                 waiting: requests.waiting,
-                requests: request_rate as f32,
-                tokens: token_rate as f32,
+                requests: rates.requests as f32,
+                tokens: rates.tokens as f32,
+                urgent: rates.urgent as f32,
             }
         })
         .collect()
@@ -197,7 +199,12 @@
     let mut wants = Wants::default();
     for demand in &report.models {
         let model = names.models.intern(&demand.model);
-        let rate = DemandRate::from_rates(demand.requests.into(), demand.tokens.into(), now);
+        let rates = Rates {
+            requests: demand.requests.into(),
+            tokens: demand.tokens.into(),
+            urgent: demand.urgent.into(),
+        };
+        let rate = DemandRate::from_rates(rates, now);
         state.planner.record_peer_demand(name, incarnation, model, rate, now);
         state.planner.record_waiting(name, model, demand.waiting, now);
         if demand.waiting > 0 {
