Refuse at once what waits for a load that ends too late

Cause: a request for a model without a replica waited until its caller was about to leave and got 503 without a time, though the holder of the lease knew that the load takes 6 s more, or everybody knew from the lease's row that nobody orders loads for 3 s.

The holder now tells the ends of loads in progress with its reports, and at once to the daemons that wait for them. A request that can't start before its caller leaves is refused with the time after which it can. A model that the desired state doesn't list is refused at once.

--- a/crates/coord/src/serving/desired.rs
+++ b/crates/coord/src/serving/desired.rs
@@ -149,6 +149,13 @@
     pub memory: Duration,
 }
 
+impl LoadTimes {
+    /// Returns the shortest load time.
+    pub fn shortest(&self) -> Duration {
+        self.remote.min(self.disk).min(self.memory)
+    }
+}
+
 /// Team of callers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Team {
--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -173,6 +173,15 @@
         self.snapshot.row.as_ref().map(|row| row.holder.as_str())
     }
 
+    /// Returns the time from which on another daemon may hold the lease, if its term seems to have
+    /// expired: no announcement has renewed it for `lag`, the longest delay of announcements.
+    pub fn vacant_until(&self, lag: Duration, now: Tick) -> Option<Tick> {
+        let (clock, row) = (self.clock?, self.snapshot.row.as_ref()?);
+        let claimable = clock.earliest_tick(row.until.after(self.settings.handover));
+        let expired = clock.earliest_tick(row.until.after(lag));
+        (self.held_token.is_none() && now > expired && now < claimable).then_some(claimable)
+    }
+
     /// Returns the step that is due now.
     pub fn step(&self, now: Tick) -> Step {
         let Some(clock) = self.clock.filter(|_| !self.must_read) else { return Step::Read };
--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -14,6 +14,7 @@
 //! | [`announcements`] | which changes of engines the lease holder tells whom |
 //! | [`demand`] | how high the demand for a model is |
 //! | [`residency`] | which engine loads which models |
+//! | [`shortage`] | whether a request that waits for a load can be served in time |
 //! | [`stream`] | which part of an event stream is complete |
 
 pub mod announcements;
@@ -27,4 +28,5 @@
 pub mod quotas;
 pub mod residency;
 pub mod roster;
+pub mod shortage;
 pub mod stream;
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -48,6 +48,8 @@
 const INSPECT_AFTER: Duration = Duration::from_millis(1_500);
 /// Time by which a report may lag behind the engine's state.
 const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Time that an eviction is expected to take, which includes the end of running requests.
+const EVICTION_TIME: Duration = Duration::from_millis(500);
 /// Seconds that an unload takes on an engine without running requests.
 const UNLOAD_S: f64 = 0.05;
 /// Longest time for which a load waits for an engine that has the model nearby but executes another
@@ -415,12 +417,52 @@
             else {
                 continue;
             };
-            if self.demand.get(&model).is_some_and(|demand| demand.waiting(now) > 0) {
+            if self.shortages.contains_key(&model) {
                 self.issue_order(candidate, model, engines, now, actions);
             }
         }
     }
 
+    /// Returns the models that are being loaded, each with the time at which the load is expected to
+    /// end.
+    pub fn expected_loads(
+        &self,
+        spec: &EngineSpec,
+        engines: &Engines,
+        now: Tick,
+    ) -> IndexMap<ModelKey, Tick> {
+        let estimate = |key: UpstreamKey, model: ModelKey| {
+            let model_spec = spec.models.get(engines.names.models.name(model))?;
+            Some(load_time(model_spec, engines.get(key)?, model).0)
+        };
+        let mut expected: IndexMap<ModelKey, Tick> = IndexMap::new();
+        let mut add = |model: ModelKey, ready: Tick| {
+            let earliest = expected.entry(model).or_insert(ready);
+            *earliest = ready.min(*earliest);
+        };
+        for (&key, pending) in &self.pending {
+            match (pending.phase, pending.op) {
+                (Phase::Sent, Some(Op::Load(model))) => {
+                    if let Some(time) = estimate(key, model) {
+                        add(model, now + time);
+                    }
+                }
+                // The end of the load was part of the time at which the engine is inspected.
+                (Phase::Executing, Some(Op::Load(model))) => {
+                    let left = pending.inspect_at.since(now).saturating_sub(INSPECT_AFTER);
+                    add(model, now + left);
+                }
+                _ => {}
+            }
+        }
+        for (&key, deferred) in &self.deferred {
+            if let Some(time) = estimate(key, deferred.model) {
+                add(deferred.model, now + EVICTION_TIME + time);
+            }
+        }
+        expected
+    }
+
     /// Returns models that have waiting requests, no replica and no load in progress, with the value
     /// of loading them in requests, ordered by descending value. The value grows with the duration of
     /// the shortage, so that busy models don't keep out a rarely used one for good.
--- a/crates/coord/tests/serving/lease.rs
+++ b/crates/coord/tests/serving/lease.rs
@@ -209,6 +209,24 @@
     assert!((3_100..=3_400).contains(&taken), "{taken} ms");
 }
 
+#[test]
+fn vacancy_is_known_from_the_last_announcement() {
+    let (mut row, mut first, mut second) = (Row::default(), lease("d1"), lease("d2"));
+    drive(&mut first, &mut row, ms(0));
+    drive(&mut second, &mut row, ms(0));
+    let lag = Duration::from_millis(400);
+    // The term ends at 820 ms. The store's clock was read 10 ms after the start at the latest.
+    assert_eq!(second.vacant_until(lag, ms(1_200)), None, "a renewal may be on its way");
+    let claimable = ms(3_830);
+    assert_eq!(second.vacant_until(lag, ms(1_240)), Some(claimable));
+    assert_eq!(second.vacant_until(lag, ms(3_900)), None, "another daemon may hold the lease");
+    second.record_announcement(row.content.clone().expect("it was written"), row.version + 1);
+    drive(&mut first, &mut row, ms(300));
+    second.record_announcement(row.content.clone().expect("it was written"), row.version + 1);
+    assert_eq!(second.vacant_until(lag, ms(1_240)), None);
+    assert_eq!(first.vacant_until(lag, ms(5_000)), None, "it holds the lease as far as it knows");
+}
+
 proptest! {
     // Daemons pause and resume at any time. Two daemons never hold the lease at the same time, and
     // the handover period separates the terms of two holders.
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -12,4 +12,5 @@
 mod residency;
 mod roster;
 mod scarcity;
+mod shortage;
 mod stream;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -10,6 +10,7 @@
 use corianderyoke_adapter::headers::ResponseHeaders;
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::choice;
+use corianderyoke_coord::serving::shortage::Outlook;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
@@ -31,6 +32,7 @@
 use crate::forward::wait::Missing;
 use crate::forward::wait::WaitGuard;
 use crate::forward::CallEnd;
+use crate::peers;
 use crate::pool::Connection;
 use crate::pool::Error;
 use crate::refusal::Refusal;
@@ -49,6 +51,10 @@
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(250);
 /// Delay before a request is sent again to an engine that it failed on.
 const SAME_ENGINE_BACKOFF: Duration = Duration::from_millis(40);
+/// `Retry-After` of a refusal because the desired state doesn't list the model. A newer one may.
+const UNKNOWN_MODEL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Number of report intervals after which an announcement of the lease holder is overdue.
+const ANNOUNCEMENT_INTERVALS: u32 = 4;
 /// `Retry-After` of a refusal because no engine is available.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -222,7 +228,9 @@
         }
         let refusal = match (self.may_have_run, refusal) {
             (true, Refusal::NotStarted) => Refusal::TimedOut,
-            (true, Refusal::NoEngine(_) | Refusal::Stopping) => Refusal::OutcomeUnknown,
+            (true, Refusal::NoEngine(_) | Refusal::NotLoaded(_) | Refusal::Stopping) => {
+                Refusal::OutcomeUnknown
+            }
             (_, refusal) => refusal,
         };
         CallEnd::Refused(refusal)
@@ -280,11 +288,36 @@
                 );
                 wait_guard = missing.and_then(|missing| WaitGuard::begin(&self.call, missing));
             }
+            if let Some(wait) = missing.and_then(|missing| self.hopeless_wait(missing, now)) {
+                return Err(self.end_with(Refusal::NotLoaded(wait)));
+            }
             // Wakes on a notification, or on the timeout if none arrives.
             let _ = timeout(left.min(RESELECT_INTERVAL), changed).await;
         }
     }
 
+    /// Returns `None` if the request may start in time, and otherwise the time after which its caller
+    /// may retry.
+    fn hopeless_wait(&self, missing: Missing, now: Tick) -> Option<Duration> {
+        let call = &self.call;
+        let state = call.shared.state();
+        let generation = call.generation.as_ref()?;
+        let service = call.desired.services.get(&call.service)?;
+        let name = state.engines.names.models.name(generation.model);
+        let Some(spec) = service.engine.as_ref()?.models.get(name) else {
+            return Some(UNKNOWN_MODEL_RETRY_AFTER);
+        };
+        let lag = peers::report_interval(&state) * ANNOUNCEMENT_INTERVALS;
+        let (ready, least) = match missing {
+            Missing::Model => {
+                (state.expected_loads.get(&generation.model).copied(), spec.times.shortest())
+            }
+            Missing::Adapter => (None, Duration::ZERO),
+        };
+        let outlook = Outlook { ready, orders_from: state.lease.vacant_until(lag, now), least };
+        outlook.retry_after(call.start_deadline, now)
+    }
+
     async fn send(&mut self, target: &Target, guard: LoadGuard) -> Result<EngineResponse, Failure> {
         let repeat = self.call.route.repeat;
         let shared = std::sync::Arc::clone(&self.call.shared);
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -201,6 +201,10 @@
         let _ = timeout(PLAN_INTERVAL, shared.replan.notified()).await;
         let now = clock::now();
         let actions = plan_actions(&mut shared.state(), &shared.settings.name, now);
+        // Daemons with waiting requests learn of loads in progress.
+        if !actions.is_empty() {
+            shared.report_now.notify_one();
+        }
         for action in actions {
             let shared = Arc::clone(&shared);
             tokio::spawn(async move {
@@ -241,10 +245,15 @@
         let running = state.running_requests(key, model, now);
         state.planner.set_running(key, model, running);
     }
-    let State { planner, engines, .. } = state;
-    let services = desired.services.iter();
-    let services = services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)));
-    services.flat_map(|(name, spec)| planner.plan(name, spec, engines, now)).collect()
+    let State { planner, engines, expected_loads, .. } = state;
+    let mut actions = Vec::new();
+    expected_loads.clear();
+    for (name, service) in &desired.services {
+        let Some(spec) = &service.engine else { continue };
+        actions.extend(planner.plan(name, spec, engines, now));
+        expected_loads.extend(planner.expected_loads(spec, engines, now));
+    }
+    actions
 }
 
 /// Sends an order, then records the engine's answer and announces the change if it took effect.
--- a/crates/daemon/src/peers/holder.rs
+++ b/crates/daemon/src/peers/holder.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::announcements::ChangeKind;
 use corianderyoke_coord::serving::announcements::EngineChange;
@@ -15,8 +16,10 @@
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
 use corianderyoke_wire::word;
+use indexmap::IndexMap;
 
 use crate::peers::report_interval;
+use crate::state::PeerReport;
 use crate::state::Shared;
 use crate::state::State;
 use crate::watch;
@@ -25,6 +28,9 @@
 /// no harm.
 const CHANGE_INTERVALS: u32 = 4;
 
+/// Change of the expected end of a load that waiting daemons needn't be told of.
+const LOAD_TOLERANCE: Duration = Duration::from_millis(300);
+
 /// Composes this daemon's announcement. Returns `None` if it doesn't hold the lease.
 pub fn compose(state: &mut State, now: Tick) -> Option<word::Holder> {
     let token = state.lease.token(now)?;
@@ -42,38 +48,74 @@
         until: until.0,
         count: state.announcements.count(),
         age: u32::try_from(now.since(state.last_poll).as_millis()).unwrap_or(u32::MAX),
+        loads: encode_loads(state, state.expected_loads.keys(), now),
     })
 }
 
-/// Composes the messages for daemons with requests that a change lets proceed, each with its
-/// recipient. Returns none if this daemon doesn't hold the lease.
+fn encode_loads<'a>(
+    state: &State,
+    models: impl Iterator<Item = &'a ModelKey>,
+    now: Tick,
+) -> Vec<word::ExpectedLoad> {
+    let loads = models.filter_map(|model| Some((model, state.expected_loads.get(model)?)));
+    let loads = loads.map(|(&model, ready)| word::ExpectedLoad {
+        model: state.engines.names.models.name(model).to_owned(),
+        left: u32::try_from(ready.since(now).as_millis()).unwrap_or(u32::MAX),
+    });
+    loads.collect()
+}
+
+fn decode_loads(state: &mut State, loads: &[word::ExpectedLoad], now: Tick) {
+    for load in loads {
+        let model = state.engines.names.models.intern(&load.model);
+        let ready = now + Duration::from_millis(u64::from(load.left));
+        state.expected_loads.insert(model, ready);
+    }
+}
+
+/// Composes the messages for daemons with requests that a change lets proceed, or that wait for a
+/// load in progress, each with its recipient. Returns none if this daemon doesn't hold the lease.
 pub fn compose_direct(state: &mut State, now: Tick) -> Vec<(word::Changes, SocketAddr)> {
     let Some(token) = state.lease.token(now) else { return Vec::new() };
     let count = state.announcements.count();
+    let mut messages = Vec::new();
     let mut told = Vec::new();
     for (name, report) in &state.reports {
-        if report.wants.is_empty() || report.told_change == count || !report.is_fresh(now) {
+        if report.wants.is_empty() || !report.is_fresh(now) {
             continue;
         }
         let changes =
             state.announcements.relevant(report.told_change, &report.wants, &state.engines);
-        told.push((name.clone(), changes));
+        let loads: IndexMap<ModelKey, Tick> = report
+            .wants
+            .models
+            .iter()
+            .filter_map(|model| Some((*model, *state.expected_loads.get(model)?)))
+            .filter(|(model, ready)| !is_told(report, *model, *ready))
+            .collect();
+        if let Some(address) = state.roster.address(name) {
+            let effects = changes.iter().map(|change| encode_change(state, change, now)).collect();
+            let loads = encode_loads(state, loads.keys(), now);
+            messages.push((word::Changes { token, effects, loads }, address));
+        }
+        told.push((name.clone(), loads));
     }
-    let mut messages = Vec::new();
-    for (name, changes) in told {
-        let address = state.roster.address(&name);
+    for (name, loads) in told {
         if let Some(report) = state.reports.get_mut(&name) {
             report.told_change = count;
-        }
-        let effects: Vec<_> =
-            changes.iter().map(|change| encode_change(state, change, now)).collect();
-        if let Some(address) = address.filter(|_| !effects.is_empty()) {
-            messages.push((word::Changes { token, effects }, address));
+            report.told_loads.extend(loads);
         }
     }
+    messages.retain(|(changes, _)| !changes.effects.is_empty() || !changes.loads.is_empty());
     messages
 }
 
+/// Returns whether a daemon was told approximately when a load ends.
+fn is_told(report: &PeerReport, model: ModelKey, ready: Tick) -> bool {
+    let told = report.told_loads.get(&model);
+    told.is_some_and(|told| told.since(ready).max(ready.since(*told)) < LOAD_TOLERANCE)
+}
+
 fn encode_change(state: &State, change: &EngineChange, now: Tick) -> word::Effect {
     let names = &state.engines.names;
     let mut encoded = word::Effect {
@@ -136,6 +178,8 @@
         LeaseRow { holder: name.to_owned(), token: holder.token, until: StoreTime(holder.until) };
     state.lease.record_announcement(row, holder.version);
     let has_changes = apply_changes(shared, state, holder.token, &holder.effects, false, now);
+    state.expected_loads.clear();
+    decode_loads(state, &holder.loads, now);
     let first = holder.effects.first().map_or(holder.count + 1, |effect| effect.number);
     let age = Duration::from_millis(u64::from(holder.age));
     state.holder_updates.record_announcement(holder.token, first, holder.count, age, now);
@@ -148,8 +192,9 @@
 pub fn handle_direct(shared: &Shared, changes: &word::Changes, now: Tick) {
     let mut state = shared.state();
     let has_new = apply_changes(shared, &mut state, changes.token, &changes.effects, true, now);
+    decode_loads(&mut state, &changes.loads, now);
     drop(state);
-    if has_new {
+    if has_new || !changes.loads.is_empty() {
         shared.changed.notify_waiters();
     }
 }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -107,7 +107,7 @@
 }
 
 /// Returns the interval between two reports, which grows with the fleet.
-fn report_interval(state: &State) -> Duration {
+pub fn report_interval(state: &State) -> Duration {
     REPORT_INTERVAL * state.roster.size().div_ceil(INTERVAL_FLEET_SIZE).max(1) as u32
 }
 
--- a/crates/daemon/src/peers/reports.rs
+++ b/crates/daemon/src/peers/reports.rs
@@ -220,13 +220,16 @@
     let has_waiting = !wants.is_empty();
     // Earlier changes may concern requests that have started to wait since.
     let previous = state.reports.get(name).filter(|previous| wants.is_subset(&previous.wants));
-    let told_change = previous.map_or(0, |previous| previous.told_change);
+    let (told_change, told_loads) = previous.map_or_else(Default::default, |previous| {
+        (previous.told_change, previous.told_loads.clone())
+    });
     let mut peer = PeerReport {
         incarnation,
         number: report.number,
         received: now,
         wants,
         told_change,
+        told_loads,
         ..PeerReport::default()
     };
     for engine in &report.engines {
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -26,6 +26,8 @@
     IncompleteBody,
     /// No engine accepts the request; retry after this time.
     NoEngine(Duration),
+    /// The model or adapter can't be loaded before the request's deadline; retry after this time.
+    NotLoaded(Duration),
     /// The request wasn't sent to an engine before its deadline.
     NotStarted,
     /// This daemon is shutting down.
@@ -42,6 +44,7 @@
         match self {
             Refusal::NotConfigured
             | Refusal::NoEngine(_)
+            | Refusal::NotLoaded(_)
             | Refusal::NotStarted
             | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -69,6 +72,7 @@
             Refusal::TooLarge => "too_large",
             Refusal::IncompleteBody => "body_broken",
             Refusal::NoEngine(_) => "no_engine",
+            Refusal::NotLoaded(_) => "not_loaded",
             Refusal::NotStarted => "not_in_time",
             Refusal::Stopping => "stopping",
             Refusal::OutcomeUnknown => "unknown",
@@ -79,7 +83,9 @@
     /// Returns the delay for the `Retry-After` header; `None` if a retry is pointless or unsafe.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Refusal::RateLimited(wait) | Refusal::NoEngine(wait) => Some(wait),
+            Refusal::RateLimited(wait) | Refusal::NoEngine(wait) | Refusal::NotLoaded(wait) => {
+                Some(wait)
+            }
             Refusal::NotConfigured | Refusal::Stopping => Some(Duration::ZERO),
             _ => None,
         }
@@ -96,6 +102,9 @@
             Refusal::TooLarge => "the body is too large; send less",
             Refusal::IncompleteBody => "the body broke off; send it whole",
             Refusal::NoEngine(_) => "no upstream can take the request; it did not run",
+            Refusal::NotLoaded(_) => {
+                "the model can't be loaded in time; it did not run, come back later"
+            }
             Refusal::NotStarted => "no upstream was free in time; the request did not run",
             Refusal::Stopping => "this daemon stops; it did not run, ask another one",
             Refusal::OutcomeUnknown => {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -78,6 +78,8 @@
     pub wants: Wants,
     /// Number of the latest change that this daemon, as the lease holder, told that daemon.
     pub told_change: u64,
+    /// Ends of loads that this daemon, as the lease holder, told that daemon.
+    pub told_loads: IndexMap<ModelKey, Tick>,
     /// Number of the daemon's requests in flight, by engine and model.
     pub running_requests: IndexMap<(UpstreamKey, ModelKey), u32>,
 }
@@ -145,6 +147,8 @@
     pub lease: Lease,
     /// Planner of orders, which acts only while this daemon holds the lease.
     pub planner: Planner,
+    /// Models that are being loaded, with the times at which the loads are expected to end.
+    pub expected_loads: IndexMap<ModelKey, Tick>,
     /// Recent changes of engines, announced to the other daemons.
     pub announcements: Announcements,
     /// Announcements received from the lease holder.
@@ -227,6 +231,7 @@
             wanted_adapters: IndexMap::new(),
             lease: Lease::new(lease, &settings.name),
             planner: Planner::default(),
+            expected_loads: IndexMap::new(),
             announcements: Announcements::default(),
             holder_updates: HolderUpdates::default(),
             last_poll: Tick(0),
--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -56,6 +56,9 @@
     Fail,
 }
 
+/// Model whose load doesn't end within a test.
+pub const SLOW_MODEL: &str = "slow";
+
 /// Request that an engine received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -78,6 +81,8 @@
     /// Loaded adapters, each as model and adapter.
     adapters: Vec<(String, String)>,
     in_flight: usize,
+    /// Whether the engine loads [`SLOW_MODEL`].
+    busy: bool,
 }
 
 impl State {
@@ -254,6 +259,7 @@
         let mut status = 202;
         match (order["op_type"].as_str(), adapter) {
             (Some("load"), Some(adapter)) => state.adapters.push(adapter),
+            (Some("load"), None) if model == SLOW_MODEL => state.busy = true,
             (Some("load"), None) => state.models.push(model),
             (_, Some(adapter)) => {
                 state.adapters.retain(|loaded| *loaded != adapter);
@@ -273,7 +279,7 @@
     fn report(&self) -> Response<Body> {
         let state = self.state.lock();
         let models = state.loaded_models();
-        let report = json!({"busy": false, "seq": state.orders.len(), "models": models});
+        let report = json!({"busy": state.busy, "seq": state.orders.len(), "models": models});
         full_response(200, &report.to_string())
     }
 }
--- a/crates/daemon/tests/fleet/orders.rs
+++ b/crates/daemon/tests/fleet/orders.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use reqwest::Response;
+use serde_json::json;
 use serde_json::Value;
 use tokio::time::sleep;
 
 use crate::engine::Behavior;
+use crate::engine::SLOW_MODEL;
+use crate::fixture::desired_state;
 use crate::fixture::wait_until;
 use crate::fixture::Fixture;
 
@@ -30,6 +34,48 @@
     assert_eq!(sequence_numbers, [0, 1]);
 }
 
+/// Returns the status of a response, and whether its caller is told to come back after `least` or
+/// later.
+fn status_and_delay(response: &Response, least: Duration) -> (u16, bool) {
+    let delay = response.headers().get("retry-after").and_then(|value| value.to_str().ok());
+    let delay: Option<f64> = delay.and_then(|text| text.parse().ok());
+    (response.status().as_u16(), delay.is_some_and(|delay| delay >= least.as_secs_f64()))
+}
+
+#[tokio::test]
+async fn request_for_a_model_whose_load_takes_too_long_is_refused_until_its_end() {
+    let fixture = Fixture::start().await;
+    let engine = fixture.model_engine("i-1", &[]).await;
+    let mut desired = desired_state(2);
+    let models = desired["services"][1]["engine"]["models"].as_array_mut().expect("a list");
+    models.push(json!({"name": SLOW_MODEL, "weights_mb": 60000.0, "load_s": 60.0, "disk_s": 0.2,
+                       "warm_s": 0.1, "adapters": 0, "adapter_mb": 10.0}));
+    fixture.write_desired_state(&desired);
+    let daemons = [fixture.daemon("d1").await, fixture.daemon("d2").await];
+    for (index, daemon) in daemons.iter().enumerate() {
+        let request =
+            fixture.generation_request(daemon, "/resume/", &format!("{index}"), SLOW_MODEL);
+        let response = request.send().await.expect("a response");
+        assert_eq!(status_and_delay(&response, Duration::from_secs(40)), (503, true));
+    }
+    let orders = engine.orders();
+    let operations: Vec<(&str, &str)> = orders.iter().map(type_and_model).collect();
+    assert_eq!(operations, [("load", SLOW_MODEL)]);
+    assert!(engine.received().is_empty());
+}
+
+#[tokio::test]
+async fn request_for_an_unknown_model_is_refused_without_waiting() {
+    let fixture = Fixture::start().await;
+    let engine = fixture.model_engine("i-1", &["m1"]).await;
+    let daemon = fixture.daemon("d1").await;
+    let request = fixture.generation_request(&daemon, "/resume/", "1", "unknown");
+    let response = request.send().await.expect("a response");
+    assert_eq!(status_and_delay(&response, Duration::from_millis(500)), (503, true));
+    assert!(engine.received().is_empty());
+    assert!(engine.orders().is_empty());
+}
+
 fn type_and_model(order: &Value) -> (&str, &str) {
     let text = |field: &str| order[field].as_str().unwrap_or_default();
     (text("op_type"), text("model"))
