Load replicas that take longer than a second, and count holders once a plan

An additional replica had to be loaded within a second, and weights there take 1.2 s from a disk; before, that second also covered the cost of evictions, which was zero for free memory.

Now another replica is worth the urgent requests that queue for lack of it, and is loaded where that exceeds the loss by evictions, however long a near load takes. A load no longer waits for an engine whose state has been unknown for a second, since it may be dead, but does while a new holder of the lease inspects it.

Found while looking for the cause, and mended: the planner counted a model's holders anew over all engines for each victim, engines that drain or whose zone is drained among them, and kept state of past engines, adapters, daemons and demand for good. It now counts usable holders once a plan, runs at most each 20 ms, and drops what no longer counts (state_of_past_demand_is_dropped).

--- a/crates/coord/src/serving/demand.rs
+++ b/crates/coord/src/serving/demand.rs
@@ -23,6 +23,8 @@
 /// Value that is lost per request and second of the request rate if a model that only patient
 /// requests ask for isn't held. It ranks these models by their demand.
 const PATIENT_LOSS: f64 = 0.3;
+/// Age of a daemon's demand from which on it has decayed to nothing.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(90);
 /// Time after which a daemon's report of waiting requests expires.
 pub(super) const WAITING_TTL: Duration = Duration::from_millis(1_200);
 
@@ -139,6 +141,20 @@
         self.waiting.insert(daemon.to_owned(), (count, now));
     }
 
+    /// Drops reports that no longer count. Returns whether the model is still in demand.
+    pub fn prune(&mut self, now: Tick) -> bool {
+        self.waiting.retain(|_, (_, at)| now.since(*at) < WAITING_TTL);
+        self.by_daemon.retain(|_, (_, rate)| now.since(rate.requests.at) < MAX_REPORT_AGE);
+        !self.waiting.is_empty()
+            || !self.by_daemon.is_empty()
+            || now.since(self.fleet.requests.at) < MAX_REPORT_AGE
+    }
+
+    /// Returns the number of reports that are kept.
+    pub fn entry_count(&self) -> usize {
+        self.waiting.len() + self.by_daemon.len()
+    }
+
     /// Returns the number of requests expected within the time constant of the request rate.
     pub fn expected_requests(&self, now: Tick) -> f64 {
         self.fleet.rates(now).requests * REQUEST_DECAY.as_secs_f64()
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -12,7 +12,6 @@
 //! no state from the previous one. Each order carries the number of orders that the engine has
 //! accepted before, so an engine refuses an order that arrives late.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -32,10 +31,8 @@
 
 /// Fraction of a model's eviction cost that counts when enough other engines hold the model.
 const SPARE_REPLICA_WEIGHT: f64 = 0.05;
-/// Longest load, in seconds, that an additional replica may take.
-const MAX_REPLICA_LOAD_S: f64 = 1.0;
-/// Highest loss by evictions, in requests, that an additional replica may cause.
-const MAX_REPLICA_LOSS: f64 = 0.4;
+/// Least value of an additional replica, in requests.
+const MIN_REPLICA_BENEFIT: f64 = 1.0;
 /// Concurrent loads from the weight store. The store serves this many at full speed; more slow each
 /// other down.
 const MAX_REMOTE_LOADS: usize = 4;
@@ -55,6 +52,8 @@
 /// Longest time for which a load waits for an engine that has the model nearby but executes another
 /// order.
 const MAX_BUSY_WAIT: Duration = Duration::from_secs(2);
+/// Time without a report after which an engine counts as dead for loads that could use another one.
+const MAX_UNCERTAINTY: Duration = Duration::from_secs(1);
 /// Duration of a shortage after which the value of loading the model has doubled.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Duration of a shortage from which on the value of loading the model grows with the square of the
@@ -65,6 +64,8 @@
 const SHORTAGE_TTL: Duration = Duration::from_secs(8);
 /// Weight of an expected request for a model relative to a waiting one.
 const EXPECTED_WEIGHT: f64 = 0.5;
+/// Interval between two removals of entries that are no longer in use.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(10);
 /// Time after a load during which a model isn't evicted. Without it, engines swap the same two
 /// models back and forth while requests wait for both.
 const MIN_RESIDENCE: Duration = Duration::from_millis(1_000);
@@ -138,6 +139,8 @@
     phase: Phase,
     /// Operation of the order; `None` if it is unknown.
     op: Option<Op>,
+    /// Time at which the order was sent or the engine's state became unknown.
+    since: Tick,
     /// Time from which on the engine may be inspected.
     inspect_at: Tick,
     /// Whether the order loads from the weight store.
@@ -145,8 +148,8 @@
 }
 
 impl PendingOrder {
-    fn uncertain(inspect_at: Tick) -> Self {
-        PendingOrder { phase: Phase::Uncertain, op: None, inspect_at, remote: false }
+    fn uncertain(since: Tick, inspect_at: Tick) -> Self {
+        PendingOrder { phase: Phase::Uncertain, op: None, since, inspect_at, remote: false }
     }
 }
 
@@ -192,7 +195,10 @@
     demand: IndexMap<ModelKey, Demand>,
     adapter_requests: IndexMap<AdapterKey, (ModelKey, Tick)>,
     adapter_uses: IndexMap<(UpstreamKey, AdapterKey), Tick>,
-    loaded_at: IndexMap<(UpstreamKey, ModelKey), Tick>,
+    /// Times until which models aren't evicted.
+    kept_until: IndexMap<(UpstreamKey, ModelKey), Tick>,
+    /// Models that usable engines hold, as of the current plan.
+    residents: IndexMap<ModelKey, Resident>,
     pending: IndexMap<UpstreamKey, PendingOrder>,
     /// Models that requests waited for recently although no engine held them.
     shortages: IndexMap<ModelKey, Shortage>,
@@ -201,6 +207,18 @@
     running: IndexMap<(UpstreamKey, ModelKey), u32>,
     remote_permits: f64,
     refilled_at: Tick,
+    pruned_at: Tick,
+}
+
+/// Value of a model that usable engines hold.
+#[derive(Clone, Copy, Debug, Default)]
+struct Resident {
+    /// Number of engines that hold the model and accept requests for it.
+    holders: usize,
+    /// Number of engines that should hold it.
+    replicas: usize,
+    /// Value, in requests, that is lost if no engine holds it.
+    loss: f64,
 }
 
 impl Planner {
@@ -232,10 +250,41 @@
         self.adapter_requests.insert(adapter, (model, now));
     }
 
-    /// Sets the number of requests that an engine runs for a model. It raises the model's eviction
-    /// cost.
-    pub fn set_running(&mut self, engine: UpstreamKey, model: ModelKey, count: u32) {
-        self.running.insert((engine, model), count);
+    /// Sets the numbers of requests that engines run for models. They raise the loss by evictions.
+    pub fn set_running(&mut self, running: IndexMap<(UpstreamKey, ModelKey), u32>) {
+        self.running = running;
+    }
+
+    /// Returns the number of entries that the planner keeps about models, adapters and daemons.
+    pub fn entry_count(&self) -> usize {
+        let demand: usize = self.demand.values().map(Demand::entry_count).sum();
+        demand + self.adapter_uses.len() + self.kept_until.len() + self.shortages.len()
+    }
+
+    /// Drops entries of models, adapters, engines and daemons that are no longer in use.
+    fn prune(&mut self, engines: &Engines, now: Tick) {
+        self.kept_until.retain(|_, until| now < *until);
+        if now.since(self.pruned_at) < PRUNE_INTERVAL {
+            return;
+        }
+        self.pruned_at = now;
+        self.adapter_uses.retain(|(engine, _), _| engines.get(*engine).is_some());
+        self.demand.retain(|_, demand| demand.prune(now));
+    }
+
+    /// Determines the value of each model that usable engines hold.
+    fn count_residents(&mut self, usable: &[UpstreamKey], engines: &Engines, now: Tick) {
+        self.residents.clear();
+        for engine in usable.iter().filter_map(|key| engines.get(*key)) {
+            for &model in engine.models.keys().filter(|model| engine.holds(**model, None)) {
+                self.residents.entry(model).or_default().holders += 1;
+            }
+        }
+        for (model, resident) in &mut self.residents {
+            let demand = self.demand.get(model);
+            resident.replicas = demand.map_or(1, |demand| demand.target_replicas(now));
+            resident.loss = demand.map_or(0.0, |demand| demand.reload_loss(now));
+        }
     }
 
     /// Discards all pending orders and marks every engine for inspection. Called when this daemon
@@ -244,7 +293,7 @@
         self.deferred.clear();
         self.pending.clear();
         for (key, _) in engines.iter() {
-            self.pending.insert(key, PendingOrder::uncertain(now));
+            self.pending.insert(key, PendingOrder::uncertain(now, now));
         }
     }
 
@@ -273,7 +322,7 @@
                 apply(order, engines, now);
             }
             Answer::Busy | Answer::Unanswered | Answer::Rejected | Answer::Fenced => {
-                self.pending.insert(key, PendingOrder::uncertain(now + REPORT_LAG));
+                self.pending.insert(key, PendingOrder::uncertain(now, now + REPORT_LAG));
             }
         }
     }
@@ -285,14 +334,14 @@
             self.pending.shift_remove(&engine);
             return;
         }
-        let pending = self.pending.entry(engine).or_insert(PendingOrder::uncertain(now));
+        let pending = self.pending.entry(engine).or_insert(PendingOrder::uncertain(now, now));
         pending.inspect_at = now + INSPECT_AFTER;
         pending.phase = if pending.op.is_some() { Phase::Executing } else { Phase::Uncertain };
     }
 
     /// Processes a failed inspection.
     pub fn handle_inspection_failure(&mut self, engine: UpstreamKey, now: Tick) {
-        let pending = self.pending.entry(engine).or_insert(PendingOrder::uncertain(now));
+        let pending = self.pending.entry(engine).or_insert(PendingOrder::uncertain(now, now));
         pending.inspect_at = now + INSPECT_AFTER;
         pending.phase = Phase::Uncertain;
     }
@@ -312,22 +361,24 @@
             // The number of accepted orders must be known before the first order is sent.
             let unknown = engines.get(key).is_some_and(|engine| engine.order_count.is_none());
             if unknown && !self.pending.contains_key(&key) {
-                self.pending.insert(key, PendingOrder::uncertain(now));
+                self.pending.insert(key, PendingOrder::uncertain(now, now));
             }
         }
+        self.prune(engines, now);
+        self.count_residents(&usable, engines, now);
         self.reconcile(engines, now, &mut actions);
         self.resume_deferred(spec, engines, now, &mut actions);
-        for (model, benefit) in self.missing_models(&usable, spec, engines, now) {
+        for (model, benefit) in self.missing_models(spec, engines, now) {
             let candidate = self.cheapest_load(&usable, spec, engines, model, benefit, now);
             if let Some(candidate) = candidate {
                 self.issue_order(candidate, model, engines, now, &mut actions);
             }
         }
-        for model in self.overloaded_models(&usable, spec, engines, now) {
-            let candidate =
-                self.cheapest_load(&usable, spec, engines, model, MAX_REPLICA_LOSS, now);
+        for (model, benefit) in self.overloaded_models(usable.len(), spec, engines) {
+            let max_loss = benefit.max(MIN_REPLICA_BENEFIT);
+            let candidate = self.cheapest_load(&usable, spec, engines, model, max_loss, now);
             let Some(candidate) = candidate else { continue };
-            if !candidate.remote && candidate.time < MAX_REPLICA_LOAD_S {
+            if !candidate.remote {
                 self.issue_order(candidate, model, engines, now, &mut actions);
             }
         }
@@ -350,7 +401,7 @@
                     .zip(engine)
                     .map(|(model_spec, engine)| load_time(model_spec, engine, model));
                 let (time, remote) = estimate.unwrap_or((Duration::ZERO, false));
-                self.loaded_at.insert((order.engine, model), now + time);
+                self.kept_until.insert((order.engine, model), now + time + MIN_RESIDENCE);
                 (time, remote)
             }
             Op::Unload(model) => {
@@ -364,13 +415,18 @@
             }
             Op::UnloadAdapter(..) => {
                 // An adapter in use occupies its slot until a report shows that it was unloaded.
-                self.pending.insert(order.engine, PendingOrder::uncertain(now + REPORT_LAG));
+                self.pending.insert(order.engine, PendingOrder::uncertain(now, now + REPORT_LAG));
                 return;
             }
         };
         let inspect_at = now + time + INSPECT_AFTER;
-        let pending =
-            PendingOrder { phase: Phase::Executing, op: Some(order.op), inspect_at, remote };
+        let pending = PendingOrder {
+            phase: Phase::Executing,
+            op: Some(order.op),
+            since: now,
+            inspect_at,
+            remote,
+        };
         self.pending.insert(order.engine, pending);
     }
 
@@ -468,17 +524,14 @@
     /// the shortage, so that busy models don't keep out a rarely used one for good.
     fn missing_models(
         &mut self,
-        usable: &[UpstreamKey],
         spec: &EngineSpec,
         engines: &Engines,
         now: Tick,
     ) -> Vec<(ModelKey, f64)> {
-        let usable: Vec<&Engine> = usable.iter().filter_map(|key| engines.get(*key)).collect();
         let loading: IndexSet<ModelKey> = self.loading_models().collect();
         let is_missing = |model: &ModelKey| {
             let known = spec.models.contains_key(engines.names.models.name(*model));
-            let held = usable.iter().any(|engine| engine.holds(*model, None));
-            known && !held && !loading.contains(model)
+            known && !self.residents.contains_key(model) && !loading.contains(model)
         };
         let waiting = self.demand.iter().filter(|(_, demand)| demand.waiting(now) > 0);
         let missing: Vec<ModelKey> =
@@ -501,31 +554,29 @@
         wanted
     }
 
-    /// Returns models that need more replicas than they have, ordered by descending number of
-    /// missing replicas.
+    /// Returns models that need more replicas than they have, with the value of another replica in
+    /// requests: the part of the urgent ones that queue for lack of it. Ordered by descending value.
     fn overloaded_models(
         &self,
-        usable: &[UpstreamKey],
+        usable: usize,
         spec: &EngineSpec,
         engines: &Engines,
-        now: Tick,
-    ) -> Vec<ModelKey> {
-        let mut overloaded: Vec<(ModelKey, usize)> = Vec::new();
-        for (&model, demand) in &self.demand {
+    ) -> Vec<(ModelKey, f64)> {
+        let loading: Vec<ModelKey> = self.loading_models().collect();
+        let mut overloaded: Vec<(ModelKey, f64)> = Vec::new();
+        for (&model, resident) in &self.residents {
             if !spec.models.contains_key(engines.names.models.name(model)) {
                 continue;
             }
-            let held = usable.iter().filter_map(|key| engines.get(*key));
-            let held = held.filter(|engine| engine.holds(model, None)).count();
-            let loading = self.loading_models().filter(|other| *other == model).count();
-            let missing =
-                demand.target_replicas(now).min(usable.len()).saturating_sub(held + loading);
-            if held > 0 && missing > 0 {
-                overloaded.push((model, missing));
+            let loading = loading.iter().filter(|other| **other == model).count();
+            let missing = resident.replicas.min(usable).saturating_sub(resident.holders + loading);
+            if missing > 0 {
+                let delayed = missing as f64 / resident.replicas as f64;
+                overloaded.push((model, resident.loss * delayed));
             }
         }
-        overloaded.sort_by_key(|&(_, missing)| Reverse(missing));
-        overloaded.into_iter().map(|(model, _)| model).collect()
+        overloaded.sort_by(|a, b| b.1.total_cmp(&a.1));
+        overloaded
     }
 
     /// Returns the models that are being loaded or wait for an eviction.
@@ -557,7 +608,7 @@
                 continue;
             }
             if self.pending.contains_key(&key) || self.deferred.contains_key(&key) {
-                awaited |= engine.has_nearby(model) && !self.is_blocked(key, now);
+                awaited |= engine.has_nearby(model) && self.is_free_soon(key, now);
             } else {
                 let candidate = self.load_candidate(spec, engines, key, engine, model, now);
                 candidates.extend(candidate.filter(|candidate| candidate.loss <= max_loss));
@@ -570,11 +621,16 @@
         candidates.into_iter().min_by(|a, b| a.cost().total_cmp(&b.cost()))
     }
 
-    /// Returns whether an engine executes an order that ends so late that other engines should load
-    /// what requests wait for.
-    fn is_blocked(&self, key: UpstreamKey, now: Tick) -> bool {
-        self.pending.get(&key).is_some_and(|pending| {
-            pending.remote && pending.inspect_at.since(now) > INSPECT_AFTER + MAX_BUSY_WAIT
+    /// Returns whether an engine is about to complete its order, so that it can load what requests
+    /// wait for soon. An engine whose state remains unknown may be dead.
+    fn is_free_soon(&self, key: UpstreamKey, now: Tick) -> bool {
+        self.pending.get(&key).is_none_or(|pending| match pending.phase {
+            Phase::Sent => true,
+            Phase::Executing => {
+                let left = pending.inspect_at.since(now);
+                !left.is_zero() && left < INSPECT_AFTER + MAX_BUSY_WAIT
+            }
+            Phase::Uncertain | Phase::Inspecting => now.since(pending.since) < MAX_UNCERTAINTY,
         })
     }
 
@@ -598,7 +654,7 @@
             .models
             .keys()
             .filter(|held| **held != model)
-            .map(|&held| (held, self.eviction_loss(engines, key, held, now)))
+            .map(|&held| (held, self.eviction_loss(key, held, now)))
             .collect();
         victims.sort_by(|a, b| a.1.total_cmp(&b.1));
         let (mut time, mut loss) = (time.as_secs_f64(), 0.0);
@@ -625,29 +681,18 @@
 
     /// Returns the value, in requests, that is expected to be lost by an eviction; infinite if the
     /// model was loaded too recently.
-    fn eviction_loss(
-        &self,
-        engines: &Engines,
-        key: UpstreamKey,
-        model: ModelKey,
-        now: Tick,
-    ) -> f64 {
-        if self.loaded_at.get(&(key, model)).is_some_and(|at| now < *at + MIN_RESIDENCE) {
+    fn eviction_loss(&self, key: UpstreamKey, model: ModelKey, now: Tick) -> f64 {
+        if self.kept_until.get(&(key, model)).is_some_and(|until| now < *until) {
             return f64::INFINITY;
         }
-        let demand = self.demand.get(&model);
-        let loss = demand.map_or(0.0, |demand| demand.reload_loss(now));
-        let others = engines
-            .iter()
-            .filter(|(other, engine)| *other != key && engine.holds(model, None))
-            .count();
         let running = self.running.get(&(key, model)).copied().unwrap_or(0);
         // An unload waits for running requests to finish and delays the engine's next order.
         let drain_s = if running > 0 { 0.5 + 0.1 * f64::from(running) } else { 0.0 };
-        let replicas = demand.map_or(1, |demand| demand.target_replicas(now));
-        let weight =
-            if others >= replicas { SPARE_REPLICA_WEIGHT } else { 1.0 / (1 + others) as f64 };
-        loss * weight + drain_s
+        let resident = self.residents.get(&model).copied().unwrap_or_default();
+        let others = resident.holders.saturating_sub(1);
+        let is_spare = others >= resident.replicas;
+        let weight = if is_spare { SPARE_REPLICA_WEIGHT } else { 1.0 / (1 + others) as f64 };
+        resident.loss * weight + drain_s
     }
 
     fn issue_order(
@@ -676,6 +721,7 @@
         let pending = PendingOrder {
             phase: Phase::Sent,
             op: Some(op),
+            since: now,
             inspect_at: now,
             remote: candidate.remote && candidate.victims.is_empty(),
         };
@@ -719,8 +765,13 @@
                 self.adapter_requests.shift_remove(&adapter);
                 Op::LoadAdapter(model, adapter)
             };
-            let pending =
-                PendingOrder { phase: Phase::Sent, op: Some(op), inspect_at: now, remote: false };
+            let pending = PendingOrder {
+                phase: Phase::Sent,
+                op: Some(op),
+                since: now,
+                inspect_at: now,
+                remote: false,
+            };
             self.pending.insert(key, pending);
             actions.push(Action::Send(Order { engine: key, op, expected }));
         }
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -138,7 +138,7 @@
     let (runs, rests) = (model(&mut engines, "runs"), model(&mut engines, "rests"));
     let key = engine(&engines, "e1");
     let mut planner = Planner::default();
-    planner.set_running(key, runs, 3);
+    planner.set_running([((key, runs), 3)].into_iter().collect());
     planner.record_arrival(rests, TARGET, 100, ms(3_000));
     request_missing(&mut planner, wanted, 1, 3_000);
     assert_eq!(ops(&plan(&mut planner, &spec, &engines, 3_000)), [Op::Unload(rests)]);
@@ -244,6 +244,48 @@
     assert_eq!(remote.engine == key, next[0].engine != key);
 }
 
+/// The engine with the model on its disk has crashed, and its entry is still listed.
+#[test]
+fn load_does_not_wait_for_engine_whose_state_is_unknown() {
+    let mut engines = engines(&[entry("e1", &[], &["m"]), entry("e2", &[], &[])]);
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let mut planner = Planner::default();
+    plan(&mut planner, &spec, &engines, 0);
+    request_missing(&mut planner, wanted, 1, 4_000);
+    let near = orders(&plan(&mut planner, &spec, &engines, 4_000))[0];
+    assert_eq!(near.engine, engine(&engines, "e1"));
+    planner.handle_answer(near, Answer::Unanswered, &spec, &mut engines, ms(4_700));
+    request_missing(&mut planner, wanted, 1, 5_000);
+    // The engine's report may show at any moment that it's alive.
+    assert_eq!(plan(&mut planner, &spec, &engines, 5_000), [Action::Inspect(near.engine)]);
+    planner.handle_inspection_failure(near.engine, ms(5_700));
+    request_missing(&mut planner, wanted, 1, 5_800);
+    let other = orders(&plan(&mut planner, &spec, &engines, 5_800));
+    assert_eq!(
+        other.iter().map(|order| order.engine).collect::<Vec<_>>(),
+        [engine(&engines, "e2")]
+    );
+}
+
+/// A new lease holder inspects all engines while requests wait.
+#[test]
+fn new_lease_holder_waits_for_reports_before_it_uses_the_weight_store() {
+    let mut engines = engines(&[entry("e1", &[], &["m"]), entry("e2", &[], &[])]);
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let (near, far) = (engine(&engines, "e1"), engine(&engines, "e2"));
+    let mut planner = Planner::default();
+    plan(&mut planner, &spec, &engines, 0);
+    planner.begin_term(&engines, ms(5_000));
+    request_missing(&mut planner, wanted, 1, 5_000);
+    plan(&mut planner, &spec, &engines, 5_000);
+    planner.handle_inspection(far, false, ms(5_010));
+    assert_eq!(plan(&mut planner, &spec, &engines, 5_020), []);
+    planner.handle_inspection(near, false, ms(5_030));
+    assert_eq!(orders(&plan(&mut planner, &spec, &engines, 5_040))[0].engine, near);
+}
+
 #[test]
 fn loaded_model_is_kept_for_a_minimum_time_after_the_load_ends() {
     let held = entry("e1", &[], &["m", "other"]);
@@ -531,3 +573,67 @@
     assert_eq!(plan(&mut planner, &spec, &engines, 10), keys.map(Action::Inspect));
     assert_eq!(plan(&mut planner, &spec, &engines, 20), []);
 }
+
+/// Daemons come and go, and models fall idle, for hours.
+#[test]
+fn state_of_past_demand_is_dropped() {
+    let mut engines = engines(&[entry("e1", &["m0"], &[])]);
+    let names: Vec<String> = (0..50).map(|index| format!("m{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let spec = spec(100_000.0, &names);
+    let gone = engines.names.engines.intern("gone");
+    let mut planner = Planner::default();
+    let mut largest = 0;
+    for hour in 0..5 {
+        for (index, name) in names.iter().enumerate() {
+            let at = hour * 3_600_000 + index as u64 * 1_000;
+            let wanted = model(&mut engines, name);
+            let adapter = engines.names.adapter(name, &format!("a{hour}"));
+            let mut rate = DemandRate::default();
+            rate.record(TARGET, 500, ms(at));
+            for daemon in 0..10 {
+                let daemon = format!("d{hour}-{daemon}");
+                planner.record_peer_demand(&daemon, 1, wanted, rate, ms(at));
+                planner.record_waiting(&daemon, wanted, 1, ms(at));
+            }
+            planner.record_adapter_use(gone, adapter, ms(at));
+            plan(&mut planner, &spec, &engines, at);
+            largest = largest.max(planner.entry_count());
+        }
+    }
+    plan(&mut planner, &spec, &engines, 5 * 3_600_000);
+    assert!(largest < 2_000, "{largest}");
+    assert_eq!(planner.entry_count(), 0);
+}
+
+/// A model is so busy that a dozen engines should hold it, and requests don't wait for a load.
+#[test]
+fn very_busy_model_gets_many_replicas() {
+    let ids: Vec<String> = (0..20).map(|index| format!("e{index}")).collect();
+    let idle: Vec<String> = (0..16).map(|index| format!("idle{index}")).collect();
+    let entries: Vec<_> = ids
+        .iter()
+        .enumerate()
+        .map(|(index, id)| match index {
+            0..4 => entry(id, &["busy"], &[]),
+            _ => entry(id, &[&idle[index - 4]], &["busy"]),
+        })
+        .collect();
+    let mut engines = engines(&entries);
+    let mut names: Vec<&str> = idle.iter().map(String::as_str).collect();
+    names.push("busy");
+    let mut spec = spec(100_000.0, &names);
+    // A large model takes longer to load, also from a disk.
+    for model in spec.models.values_mut() {
+        model.times.disk = Duration::from_millis(1_200);
+    }
+    let busy = model(&mut engines, "busy");
+    let mut planner = Planner::default();
+    // 145,000 tokens per second, of which one engine should prefill at most 12,000.
+    for at in 0..200 {
+        planner.record_arrival(busy, TARGET, 2_900, ms(at * 20));
+    }
+    let ordered = ops(&plan(&mut planner, &spec, &engines, 4_000));
+    assert!(!ordered.is_empty());
+    assert!(ordered.iter().all(|op| matches!(op, Op::Unload(_))), "{ordered:?}");
+}
--- a/crates/coord/tests/serving/scarcity.rs
+++ b/crates/coord/tests/serving/scarcity.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::desired::EngineSpec;
 use corianderyoke_coord::serving::engines::Engines;
@@ -156,14 +157,15 @@
             let key = self.engines.names.models.intern(model);
             self.planner.record_waiting("d", key, count, ms(now));
         }
+        let mut running: IndexMap<(UpstreamKey, ModelKey), u32> = IndexMap::new();
         for sim in &self.fleet {
             let key = engine(&self.engines, &sim.entry.id);
-            for model in sim.entry.models.keys() {
-                let count = sim.running.iter().filter(|(running, _)| running == model).count();
+            for (model, _) in &sim.running {
                 let model = self.engines.names.models.intern(model);
-                self.planner.set_running(key, model, count as u32);
+                *running.entry((key, model)).or_default() += 1;
             }
         }
+        self.planner.set_running(running);
         for action in self.planner.plan(SERVICE, &self.spec, &self.engines, ms(now)) {
             match action {
                 Action::Send(order) => self.accept(order),
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -58,6 +58,8 @@
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Least time between two runs of the planner, which many reports may request at once.
+const MIN_PLAN_GAP: Duration = Duration::from_millis(20);
 /// Longest interval between two runs of the planner.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which an order or an inspection counts as unanswered.
@@ -214,6 +216,7 @@
                 }
             });
         }
+        sleep(MIN_PLAN_GAP).await;
     }
 }
 
@@ -236,15 +239,8 @@
     for (&adapter, &(model, _)) in &state.wanted_adapters {
         state.planner.request_adapter(model, adapter, now);
     }
-    let residencies: Vec<_> = state
-        .engines
-        .iter()
-        .flat_map(|(key, engine)| engine.models.keys().map(move |&model| (key, model)))
-        .collect();
-    for (key, model) in residencies {
-        let running = state.running_requests(key, model, now);
-        state.planner.set_running(key, model, running);
-    }
+    let running = state.running_requests(now);
+    state.planner.set_running(running);
     let State { planner, engines, expected_loads, .. } = state;
     let mut actions = Vec::new();
     expected_loads.clear();
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -360,13 +360,20 @@
         sum
     }
 
-    /// Returns the number of requests in flight at an engine for a model, from own requests and
-    /// reports.
-    pub fn running_requests(&self, engine: UpstreamKey, model: ModelKey, now: Tick) -> u32 {
-        let own = self.own_loads.get(&engine).and_then(|own| own.models.get(&model)).copied();
-        let fresh = self.reports.values().filter(|report| report.is_fresh(now));
-        let reported = fresh.filter_map(|report| report.running_requests.get(&(engine, model)));
-        own.unwrap_or(0) + reported.sum::<u32>()
+    /// Returns the numbers of requests in flight by engine and model, from own requests and reports.
+    pub fn running_requests(&self, now: Tick) -> IndexMap<(UpstreamKey, ModelKey), u32> {
+        let mut sums: IndexMap<(UpstreamKey, ModelKey), u32> = IndexMap::new();
+        for (&engine, own) in &self.own_loads {
+            for (&model, &count) in own.models.iter().filter(|(_, count)| **count > 0) {
+                *sums.entry((engine, model)).or_default() += count;
+            }
+        }
+        for report in self.reports.values().filter(|report| report.is_fresh(now)) {
+            for (&key, &count) in &report.running_requests {
+                *sums.entry(key).or_default() += count;
+            }
+        }
+        sums
     }
 }
 
