Read the rest of a refused body, so that the caller can read the refusal

Cause: a router that refused a request before its body was in closed the connection with unread data, which resets it. The daemon did so for unknown keys, routes and oversized bodies.

Both now read and drop up to 8 MiB of a refused body for 2 s or 1 s before they answer. The new test sends 3 MB in 30 pieces and reads the answer after them.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -43,6 +43,10 @@
 use crate::state::Shared;
 use crate::state::State;
 
+/// Most bytes of a refused body that are read and dropped.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+/// Longest time for which a refused body is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Least buffer of a connection. hyper accepts no less than 8 KiB.
 const MIN_BUFFER_BYTES: usize = 32 << 10;
 
@@ -103,9 +107,18 @@
     request: Request<Incoming>,
 ) -> Result<(RoutingDecision, OutgoingRequest), Refusal> {
     let arrived = clock::now();
-    let (desired, route, team) = route_request(shared, facts, &request)?;
-    let service = route.service(call::seed(&facts.id)).ok_or(Refusal::NoRoute)?.to_owned();
+    let routed = route_request(shared, facts, &request).and_then(|(desired, route, team)| {
+        let service = route.service(call::seed(&facts.id)).ok_or(Refusal::NoRoute)?.to_owned();
+        Ok((desired, route, team, service))
+    });
     let (head, body) = request.into_parts();
+    let (desired, route, team, service) = match routed {
+        Ok(routed) => routed,
+        Err(refusal) => {
+            discard(body).await;
+            return Err(refusal);
+        }
+    };
     let time_limit = facts.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(body, desired.callers.body_bytes, time_limit).await?;
     let charged_tokens = charge_tokens(shared, facts, &desired, team.as_deref(), arrived)?;
@@ -141,18 +154,38 @@
 }
 
 async fn read_body(
-    body: Incoming,
+    mut body: Incoming,
     max_bytes: usize,
     time_limit: Duration,
 ) -> Result<Bytes, Refusal> {
-    match timeout(time_limit, Limited::new(body, max_bytes).collect()).await {
+    match timeout(time_limit, Limited::new(&mut body, max_bytes).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            discard(body).await;
+            Err(Refusal::TooLarge)
+        }
         Ok(Err(_)) => Err(Refusal::IncompleteBody),
         Err(_) => Err(Refusal::NotStarted),
     }
 }
 
+/// Reads and drops the rest of a refused body. A connection that is closed with unread data is reset,
+/// and the caller may then lose the refusal.
+async fn discard(mut body: Incoming) {
+    let discarding = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            left = left.saturating_sub(length);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // The body is refused in any case, so running out of time has no consequence.
+    let _ = timeout(DISCARD_TIMEOUT, discarding).await;
+}
+
 /// Charges a request's tokens to its team's rate limit. Returns how many.
 fn charge_tokens(
     shared: &Shared,
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -16,6 +16,7 @@
 use rocket::catchers;
 use rocket::data::ByteUnit;
 use rocket::data::Data;
+use rocket::data::DataStream;
 use rocket::http::ContentType;
 use rocket::http::Header;
 use rocket::http::Method;
@@ -25,6 +26,8 @@
 use rocket::route::Handler;
 use rocket::route::Outcome;
 use rocket::route::Route;
+use rocket::tokio::io::sink;
+use rocket::tokio::io::AsyncReadExt;
 use rocket::Request;
 use rocket::Response;
 use tokio::sync::mpsc;
@@ -45,6 +48,10 @@
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 /// Maximum size of a body, in bytes.
 const MAX_BODY_BYTES: u64 = 1024 * 1024;
+/// Most bytes of a refused body that are read and dropped.
+const MAX_DISCARDED_BYTES: u64 = 8 * 1024 * 1024;
+/// Longest time for which a refused body is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of a body that Rocket reads before it calls the handler.
 const PEEKED_BYTES: usize = 16;
 /// Longest wait for a complete body.
@@ -189,11 +196,15 @@
 }
 
 async fn read_parts(request: &Request<'_>, data: Data<'_>, id: &str) -> Result<Parts> {
-    let headers = read_headers(request)?;
-    let query = request.uri().query().map_or("", |query| query.as_str()).to_owned();
-    refuse_keys_in_query(&query)?;
-    refuse_ambiguous_path(request.uri().path().as_str())?;
-    let body = read_body(request, data).await?;
+    let body = data.open(ByteUnit::from(MAX_BODY_BYTES + MAX_DISCARDED_BYTES));
+    let (headers, query) = match check_head(request) {
+        Ok(checked) => checked,
+        Err(refusal) => {
+            discard(body).await;
+            return Err(refusal);
+        }
+    };
+    let body = read_body(request, body).await?;
     Ok(Parts {
         id: id.to_owned(),
         method: request.method().as_str().to_owned(),
@@ -205,6 +216,22 @@
     })
 }
 
+/// Returns the headers and the query of a request that may be read on.
+fn check_head(request: &Request<'_>) -> Result<(Vec<(String, String)>, String)> {
+    let headers = read_headers(request)?;
+    let query = request.uri().query().map_or("", |query| query.as_str()).to_owned();
+    refuse_keys_in_query(&query)?;
+    refuse_ambiguous_path(request.uri().path().as_str())?;
+    Ok((headers, query))
+}
+
+/// Reads and drops the rest of a refused body. A connection that is closed with unread data is reset,
+/// and the caller may then lose the refusal.
+async fn discard(mut body: DataStream<'_>) {
+    // The body is refused in any case, so its errors and the time limit have no consequence.
+    let _ = timeout(DISCARD_TIMEOUT, rocket::tokio::io::copy(&mut body, &mut sink())).await;
+}
+
 fn read_headers(request: &Request<'_>) -> Result<Vec<(String, String)>> {
     let headers: Vec<(String, String)> = request
         .headers()
@@ -249,21 +276,26 @@
     Ok(())
 }
 
-async fn read_body(request: &Request<'_>, data: Data<'_>) -> Result<Bytes> {
+async fn read_body(request: &Request<'_>, mut body: DataStream<'_>) -> Result<Bytes> {
     let declared = request.headers().get_one("content-length").and_then(|n| n.parse::<u64>().ok());
     let too_large = || {
         let message = format!("the body may have at most {MAX_BODY_BYTES} bytes");
         Refusal::not_run(Code::TooLarge, message)
     };
     if declared.is_some_and(|n| n > MAX_BODY_BYTES) {
+        discard(body).await;
         return Err(too_large());
     }
-    let read = data.open(ByteUnit::from(MAX_BODY_BYTES)).into_bytes();
-    match timeout(BODY_TIMEOUT, read).await {
+    let mut bytes = Vec::new();
+    let mut limited = (&mut body).take(MAX_BODY_BYTES + 1);
+    match timeout(BODY_TIMEOUT, limited.read_to_end(&mut bytes)).await {
         Err(_) => Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
         Ok(Err(e)) => Err(Refusal::not_run(Code::BadRequest, format!("the body broke off: {e}"))),
-        Ok(Ok(body)) if !body.is_complete() => Err(too_large()),
-        Ok(Ok(body)) => check_complete(declared, Bytes::from(body.into_inner())),
+        Ok(Ok(length)) if length as u64 > MAX_BODY_BYTES => {
+            discard(body).await;
+            Err(too_large())
+        }
+        Ok(Ok(_)) => check_complete(declared, Bytes::from(bytes)),
     }
 }
 
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -148,6 +148,39 @@
     cell.stop().await;
 }
 
+/// The router refuses a body by its declared length, or while it comes in, and the caller reads the
+/// answer only after it has sent everything.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_body_that_is_still_sent_can_be_read() {
+    let (cell, key) = cell().await;
+    let address = cell.callers(0);
+    let length = 3_000_000;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: h\r\nconnection: close\r\nauthorization: Bearer \
+         {key}\r\n"
+    );
+    let declared = format!("{head}content-length: {length}\r\n\r\n");
+    let unknown_path = declared.replace("/v1/completions", "/v1/completions?api_key=x");
+    for (head, status) in [(declared, "413"), (unknown_path, "400")] {
+        let refusal = tokio::task::spawn_blocking(move || {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream.write_all(head.as_bytes()).unwrap();
+            for _ in 0..30 {
+                std::thread::sleep(Duration::from_millis(5));
+                stream.write_all(&vec![b'x'; length / 30]).unwrap();
+            }
+            stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+            let mut response = String::new();
+            stream.read_to_string(&mut response).unwrap();
+            response
+        });
+        let refusal = refusal.await.unwrap();
+        assert!(refusal.starts_with(&format!("HTTP/1.1 {status} ")), "{refusal}");
+    }
+    assert!(cell.engines[0].ledger().requests.is_empty());
+    cell.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_body_is_refused() {
     let (cell, key) = cell().await;
