Bind the servers of routers and controllers once, and tell members of a change

resolve_port found a free port and let it go before the server bound it. A server now binds port 0 itself, and the agent's row gets the addresses before it joins.

Commands now tell all members with POST /refresh, and count as accepted once one of them has the revision; members tell each other from then on. Where none has it within 3 s, the command says so.

membership_test agents set their addresses with the new call; the rest of the test is as before.

--- a/crates/coord/src/membership/commands/mod.rs
+++ b/crates/coord/src/membership/commands/mod.rs
@@ -39,6 +39,13 @@
         self.take_effects()
     }
 
+    /// Sets the addresses at which this member serves callers and operators. The next renewal tells
+    /// them.
+    pub fn set_addresses(&mut self, callers: &str, operators: &str) {
+        callers.clone_into(&mut self.row.caller_addr);
+        operators.clone_into(&mut self.row.ops_addr);
+    }
+
     /// Sets the readiness that this member publishes, and renews its row at the next poll.
     pub fn set_state(&mut self, now: Tick, state: RowState) {
         self.row.state = state;
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -113,9 +113,19 @@
     pub leaving: bool,
 }
 
+/// Addresses at which a daemon serves others than its peers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Addresses {
+    /// Address for callers as `ip:port`; empty if the daemon serves none.
+    pub callers: String,
+    /// Address for operators as `ip:port`.
+    pub operators: String,
+}
+
 /// A daemon's membership in the cell.
 pub struct Agent {
     pub(crate) settings: Settings,
+    addresses: OnceLock<Addresses>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) machine: Mutex<Machine>,
     pub(crate) config: Config,
@@ -139,12 +149,14 @@
     ///
     /// Fails if the address for peers can't be bound.
     pub fn bind(settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Agent>> {
-        let row = Agent::member_row(&settings, &Fingerprint([0; 32]));
+        let fingerprint = Fingerprint([0; 32]);
+        let row = Agent::member_row(&settings, &Addresses::default(), &fingerprint);
         let machine = Machine::new(settings.membership, &settings.name, row, clock::now());
         let address = settings.peers;
         let history = settings.history.clone();
         let agent = Arc::new(Agent {
             settings,
+            addresses: OnceLock::new(),
             platform,
             machine: Mutex::new(machine),
             config: Config::new(history),
@@ -160,6 +172,13 @@
         Ok(agent)
     }
 
+    /// Sets the addresses that this daemon's row tells others. Must be called before [`Agent::run`],
+    /// once the servers listen; later calls have no effect.
+    pub fn set_addresses(&self, addresses: Addresses) {
+        let Addresses { callers, operators } = self.addresses.get_or_init(|| addresses);
+        self.machine.lock().set_addresses(callers, operators);
+    }
+
     /// Listens for peers with a new certificate and starts a new machine, as a new incarnation.
     fn listen(self: &Arc<Self>, address: SocketAddr) -> Result<()> {
         let listen_error = |cause| Error::Listen { address, cause };
@@ -170,7 +189,8 @@
             .map_err(listen_error)?;
         let bound = transport.addr().map_err(listen_error)?;
         let settings = Settings { peers: bound, ..self.settings.clone() };
-        let row = Agent::member_row(&settings, &fingerprint);
+        let addresses = self.addresses.get().cloned().unwrap_or_default();
+        let row = Agent::member_row(&settings, &addresses, &fingerprint);
         let machine = Machine::new(settings.membership, &settings.name, row, clock::now());
         // The old machine has ended, so no incarnation holds a lease in between.
         if let Some(service) = self.service.get() {
@@ -181,15 +201,19 @@
         Ok(())
     }
 
-    fn member_row(settings: &Settings, fingerprint: &Fingerprint) -> MemberRow {
+    fn member_row(
+        settings: &Settings,
+        addresses: &Addresses,
+        fingerprint: &Fingerprint,
+    ) -> MemberRow {
         MemberRow {
             incarnation: random(),
             renewal: 0,
             role: settings.role,
             zone: settings.zone.clone(),
             peer_addr: settings.peers.to_string(),
-            caller_addr: settings.callers.clone(),
-            ops_addr: settings.operators.clone(),
+            caller_addr: addresses.callers.clone(),
+            ops_addr: addresses.operators.clone(),
             fingerprint: fingerprint.to_string(),
             state: RowState::Joining,
             epoch: 0,
@@ -197,6 +221,11 @@
         }
     }
 
+    /// Makes the configuration loop read the store now instead of at its next poll.
+    pub fn refresh_configuration(&self) {
+        self.fetch_config.notify_one();
+    }
+
     /// Name of the cell.
     pub fn cell(&self) -> &str {
         &self.settings.cell
--- a/src/agent/settings.rs
+++ b/src/agent/settings.rs
@@ -19,10 +19,6 @@
     pub zone: String,
     /// UDP address for peers; port 0 takes a free one.
     pub peers: SocketAddr,
-    /// Address for callers as `ip:port`; empty if the daemon serves none.
-    pub callers: String,
-    /// Address for operators as `ip:port`.
-    pub operators: String,
     /// Name of the cell, which is the key of its view row.
     pub cell: String,
     /// Timing of the membership.
@@ -54,8 +50,6 @@
             role: Role::Router,
             zone: String::new(),
             peers: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            callers: String::new(),
-            operators: String::new(),
             cell: "cell-1".to_owned(),
             membership: membership::Settings::default(),
             history: Recorder::off(),
--- a/src/bin/corianderyoke/commands/issue_key.rs
+++ b/src/bin/corianderyoke/commands/issue_key.rs
@@ -40,10 +40,5 @@
         "accepted as revision {}\nkey {}\nsecret {}\n",
         issued.revision, issued.key, issued.secret
     );
-    let outcome = Outcome::new(text, &issued);
-    if options.wait.wait {
-        shared::wait_for_members(context, issued.revision, outcome).await
-    } else {
-        Ok(outcome)
-    }
+    shared::complete(context, options.wait, issued.revision, Outcome::new(text, &issued)).await
 }
--- a/src/bin/corianderyoke/commands/shared.rs
+++ b/src/bin/corianderyoke/commands/shared.rs
@@ -79,12 +79,27 @@
     } else {
         format!("accepted as revision {}\n{}", applied.revision, change_table(&applied.changes))
     };
-    let outcome = Outcome::new(text, applied);
+    complete(context, wait, applied.revision, Outcome::new(text, applied)).await
+}
+
+/// Completes the outcome of an accepted change: tells the members, and waits for all of them if
+/// requested.
+pub async fn complete(
+    context: &Context,
+    wait: Wait,
+    revision: Revision,
+    outcome: Outcome,
+) -> anyhow::Result<Outcome> {
+    let confirmed = members::confirm(&context.platform, revision, members::CONFIRM_LIMIT).await;
     if wait.wait {
-        wait_for_members(context, applied.revision, outcome).await
-    } else {
-        Ok(outcome)
+        return wait_for_members(context, revision, outcome).await;
     }
+    let remark = match confirmed {
+        Ok(true) => return Ok(outcome),
+        Ok(false) => "no member has it yet; `corianderyoke status` shows when one has\n".to_owned(),
+        Err(error) => format!("failed to tell the members: {error}\n"),
+    };
+    Ok(Outcome { text: outcome.text + &remark, ..outcome })
 }
 
 /// Waits until the live members have `revision` in force, and adds those that lag to `outcome`.
--- a/src/ops/bench/operators.rs
+++ b/src/ops/bench/operators.rs
@@ -21,6 +21,7 @@
 use super::world::Key;
 use super::world::World;
 use crate::ops::config::commands;
+use crate::ops::config::members;
 use crate::ops::config::queries;
 use crate::ops::config::Author;
 use crate::ops::config::Result;
@@ -60,7 +61,8 @@
     Author { operator: "bench".to_owned(), action: action.to_owned() }
 }
 
-/// Runs a command until it is accepted and records its revision; `None` if all attempts failed.
+/// Runs a command until it is accepted and records its revision; `None` if all attempts failed. As
+/// for the operators' command line, a change is accepted once a member has it.
 ///
 /// A command whose outcome is unknown is run again. If the first attempt took effect, the repeat
 /// changes nothing; if it is still pending, the repeat's own change makes its condition fail.
@@ -74,8 +76,9 @@
 {
     for _ in 0..ATTEMPT_LIMIT {
         if let Ok(done) = run().await {
-            let revision = revision(&done).0;
-            world.journal.record(Event::RevisionAccepted { revision });
+            let revision = revision(&done);
+            confirm(world, revision).await;
+            world.journal.record(Event::RevisionAccepted { revision: revision.0 });
             return Some(done);
         }
         sleep(RETRY_DELAY).await;
@@ -83,6 +86,17 @@
     None
 }
 
+/// Waits until a member has a committed revision.
+async fn confirm(world: &World, revision: Revision) {
+    for _ in 0..ATTEMPT_LIMIT {
+        let confirmed = members::confirm(&world.store, revision, members::CONFIRM_LIMIT).await;
+        if matches!(confirmed, Ok(true)) {
+            return;
+        }
+        sleep(RETRY_DELAY).await;
+    }
+}
+
 /// Sets a team's limits. While the command runs, the larger of the old and new values is recorded,
 /// since either may be in force.
 async fn set_limits(world: &World, team: &str, rate: u64, burst: u64) {
--- a/src/ops/config/members.rs
+++ b/src/ops/config/members.rs
@@ -20,6 +20,10 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between two polls of all members.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause between two polls for the first member that has a new revision.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(25);
+/// Time limit for the first member to have a new revision.
+pub const CONFIRM_LIMIT: Duration = Duration::from_secs(3);
 /// Role of the members that answer `/explain`.
 const ROUTER_ROLE: &str = "router";
 
@@ -71,6 +75,36 @@
     Ok(join_all(members.into_iter().map(|(name, member)| report(&client, name, member))).await)
 }
 
+/// Tells every live member that `revision` was committed, and polls until one of them has it in force
+/// or `limit` has passed. Returns whether one has it, or there is no member.
+///
+/// Members tell each other, so the revision comes into force everywhere from then on, even if the
+/// store goes away.
+pub async fn confirm(platform: &dyn Platform, revision: Revision, limit: Duration) -> Result<bool> {
+    let client = client();
+    let members = members(platform).await?;
+    join_all(members.iter().map(|(_, member)| refresh(&client, &member.ops_addr))).await;
+    let end = Instant::now() + limit;
+    loop {
+        let reports = members.iter().cloned();
+        let reports = reports.map(|(name, member)| report(&client, name, member));
+        let reports = join_all(reports).await;
+        let is_held = reports.iter().any(|report| !report.lags(revision));
+        if is_held || reports.is_empty() {
+            return Ok(true);
+        }
+        if Instant::now() >= end {
+            return Ok(false);
+        }
+        tokio::time::sleep(CONFIRM_INTERVAL).await;
+    }
+}
+
+async fn refresh(client: &reqwest::Client, address: &str) {
+    // A member that doesn't answer learns of the revision at its next poll.
+    let _ = client.post(format!("http://{address}/refresh")).send().await;
+}
+
 /// Polls until every live member has `revision` or `limit` has passed, and returns the last reports.
 pub async fn wait(
     platform: &dyn Platform,
--- a/src/ops/controller.rs
+++ b/src/ops/controller.rs
@@ -18,6 +18,7 @@
 use crate::agent::settings::membership_timing;
 use crate::agent::traced::Traced;
 use crate::agent::traffic::Traffic;
+use crate::agent::Addresses;
 use crate::agent::Agent;
 use crate::controller::run;
 use crate::controller::settings::Settings;
@@ -44,7 +45,7 @@
     let history = daemon::recorder(&settings.name, &settings.history)?;
     let client = daemon::client(settings.platform)?;
     let platform = Traced::wrap(Arc::clone(&client) as Arc<dyn Platform>, &history);
-    let operators = daemon::resolve_port(settings.operators)?;
+    let operators = settings.operators;
     let agent = Agent::bind(
         agent::Settings {
             name: settings.name.clone(),
@@ -53,7 +54,6 @@
             cell: settings.cell.clone(),
             membership: membership_timing(Duration::from_millis(settings.term_ms)),
             peers: settings.peers,
-            operators: operators.to_string(),
             history,
             ..agent::Settings::default()
         },
@@ -66,6 +66,10 @@
     registry.register_collector(Box::new(Traffic::new(Arc::clone(&agent), client)));
     let observed = Arc::new(ObservedController { controller: Arc::clone(&controller) });
     let server = observe::serve(operators, observed, Arc::new(registry)).await?;
+    // If port 0 was requested, the system has assigned the port.
+    let operators = server.address;
+    let operators_text = operators.to_string();
+    agent.set_addresses(Addresses { operators: operators_text, ..Addresses::default() });
     agent.set_state(RowState::Ready);
     agent.history().record(|| HistoryEvent::ProcessStart { role: "controller".to_owned() });
     agent.run();
@@ -109,6 +113,10 @@
         })
     }
 
+    fn refresh(&self) {
+        self.controller.agent.refresh_configuration();
+    }
+
     fn explain(&self, _: &str, _: &str) -> Value {
         json!({"decision": "unknown", "why": "ask a router"})
     }
--- a/src/ops/daemon.rs
+++ b/src/ops/daemon.rs
@@ -1,7 +1,6 @@
-//! Setup that routers and controllers share: addresses, the platform client and the history.
+//! Setup that routers and controllers share: the platform client and the history.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
 
@@ -10,15 +9,6 @@
 use corianderyoke_platform::http::HttpPlatform;
 use corianderyoke_platform::http::Settings;
 
-/// Replaces port 0 of an address by a free port. Nothing listens on the port when this returns, so
-/// that the real server can bind it.
-pub fn resolve_port(requested: SocketAddr) -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind(requested);
-    let listener =
-        listener.with_context(|| format!("failed to listen on {requested}; choose another"))?;
-    Ok(listener.local_addr()?)
-}
-
 /// Creates a client of the platform at `address`.
 pub fn client(address: SocketAddr) -> anyhow::Result<Arc<HttpPlatform>> {
     let settings = Settings { address: address.to_string(), ..Settings::default() };
--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -24,6 +24,7 @@
 use crate::agent::settings::membership_timing;
 use crate::agent::traced::Traced;
 use crate::agent::traffic::Traffic;
+use crate::agent::Addresses;
 use crate::agent::Agent;
 use crate::agent::Service;
 use crate::ops::daemon;
@@ -64,8 +65,7 @@
     let history = daemon::recorder(&settings.name, &settings.history)?;
     let client = daemon::client(settings.platform)?;
     let platform = Traced::wrap(Arc::clone(&client) as Arc<dyn Platform>, &history);
-    let callers = daemon::resolve_port(settings.callers)?;
-    let operators = daemon::resolve_port(settings.operators)?;
+    let (callers, operators) = (settings.callers, settings.operators);
     let agent = Agent::bind(
         agent::Settings {
             name: settings.name.clone(),
@@ -74,8 +74,6 @@
             cell: settings.cell.clone(),
             membership: membership_timing(Duration::from_millis(settings.term_ms)),
             peers: settings.peers,
-            callers: callers.to_string(),
-            operators: operators.to_string(),
             history,
             ..agent::Settings::default()
         },
@@ -92,6 +90,12 @@
         http::serve(callers, Arc::clone(&router)).await?,
         observe::serve(operators, observed, Arc::new(registry)).await?,
     ];
+    // If port 0 was requested, the system has assigned the ports.
+    let (callers, operators) = (servers[0].address, servers[1].address);
+    agent.set_addresses(Addresses {
+        callers: callers.to_string(),
+        operators: operators.to_string(),
+    });
     agent.history().record(|| HistoryEvent::ProcessStart { role: "router".to_owned() });
     agent.run();
     let mut tasks = JoinSet::new();
@@ -177,6 +181,10 @@
         })
     }
 
+    fn refresh(&self) {
+        self.router.agent.refresh_configuration();
+    }
+
     fn explain(&self, team: &str, model: &str) -> Value {
         self.router.explain(team, model)
     }
--- a/src/util/observe.rs
+++ b/src/util/observe.rs
@@ -9,6 +9,7 @@
 use rocket::get;
 use rocket::http::ContentType;
 use rocket::http::Status;
+use rocket::post;
 use rocket::routes;
 use rocket::serde::json::Json;
 use rocket::serde::json::Value;
@@ -20,6 +21,8 @@
     fn ready(&self) -> bool;
     /// Name, revision in force and other state, as a JSON object.
     fn status(&self) -> Value;
+    /// Makes the daemon read the configuration now instead of at its next poll.
+    fn refresh(&self);
     /// Where a request of `team` for `model` would be routed now, and why, as JSON.
     fn explain(&self, team: &str, model: &str) -> Value;
 }
@@ -35,7 +38,7 @@
     let rocket = rocket::custom(corianderyoke_http::config(address))
         .manage(daemon)
         .manage(registry)
-        .mount("/", routes![livez, readyz, status, explain, metrics]);
+        .mount("/", routes![livez, readyz, status, refresh, explain, metrics]);
     corianderyoke_http::launch(rocket, address).await
 }
 
@@ -58,6 +61,12 @@
     Json(daemon.status())
 }
 
+#[post("/refresh")]
+fn refresh(daemon: &State<Daemon>) -> Status {
+    daemon.refresh();
+    Status::Accepted
+}
+
 #[get("/explain?<team>&<model>")]
 fn explain(team: &str, model: &str, daemon: &State<Daemon>) -> Json<Value> {
     Json(daemon.explain(team, model))
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
+use corianderyoke::agent::Addresses;
 use corianderyoke::agent::Agent;
 use corianderyoke::agent::Settings;
 use corianderyoke::ops::config::commands;
@@ -111,17 +112,15 @@
     fn start(&mut self, name: &str) {
         let runtime =
             Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime");
-        let settings = Settings {
-            name: name.to_owned(),
-            zone: "a".to_owned(),
-            callers: format!("{name}:80"),
-            ..Settings::default()
-        };
+        let settings =
+            Settings { name: name.to_owned(), zone: "a".to_owned(), ..Settings::default() };
         let runtime_guard = runtime.enter();
         let connection =
             Connection { platform: self.platform.clone(), cut: AtomicBool::new(false) };
         let connection = Arc::new(connection);
         let agent = Agent::bind(settings, connection.clone()).expect("an agent");
+        let callers = format!("{name}:80");
+        agent.set_addresses(Addresses { callers, ..Addresses::default() });
         agent.run();
         agent.set_state(RowState::Ready);
         drop(runtime_guard);
