Log the shared parts of a prompt with each failed attempt

E406 named neither the parts nor the how many-th attempt failed, so the logs of a series of crashing engines couldn't show what the crashes had in common, nor whether repeats or first attempts caused them.

--- a/crates/coord/src/serving/choice.rs
+++ b/crates/coord/src/serving/choice.rs
@@ -161,8 +161,13 @@
 /// Returns a number that identifies the shared prefix of a prompt, which is all parts but the last.
 /// `None` if no part is shared.
 pub fn shared_prefix(need: &Need) -> Option<u64> {
-    let (_, shared) = need.parts.split_last()?;
-    shared.last().map(|part| part.id)
+    shared_parts(need).last()
+}
+
+/// Returns the parts of a prompt that other requests may share, which is all but the last.
+pub fn shared_parts(need: &Need) -> impl Iterator<Item = u64> + Clone + '_ {
+    let shared = need.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id)
 }
 
 /// Returns the number of prompt tokens that no other request shares.
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -8,6 +8,7 @@
 use corianderyoke_adapter::headers::RequestHeaders;
 use corianderyoke_coord::keys::AdapterKey;
 use corianderyoke_coord::keys::ModelKey;
+use corianderyoke_coord::serving::choice;
 use corianderyoke_coord::serving::choice::Need;
 use corianderyoke_coord::serving::desired::Desired;
 use corianderyoke_coord::serving::desired::Route;
@@ -276,6 +277,13 @@
         Some(name.to_owned())
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let generation = self.generation.as_ref();
+        generation
+            .map_or_else(Vec::new, |generation| choice::shared_parts(&generation.need).collect())
+    }
+
     /// Refunds the tokens of a request that wasn't executed to its team.
     pub fn refund(&mut self) {
         let tokens = std::mem::take(&mut self.charged_tokens);
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -438,7 +438,13 @@
         };
         events::log(
             Event::AttemptFailed,
-            format_args!("id={} engine={} cause={cause}", self.call.id, target.id),
+            format_args!(
+                "id={} engine={} nth={} parts={:x?} cause={cause}",
+                self.call.id,
+                target.id,
+                self.send_count,
+                self.call.shared_parts()
+            ),
         );
         self.failed.push(target.key);
         match failure {
