Add failing tests of a prompt part that crashes engines

The simulated engine crashes once it begins to answer a prompt with a given part, resets its connections, and comes back empty.

--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -25,7 +25,11 @@
 use serde_json::json;
 use serde_json::Value;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::Instant;
 
 use crate::store::Store;
 
@@ -54,8 +58,15 @@
     Unsigned,
     /// Responds with status 500.
     Fail,
+    /// Streams one event, then the engine crashes.
+    Crash,
 }
 
+/// Time between the first event of a response and the crash that it causes.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
+/// Time after which a crashed engine is back.
+const RESTART_DELAY: Duration = Duration::from_millis(600);
+
 /// Model whose load doesn't end within a test.
 pub const SLOW_MODEL: &str = "slow";
 
@@ -70,6 +81,8 @@
     pub body: Bytes,
     /// Whether the engine executed it; false for refusals.
     pub executed: bool,
+    /// Time of receipt.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -83,9 +96,21 @@
     in_flight: usize,
     /// Whether the engine loads [`SLOW_MODEL`].
     busy: bool,
+    /// Part of a prompt under which the engine crashes once it begins a response.
+    crashing_part: Option<&'static str>,
+    /// Times at which the engine crashed.
+    crashes: Vec<Instant>,
 }
 
 impl State {
+    /// Forgets all that a process keeps in memory.
+    fn restart(&mut self) {
+        self.models.clear();
+        self.adapters.clear();
+        self.orders.clear();
+        self.busy = false;
+    }
+
     /// Loaded models and adapters, in the form used by the entry and the report.
     fn loaded_models(&self) -> Vec<Value> {
         let adapters = |model: &String| -> Vec<&String> {
@@ -108,6 +133,7 @@
     pub address: SocketAddr,
     store: Store,
     state: Arc<Mutex<State>>,
+    crash: Arc<Notify>,
 }
 
 impl Engine {
@@ -122,20 +148,54 @@
             address,
             store: store.clone(),
             state: Arc::new(Mutex::new(State { models, ..State::default() })),
+            crash: Arc::new(Notify::new()),
         };
         engine.write_entry("ready");
-        let served = engine.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let engine = served.clone();
-                let service = service_fn(move |request| {
-                    let engine = engine.clone();
-                    async move { engine.respond(request).await }
-                });
-                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        tokio::spawn(engine.clone().run(listener));
+        engine
+    }
+
+    /// Accepts connections. A crash resets them all, and the engine comes back empty.
+    async fn run(self, mut listener: TcpListener) {
+        loop {
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    () = self.crash.notified() => break,
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        connections.spawn(self.clone().serve(stream));
+                    }
+                }
             }
+            drop(listener);
+            drop(connections);
+            self.state.lock().crashes.push(Instant::now());
+            sleep(RESTART_DELAY).await;
+            self.state.lock().restart();
+            listener = TcpListener::bind(self.address).await.expect("the port is still free");
+            self.write_entry("ready");
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        stream.set_zero_linger().expect("the stream is connected");
+        let service = service_fn(move |request| {
+            let engine = self.clone();
+            async move { engine.respond(request).await }
         });
-        engine
+        // The connection may end in any way; the requests record what they caused.
+        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    }
+
+    /// Makes the engine crash under each request whose prompt has this part before its last one.
+    pub fn crash_under(&self, part: &'static str) {
+        self.state.lock().crashing_part = Some(part);
+    }
+
+    /// Returns the times at which the engine crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.lock().crashes.clone()
     }
 
     /// Writes the engine's entry with this state to the store.
@@ -144,7 +204,7 @@
         let entry = json!({
             "service": self.service, "address": self.address.to_string(), "zone": "a",
             "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 40,
-            "born": 1, "models": models,
+            "born": self.state.lock().crashes.len() + 1, "models": models,
             "at_hand": {"in_memory": [], "on_disk": ["m1", "m2"]},
         });
         self.store.put("servers", &self.id, entry.to_string().as_bytes());
@@ -198,8 +258,14 @@
             let behavior =
                 state.behaviors.pop_front().unwrap_or_else(|| self.default_behavior(&path));
             let executed = !matches!(behavior, Behavior::Refuse | Behavior::LacksModel);
-            state.received.push(ReceivedRequest { path, headers, body, executed });
-            behavior
+            let crashes = state.crashing_part.is_some_and(|part| has_shared_part(&headers, part));
+            let at = Instant::now();
+            state.received.push(ReceivedRequest { path, headers, body, executed, at });
+            if crashes {
+                Behavior::Crash
+            } else {
+                behavior
+            }
         };
         let _in_flight = InFlight::begin(&self.state);
         let mut response = match behavior {
@@ -237,6 +303,14 @@
             }
             Behavior::WrongId | Behavior::Unsigned => full_response(200, "answer"),
             Behavior::Fail => full_response(500, "failure"),
+            Behavior::Crash => {
+                let crash = Arc::clone(&self.crash);
+                tokio::spawn(async move {
+                    sleep(CRASH_DELAY).await;
+                    crash.notify_one();
+                });
+                event_stream(after, 1, Duration::ZERO, StreamEnd::Stalled, Arc::clone(&self.state))
+            }
         };
         let headers = response.headers_mut();
         let id = if behavior == Behavior::WrongId {
@@ -302,6 +376,13 @@
     }
 }
 
+/// Returns whether a prompt has a part with this identifier before its last one.
+fn has_shared_part(headers: &HeaderMap, part: &str) -> bool {
+    let parts = headers.get("corianderyoke-prompt-prefix").and_then(|value| value.to_str().ok());
+    let (shared, _) = parts.and_then(|parts| parts.rsplit_once(',')).unwrap_or_default();
+    shared.split(',').any(|shared| shared.split_once(':').is_some_and(|(id, _)| id == part))
+}
+
 fn header_value_one() -> http::HeaderValue {
     http::HeaderValue::from_static("1")
 }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real daemon with a simulated store and simulated engines.
 
 mod calls;
+mod crashing_part;
 mod engine;
 mod faults;
 mod fixture;
