Quarantine prompt parts that crash engines

Cause: a daemon remembered that an engine failed, but not under what, and told nobody. Each such request was admitted anywhere, and sent on to the next engine when the first had crashed. Ruled out: orders, overload or cold engines; the simulated engines of the failing tests have none of these and crash alike.

Now the daemon checks whether an engine whose connection ended refuses new ones, and reports the requests that were there. A part is quarantined after a chain of three crashes in which each request was sent after the crash before; simultaneous failures of engines form no chain, and a complete response to any prompt with the part clears it. Requests with a quarantined part are refused at once as not run; those at engines are given up. Parts of the same requests are not blamed once a crash is explained; where two can't be told apart, one daemon tries which it is. One daemon also tries again after a minute, doubled by each failure. The lease holder keeps the parts in the store for daemons that start.

--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -14,6 +14,7 @@
 //! | [`announcements`] | which changes of engines the lease holder tells whom |
 //! | [`demand`] | how high the demand for a model is |
 //! | [`residency`] | which engine loads which models |
+//! | [`quarantine`] | which parts of prompts crash engines |
 //! | [`shortage`] | whether a request that waits for a load can be served in time |
 //! | [`stream`] | which part of an event stream is complete |
 
@@ -25,6 +26,7 @@
 pub mod engines;
 pub mod lease;
 pub mod polling;
+pub mod quarantine;
 pub mod quotas;
 pub mod residency;
 pub mod roster;
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod fixtures;
 mod lease;
 mod polling;
+mod quarantine;
 mod quotas;
 mod residency;
 mod roster;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts of one call: waits for an engine, sends the request and classifies the response head.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -10,6 +11,8 @@
 use corianderyoke_adapter::headers::ResponseHeaders;
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::choice;
+use corianderyoke_coord::serving::quarantine::Casualty;
+use corianderyoke_coord::serving::quarantine::Crash;
 use corianderyoke_coord::serving::shortage::Outlook;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
@@ -35,6 +38,7 @@
 use crate::peers;
 use crate::pool::Connection;
 use crate::pool::Error;
+use crate::quarantine;
 use crate::refusal::Refusal;
 use crate::state::LoadGuard;
 
@@ -85,6 +89,8 @@
     Unsent,
     /// The engine may have executed the request. Contains the cause for the log.
     Broken(&'static str),
+    /// Like `Broken`, and the connection ended, perhaps because the engine crashed.
+    Cut(&'static str),
 }
 
 /// Call and the attempts made for it so far.
@@ -104,6 +110,10 @@
     misplaced: Vec<(UpstreamKey, Tick)>,
     /// Whether an engine may have executed the request.
     may_have_run: bool,
+    /// Time at which the request was last sent, and the engine process that received it.
+    sent: Option<(Tick, Crash)>,
+    /// Engine process that ended the connection, at this address, perhaps because it crashed.
+    unchecked: Option<(SocketAddr, Crash)>,
     /// Latest server error of an engine, returned if no later attempt succeeds.
     server_error: Option<Box<(Parts, Bytes)>>,
 }
@@ -119,6 +129,8 @@
             failed: Vec::new(),
             misplaced: Vec::new(),
             may_have_run: false,
+            sent: None,
+            unchecked: None,
             server_error: None,
         }
     }
@@ -126,7 +138,8 @@
     /// Makes attempts until an engine returns a head that isn't a refusal, or the call ends.
     pub async fn next(&mut self) -> Result<EngineResponse, CallEnd> {
         loop {
-            if self.may_have_run && !self.call.route.repeat.may_repeat() {
+            self.check_crash().await;
+            if self.may_have_run && !self.may_repeat() {
                 return Err(self.end_with(Refusal::OutcomeUnknown));
             }
             let (target, guard) = self.acquire_target().await?;
@@ -143,7 +156,33 @@
         }
     }
 
-    /// Records that a response was cut off after its head.
+    /// Finds out whether the engine of the last attempt crashed, if its connection ended.
+    pub async fn check_crash(&mut self) {
+        if let Some((address, crash)) = self.unchecked.take() {
+            quarantine::check(&self.call.shared, address, crash).await;
+        }
+    }
+
+    /// Returns whether a request that may have run may be sent again. One whose prompt is suspected
+    /// of crashing engines isn't, so that it takes no further one down.
+    fn may_repeat(&self) -> bool {
+        let parts = self.call.shared_parts();
+        self.call.route.repeat.may_repeat()
+            && !self.call.shared.state().quarantine.is_suspect(&parts, clock::now())
+    }
+
+    /// Returns for how long a part of the prompt is quarantined, if one is.
+    fn quarantined_for(&self) -> Option<Duration> {
+        let parts = self.call.shared_parts();
+        self.call.shared.state().quarantine.held_for(&parts, clock::now())
+    }
+
+    /// Records that the connection ended within a response.
+    pub fn record_cut(&mut self, target: &Target, cause: &'static str) {
+        self.record_failure(target, Failure::Cut(cause));
+    }
+
+    /// Records that an engine was given up after the head of its response.
     pub fn record_broken(&mut self, target: &Target, cause: &'static str) {
         self.record_failure(target, Failure::Broken(cause));
     }
@@ -204,7 +243,7 @@
     }
 
     /// Waits for the duration that `limit` returns, and repeats that while no other engine is
-    /// eligible and time remains.
+    /// eligible and time remains. Gives up if a part of the prompt is quarantined.
     async fn wait<T>(
         &self,
         awaited: impl Future<Output = T>,
@@ -213,8 +252,19 @@
     ) -> Option<T> {
         let mut awaited = pin!(awaited);
         loop {
-            if let Ok(output) = timeout(limit(), &mut awaited).await {
-                return Some(output);
+            tokio::select! {
+                biased;
+                output = timeout(limit(), &mut awaited) => {
+                    if let Ok(output) = output {
+                        return Some(output);
+                    }
+                }
+                () = self.call.shared.quarantined.notified() => {
+                    if self.quarantined_for().is_some() {
+                        return None;
+                    }
+                    continue;
+                }
             }
             if self.call.time_left() < MIN_TIME_LEFT || self.has_alternative(target) {
                 return None;
@@ -228,9 +278,13 @@
         }
         let refusal = match (self.may_have_run, refusal) {
             (true, Refusal::NotStarted) => Refusal::TimedOut,
-            (true, Refusal::NoEngine(_) | Refusal::NotLoaded(_) | Refusal::Stopping) => {
-                Refusal::OutcomeUnknown
-            }
+            (
+                true,
+                Refusal::NoEngine(_)
+                | Refusal::NotLoaded(_)
+                | Refusal::Quarantined(_)
+                | Refusal::Stopping,
+            ) => Refusal::OutcomeUnknown,
             (_, refusal) => refusal,
         };
         CallEnd::Refused(refusal)
@@ -255,6 +309,9 @@
             if shared.state().closed {
                 return Err(self.end_with(Refusal::Stopping));
             }
+            if let Some(left) = self.quarantined_for() {
+                return Err(self.end_with(Refusal::Quarantined(left)));
+            }
             let left = self.call.time_to_start();
             if left < MIN_TIME_LEFT {
                 return Err(self.end_with(Refusal::NotStarted));
@@ -329,6 +386,7 @@
         })?;
         let Some(request) = self.build_request(target) else { return Err(Failure::Misplaced) };
         let count = self.call.record_send(&target.id);
+        self.sent = Some((clock::now(), quarantine::process(&shared.state(), target)));
         self.send_count = count;
         if !self.tried.contains(&target.key) {
             self.tried.push(target.key);
@@ -351,7 +409,7 @@
         let response = match self.wait_for_response(connection.send(request), target).await {
             None => return Err(Failure::Broken("no_answer_in_time")),
             Some(Err(Error::Connect(_) | Error::Unsent)) => return Err(Failure::Unsent),
-            Some(Err(Error::Broken(_))) => return Err(Failure::Broken("connection_failed")),
+            Some(Err(Error::Broken(_))) => return Err(Failure::Cut("connection_failed")),
             Some(Ok(response)) => response,
         };
         self.classify(response, connection, target, guard).await
@@ -434,7 +492,7 @@
             Failure::Refused => "refused",
             Failure::Misplaced => "misplaced",
             Failure::Unsent => "unsent",
-            Failure::Broken(cause) => cause,
+            Failure::Broken(cause) | Failure::Cut(cause) => cause,
         };
         events::log(
             Event::AttemptFailed,
@@ -456,10 +514,29 @@
                 self.tried.retain(|key| *key != target.key);
                 self.misplaced.push((target.key, clock::now()));
             }
-            Failure::Broken(_) => {
-                self.may_have_run = true;
-                self.call.shared.state().engines.record_failure(target.key, clock::now());
+            Failure::Broken(_) => self.record_possible_run(target),
+            Failure::Cut(_) => {
+                self.record_possible_run(target);
+                self.record_possible_crash(target);
             }
         }
     }
+
+    fn record_possible_run(&mut self, target: &Target) {
+        self.may_have_run = true;
+        self.call.shared.state().engines.record_failure(target.key, clock::now());
+    }
+
+    fn record_possible_crash(&mut self, target: &Target) {
+        let Some((sent, crash)) = self.sent else { return };
+        let parts = self.call.shared_parts();
+        if parts.is_empty() {
+            return;
+        }
+        let ended = clock::now();
+        let casualty = Casualty { crash, request: self.call.seed(), parts, sent, ended };
+        if quarantine::record_broken(&self.call.shared, casualty) {
+            self.unchecked = Some((target.address, crash));
+        }
+    }
 }
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -17,6 +17,8 @@
 use crate::call::Call;
 use crate::forward::attempt::Attempts;
 use crate::forward::attempt::EngineResponse;
+pub use crate::forward::selection::Target;
+use crate::quarantine;
 use crate::refusal::Refusal;
 
 /// Largest response that is buffered until it is complete.
@@ -79,7 +81,7 @@
     let bytes = match result {
         Some(Ok(collected)) => collected.to_bytes(),
         Some(Err(_)) => {
-            attempts.record_broken(&target, "body_broken");
+            attempts.record_cut(&target, "body_broken");
             return None;
         }
         None => {
@@ -89,6 +91,7 @@
     };
     attempts.call.shared.pool.release(&target.id, connection, &head.headers);
     attempts.call.shared.state().engines.record_success(target.key);
+    quarantine::record_served(&attempts.call, &head.headers);
     let status = head.status;
     if status.is_server_error() && attempts.try_fail_over(&target, &head, &bytes) {
         return None;
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -16,6 +16,7 @@
 use crate::forward::attempt::Attempts;
 use crate::forward::attempt::EngineResponse;
 use crate::forward::caller_response;
+use crate::quarantine;
 
 /// Result of waiting for the first events of a stream.
 pub enum StreamStart {
@@ -31,8 +32,10 @@
     Events(Bytes),
     /// The stream ended completely.
     End,
-    /// The stream was cut off. Contains the cause for the log.
+    /// No further event arrived in time. Contains the cause for the log.
     Broken(&'static str),
+    /// The connection ended before the stream was complete. Contains the cause for the log.
+    Cut(&'static str),
 }
 
 /// Stream that is being relayed.
@@ -57,6 +60,10 @@
             relay.fail_source(cause);
             StreamStart::Failed(Box::new(relay.attempts))
         }
+        NextChunk::Cut(cause) => {
+            relay.cut_source(cause);
+            StreamStart::Failed(Box::new(relay.attempts))
+        }
     }
 }
 
@@ -82,14 +89,13 @@
                     self.finish();
                     return None;
                 }
-                NextChunk::Broken(cause) => {
-                    self.fail_source(cause);
-                    if !self.resume().await {
-                        let record = self.attempts.call.record();
-                        record.set_response(200, "broken_off");
-                        return Some(Err(Truncated));
-                    }
-                }
+                NextChunk::Broken(cause) => self.fail_source(cause),
+                NextChunk::Cut(cause) => self.cut_source(cause),
+            }
+            if !self.resume().await {
+                let record = self.attempts.call.record();
+                record.set_response(200, "broken_off");
+                return Some(Err(Truncated));
             }
         }
     }
@@ -100,8 +106,8 @@
             let frame = self.attempts.wait_for_event(source.body.frame(), &source.target).await;
             match frame {
                 None => return NextChunk::Broken("silent"),
-                Some(Some(Err(_))) => return NextChunk::Broken("stream_broken"),
-                Some(None) if self.buffer.is_partial() => return NextChunk::Broken("stream_cut"),
+                Some(Some(Err(_))) => return NextChunk::Cut("stream_broken"),
+                Some(None) if self.buffer.is_partial() => return NextChunk::Cut("stream_cut"),
                 Some(None) => return NextChunk::End,
                 Some(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
@@ -122,9 +128,17 @@
         self.attempts.last_event = self.buffer.last();
     }
 
+    fn cut_source(&mut self, cause: &'static str) {
+        if let Some(source) = self.source.take() {
+            self.attempts.record_cut(&source.target, cause);
+        }
+        self.attempts.last_event = self.buffer.last();
+    }
+
     /// Resumes on another engine after the last event that was relayed. Returns whether it
     /// succeeded.
     async fn resume(&mut self) -> bool {
+        self.attempts.check_crash().await;
         if !self.attempts.call.route.repeat.may_repeat() {
             return false;
         }
@@ -150,6 +164,7 @@
         let shared = &self.attempts.call.shared;
         shared.pool.release(&source.target.id, source.connection, &source.head.headers);
         shared.state().engines.record_success(source.target.key);
+        quarantine::record_served(&self.attempts.call, &source.head.headers);
         self.attempts.call.record().set_response(200, "engine");
     }
 }
--- a/crates/daemon/src/forward/selection.rs
+++ b/crates/daemon/src/forward/selection.rs
@@ -9,7 +9,6 @@
 use corianderyoke_coord::serving::choice::CacheScope;
 use corianderyoke_coord::serving::choice::Candidate;
 use corianderyoke_coord::serving::choice::Need;
-use corianderyoke_coord::serving::quotas;
 use corianderyoke_coord::time::Tick;
 
 use crate::call::Call;
@@ -172,8 +171,7 @@
     }
     let bounds = &call.shared.settings.bounds;
     let limit = rate * bounds.cold_factor + bounds.cold_extra;
-    let peers = state.roster.known().map(|daemon| daemon.name.as_str());
-    let rank = quotas::rank(&engine.id, &call.shared.settings.name, peers);
+    let rank = call.shared.rank(state, &engine.id);
     let size = state.roster.size();
     state.cold_quotas.entry(key).or_default().try_acquire(limit, size, rank, now)
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -39,6 +39,7 @@
 use crate::call::RequestRecord;
 use crate::call::RoutingDecision;
 use crate::forward;
+use crate::quarantine;
 use crate::refusal::Refusal;
 use crate::state::Shared;
 use crate::state::State;
@@ -121,6 +122,7 @@
     };
     let time_limit = facts.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(body, desired.callers.body_bytes, time_limit).await?;
+    quarantine::admit(shared, facts, arrived)?;
     let charged_tokens = charge_tokens(shared, facts, &desired, team.as_deref(), arrived)?;
     count_request(shared, facts, &route, &service, arrived);
     let outgoing =
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -22,12 +22,13 @@
 use tokio::time::timeout;
 
 use crate::peers;
+use crate::quarantine;
 use crate::state::Shared;
 
 /// Table of the daemons' rows.
 const DAEMON_TABLE: &str = "daemons";
 /// Table of values shared by all daemons.
-const FLEET_TABLE: &str = "fleet";
+pub const FLEET_TABLE: &str = "fleet";
 /// Row of the key that authenticates datagrams between daemons.
 const PEER_KEY_ROW: &str = "peer-key";
 /// Length of that key.
@@ -57,9 +58,13 @@
 }
 
 async fn read_or_create_key(shared: &Shared) -> Result<Option<hmac::Key>, Error> {
-    let (row, _) = shared.store.row(FLEET_TABLE, PEER_KEY_ROW).await?;
-    if let Some(value) = row.and_then(|row| row.value) {
-        return Ok(Some(hmac::Key::new(hmac::HMAC_SHA256, &value)));
+    let rows = shared.store.rows(FLEET_TABLE).await?.rows;
+    let value = |key| rows.iter().find(|row| row.key == key).and_then(|row| row.value.as_deref());
+    if let Some(parts) = value(quarantine::ROW) {
+        quarantine::restore(shared, parts);
+    }
+    if let Some(value) = value(PEER_KEY_ROW) {
+        return Ok(Some(hmac::Key::new(hmac::HMAC_SHA256, value)));
     }
     let mut bytes = [0; KEY_BYTES];
     if SystemRandom::new().fill(&mut bytes).is_err() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod peers;
 mod pool;
+mod quarantine;
 mod refusal;
 mod run;
 pub mod settings;
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -16,6 +16,7 @@
 use crate::peers::holder;
 use crate::peers::member;
 use crate::peers::own_daemon;
+use crate::peers::quarantine;
 use crate::peers::receives_all_reports;
 use crate::peers::report_interval;
 use crate::peers::reports;
@@ -29,13 +30,15 @@
 const HOLDER_INTERVALS: u32 = 3;
 
 /// Composes a digest. A full one covers all teams, daemons, engines and the lease holder; any other
-/// covers only teams whose tokens run low.
+/// covers only crashes and teams whose tokens run low.
 pub fn compose(shared: &Shared, state: &mut State, is_full: bool, now: Tick) -> Digest {
     let mut digest = Digest {
         relay: shared.settings.name.clone(),
         incarnation: shared.incarnation(),
         teams: teams(state, is_full, now),
         operator: state.operator.known_version,
+        casualties: quarantine::casualties(state, true, now),
+        parts: quarantine::verdicts(state, now),
         ..Digest::default()
     };
     if is_full {
@@ -119,6 +122,7 @@
     }
     apply_team_sums(state, &digest, now);
     reports::record_operator_version(shared, state, digest.operator);
+    quarantine::handle(shared, state, &digest.casualties, &digest.parts, now);
     let changed = digest.holder.as_ref().is_some_and(|holder| {
         let name = &digest.holder_name;
         name != own && holder::handle_announcement(shared, state, name, holder, now)
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -14,6 +14,7 @@
 mod digest;
 mod holder;
 mod member;
+mod quarantine;
 mod reports;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -0,0 +1,89 @@
+//! Encodes the casualties of crashes and the quarantined parts of prompts for reports and digests.
+
+use std::time::Duration;
+
+use corianderyoke_coord::serving::quarantine::Casualty;
+use corianderyoke_coord::serving::quarantine::Crash;
+use corianderyoke_coord::serving::quarantine::Hold;
+use corianderyoke_coord::serving::quarantine::Verdict;
+use corianderyoke_coord::time::Tick;
+use corianderyoke_wire::word;
+
+use crate::quarantine;
+use crate::state::Shared;
+use crate::state::State;
+
+/// Returns the recent casualties of this daemon, or of all daemons for the digest of a relay.
+pub fn casualties(state: &State, is_relay: bool, now: Tick) -> Vec<word::Casualty> {
+    let recent = state.quarantine.recent_casualties(is_relay);
+    let encoded = recent.map(|casualty| word::Casualty {
+        engine: casualty.crash.engine,
+        born: casualty.crash.started_ms,
+        request: casualty.request,
+        parts: casualty.parts.clone(),
+        sent: age(casualty.sent, now),
+        ended: age(casualty.ended, now),
+    });
+    encoded.collect()
+}
+
+/// Returns what this daemon knows of quarantined and suspected parts.
+pub fn verdicts(state: &State, now: Tick) -> Vec<word::PartVerdict> {
+    let verdicts = state.quarantine.verdicts().into_iter();
+    let encoded = verdicts.map(|verdict| {
+        let held = verdict.held.as_ref().map(|hold| age(hold.since, now));
+        let hold = verdict.held.unwrap_or_default();
+        word::PartVerdict {
+            part: verdict.part,
+            held,
+            failed: hold.failed_trials,
+            served: verdict.served.map(|at| age(at, now)),
+            rivals: hold.rivals,
+        }
+    });
+    encoded.collect()
+}
+
+/// Applies what another daemon or a relay reported. Returns whether it contained casualties that
+/// this daemon didn't know.
+pub fn handle(
+    shared: &Shared,
+    state: &mut State,
+    casualties: &[word::Casualty],
+    verdicts: &[word::PartVerdict],
+    now: Tick,
+) -> bool {
+    for verdict in verdicts {
+        state.quarantine.apply(Verdict {
+            part: verdict.part,
+            held: verdict.held.map(|age| Hold {
+                since: at(age, now),
+                failed_trials: verdict.failed,
+                rivals: verdict.rivals.clone(),
+            }),
+            served: verdict.served.map(|age| at(age, now)),
+        });
+    }
+    let mut has_new = false;
+    for casualty in casualties {
+        let casualty = Casualty {
+            crash: Crash { engine: casualty.engine, started_ms: casualty.born },
+            request: casualty.request,
+            parts: casualty.parts.clone(),
+            sent: at(casualty.sent, now),
+            ended: at(casualty.ended, now),
+        };
+        has_new |= state.quarantine.record_reported(casualty, now);
+    }
+    quarantine::publish_changes(shared, state);
+    has_new
+}
+
+fn age(at: Tick, now: Tick) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+fn at(age_ms: u32, now: Tick) -> Tick {
+    let age = Duration::from_millis(age_ms.into());
+    Tick(now.0.saturating_sub(age.as_micros() as u64))
+}
--- a/crates/daemon/src/peers/reports.rs
+++ b/crates/daemon/src/peers/reports.rs
@@ -16,6 +16,7 @@
 use crate::peers::holder;
 use crate::peers::member;
 use crate::peers::own_daemon;
+use crate::peers::quarantine;
 use crate::peers::receives_all_reports;
 use crate::state::PeerReport;
 use crate::state::Shared;
@@ -39,6 +40,8 @@
         adapters: adapters(state),
         engines: engines(state),
         holder: holder::compose(state, now),
+        casualties: quarantine::casualties(state, false, now),
+        parts: quarantine::verdicts(state, now),
     }
 }
 
@@ -150,10 +153,11 @@
         holder::handle_announcement(shared, state, &name, announcement, now)
     });
     changed |= record_demand(state, &name, incarnation, &report, now);
+    let is_urgent = quarantine::handle(shared, state, &report.casualties, &report.parts, now);
     // Only a relay forwards it; every other daemon sends its totals to the relays itself.
-    state.relay_pending |= is_low;
+    state.relay_pending |= is_low || is_urgent;
     drop(guard);
-    if is_low {
+    if is_low || is_urgent {
         shared.report_now.notify_one();
     }
     if changed {
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -28,6 +28,8 @@
     NoEngine(Duration),
     /// The model or adapter can't be loaded before the request's deadline; retry after this time.
     NotLoaded(Duration),
+    /// A part of the prompt crashes engines; it is quarantined for this time.
+    Quarantined(Duration),
     /// The request wasn't sent to an engine before its deadline.
     NotStarted,
     /// This daemon is shutting down.
@@ -45,6 +47,7 @@
             Refusal::NotConfigured
             | Refusal::NoEngine(_)
             | Refusal::NotLoaded(_)
+            | Refusal::Quarantined(_)
             | Refusal::NotStarted
             | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -73,6 +76,7 @@
             Refusal::IncompleteBody => "body_broken",
             Refusal::NoEngine(_) => "no_engine",
             Refusal::NotLoaded(_) => "not_loaded",
+            Refusal::Quarantined(_) => "quarantined",
             Refusal::NotStarted => "not_in_time",
             Refusal::Stopping => "stopping",
             Refusal::OutcomeUnknown => "unknown",
@@ -83,9 +87,10 @@
     /// Returns the delay for the `Retry-After` header; `None` if a retry is pointless or unsafe.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Refusal::RateLimited(wait) | Refusal::NoEngine(wait) | Refusal::NotLoaded(wait) => {
-                Some(wait)
-            }
+            Refusal::RateLimited(wait)
+            | Refusal::NoEngine(wait)
+            | Refusal::NotLoaded(wait)
+            | Refusal::Quarantined(wait) => Some(wait),
             Refusal::NotConfigured | Refusal::Stopping => Some(Duration::ZERO),
             _ => None,
         }
@@ -105,6 +110,9 @@
             Refusal::NotLoaded(_) => {
                 "the model can't be loaded in time; it did not run, come back later"
             }
+            Refusal::Quarantined(_) => {
+                "a part of the prompt has crashed upstreams; it did not run, change the prompt"
+            }
             Refusal::NotStarted => "no upstream was free in time; the request did not run",
             Refusal::Stopping => "this daemon stops; it did not run, ask another one",
             Refusal::OutcomeUnknown => {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -27,6 +27,7 @@
 use crate::metrics::StoreCalls;
 use crate::orders;
 use crate::peers;
+use crate::quarantine;
 use crate::settings::Settings;
 use crate::state::Shared;
 use crate::watch;
@@ -76,6 +77,7 @@
     tokio::spawn(run_gossip(Arc::new(socket), Arc::clone(&shared)));
     let lease = tokio::spawn(orders::maintain_lease(Arc::clone(&shared)));
     tokio::spawn(orders::run(Arc::clone(&shared)));
+    tokio::spawn(quarantine::maintain(Arc::clone(&shared)));
     events::log(
         Event::Started,
         format_args!("name={} callers={}", settings.name, settings.callers),
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -23,6 +23,9 @@
 use corianderyoke_coord::serving::lease::Lease;
 use corianderyoke_coord::serving::lease::LeaseSettings;
 use corianderyoke_coord::serving::polling::HolderUpdates;
+use corianderyoke_coord::serving::quarantine::Quarantine;
+use corianderyoke_coord::serving::quarantine::QuarantineSettings;
+use corianderyoke_coord::serving::quotas;
 use corianderyoke_coord::serving::quotas::ColdQuota;
 use corianderyoke_coord::serving::quotas::RetryAllowance;
 use corianderyoke_coord::serving::residency::Planner;
@@ -129,6 +132,8 @@
     pub own_loads: IndexMap<UpstreamKey, OwnLoad>,
     /// Prompt prefixes that the engines have cached.
     pub prefixes: PrefixTracker,
+    /// Parts of prompts that crash engines.
+    pub quarantine: Quarantine,
     /// Other daemons of the fleet.
     pub roster: Roster,
     /// Latest report of each other daemon, by name.
@@ -194,6 +199,8 @@
     pub choice: ChoiceSettings,
     /// Notified when engines, routes or loads changed, so that waiting requests retry the choice.
     pub changed: Notify,
+    /// Notified when a part of prompts was quarantined, so that requests with it are given up.
+    pub quarantined: Notify,
     /// Notified when a message to other daemons may be due before the regular interval is over.
     pub report_now: Notify,
     /// Notified when the planner must run again.
@@ -222,6 +229,7 @@
             peers_read: false,
             own_loads: IndexMap::new(),
             prefixes: PrefixTracker::default(),
+            quarantine: Quarantine::new(QuarantineSettings::default()),
             roster: Roster::default(),
             reports: IndexMap::new(),
             team_buckets: IndexMap::new(),
@@ -254,6 +262,7 @@
             metrics: Metrics::default(),
             choice: ChoiceSettings::default(),
             changed: Notify::new(),
+            quarantined: Notify::new(),
             report_now: Notify::new(),
             replan: Notify::new(),
             recheck_poll: Notify::new(),
@@ -284,6 +293,13 @@
         self.report_now.notify_one();
     }
 
+    /// Returns this daemon's rank among the fleet for a subject, which all daemons agree on.
+    /// `state` is the locked state.
+    pub fn rank(&self, state: &State, subject: &str) -> usize {
+        let peers = state.roster.known().map(|daemon| daemon.name.as_str());
+        quotas::rank(subject, &self.settings.name, peers)
+    }
+
     /// Returns the retry allowance of the whole fleet.
     pub fn retry_allowance(&self) -> RetryAllowance {
         let bounds = &self.settings.bounds;
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -70,7 +70,9 @@
     AttemptFailed = 406, Warn, "an upstream failed a request or refused it";
     Waiting = 407, Info, "a request waits for a model or an adapter that no upstream holds";
     CapReached = 408, Info, "a team has too few tokens left for a request";
+    Quarantined = 409, Warn, "a part of prompts crashes upstreams, requests with it are refused";
     CallUnknown = 410, Warn, "a call that may not be repeated ended with an unknown outcome";
+    PartCleared = 411, Info, "a part of prompts no longer counts as crashing upstreams";
     Decided = 500, Info, "a placement decision was recorded";
     Ordered = 501, Info, "an order was sent to an upstream";
     OrderRefused = 502, Warn, "an upstream refused an order";
@@ -79,6 +81,7 @@
     LeaseLost = 505, Warn, "this daemon no longer holds the lease on orders";
     UpstreamLeaving = 510, Info, "an upstream leaves and gets no new work";
     UpstreamListed = 511, Info, "an upstream is listed, or what it holds changed";
+    UpstreamCrashed = 512, Warn, "an upstream crashed while requests were there";
 }
 
 /// Logs `event` with `detail`, which holds `key=value` pairs.
