Log the limits that upstreams name

No line showed that an upstream had named a limit, to whom and when, so the logs couldn't tell a daemon that doesn't know a limit from one that ignores it.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -452,6 +452,12 @@
         let (head, body) = response.into_parts();
         let facts = headers::decode_response(&head.headers);
         let status = head.status.as_u16();
+        if let Some(limit) = facts.limit {
+            events::log(
+                Event::UpstreamLimited,
+                format_args!("id={} engine={} limit={limit}", self.call.id, target.id),
+            );
+        }
         if facts.not_executed || status == 421 {
             let refusal_body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
             let refusal_body = timeout(REFUSAL_READ_TIMEOUT, refusal_body).await;
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -82,6 +82,7 @@
     UpstreamLeaving = 510, Info, "an upstream leaves and gets no new work";
     UpstreamListed = 511, Info, "an upstream is listed, or what it holds changed";
     UpstreamCrashed = 512, Warn, "an upstream crashed while requests were there";
+    UpstreamLimited = 513, Info, "an upstream names a limit on the requests of all daemons";
 }
 
 /// Logs `event` with `detail`, which holds `key=value` pairs.
