--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -100,6 +100,8 @@
     crashing_part: Option<&'static str>,
     /// Times at which the engine crashed.
     crashes: Vec<Instant>,
+    /// Limit on the requests per second of all daemons that the engine names in its responses.
+    limit: Option<&'static str>,
 }
 
 impl State {
@@ -193,6 +195,11 @@
         self.state.lock().crashing_part = Some(part);
     }
 
+    /// Makes the engine name a limit in its responses, in requests per second, or none.
+    pub fn set_limit(&self, limit: Option<&'static str>) {
+        self.state.lock().limit = limit;
+    }
+
     /// Returns the times at which the engine crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state.lock().crashes.clone()
@@ -319,6 +326,9 @@
             id
         };
         headers.insert("corianderyoke-attempt-id", id);
+        if let Some(limit) = self.state.lock().limit {
+            headers.insert("server-limit", http::HeaderValue::from_static(limit));
+        }
         if !matches!(behavior, Behavior::Unsigned | Behavior::Refuse | Behavior::LacksModel) {
             headers.insert("corianderyoke-response-seal", "seal".parse().expect("a valid header"));
         }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod crashing_part;
 mod engine;
+mod engine_limit;
 mod faults;
 mod fixture;
 mod orders;
