Keep to the limits that engines name, as a fleet

Cause: nothing read the header.

A daemon now records what each answer says, and tells the others the latest answer of each such engine with its age, so that a newer one wins whatever the order of reports, and an answer without a limit ends it everywhere. Parts add up to the limit in fleets of any size.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -448,6 +448,11 @@
         self.listed.iter().map(|(&key, engine)| (key, engine))
     }
 
+    /// Returns the keys of all engines by the fingerprints of their identities.
+    pub fn by_fingerprint(&self) -> IndexMap<u32, UpstreamKey> {
+        self.iter().map(|(key, engine)| (fingerprint(&engine.id), key)).collect()
+    }
+
     /// Returns the number of engines.
     pub fn len(&self) -> usize {
         self.listed.len()
--- a/crates/coord/src/serving/quotas.rs
+++ b/crates/coord/src/serving/quotas.rs
@@ -69,9 +69,13 @@
 /// Returns the whole number of requests out of `limit` for the daemon with rank `rank` among
 /// `daemons`.
 pub fn daemon_quota(limit: f64, daemons: usize, rank: usize) -> usize {
-    let whole = (limit * USABLE_FRACTION).floor() as usize;
+    divide((limit * USABLE_FRACTION).floor() as usize, daemons, rank)
+}
+
+/// Returns the part of `total` for the daemon with rank `rank` among `daemons`.
+pub fn divide(total: usize, daemons: usize, rank: usize) -> usize {
     let daemons = daemons.max(1);
-    whole / daemons + usize::from(rank < whole % daemons)
+    total / daemons + usize::from(rank < total % daemons)
 }
 
 /// Returns the rank of `daemon` among `others` for a subject, which is the same on every daemon.
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -4,6 +4,7 @@
 mod caps;
 mod choice;
 mod desired;
+mod engine_limits;
 mod engines;
 mod fixtures;
 mod lease;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -59,6 +59,9 @@
 const UNKNOWN_MODEL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Number of report intervals after which an announcement of the lease holder is overdue.
 const ANNOUNCEMENT_INTERVALS: u32 = 4;
+/// Longest `Retry-After` of a refusal because of a limit that an engine names. Another daemon may
+/// have a part of the limit left.
+const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` of a refusal because no engine is available.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -331,7 +334,11 @@
                 }
                 Selection::ModelNotLoaded => Some(Missing::Model),
                 Selection::AdapterNotLoaded => Some(Missing::Adapter),
-                Selection::NoEngine | Selection::Full => None,
+                Selection::Limited(wait) if wait > left => {
+                    let wait = wait.min(MAX_LIMITED_RETRY_AFTER);
+                    return Err(self.end_with(Refusal::NoEngine(wait)));
+                }
+                Selection::NoEngine | Selection::Full | Selection::Limited(_) => None,
             };
             if wait_guard.as_ref().map(|guard| guard.missing) != missing {
                 events::log(
@@ -452,12 +459,7 @@
         let (head, body) = response.into_parts();
         let facts = headers::decode_response(&head.headers);
         let status = head.status.as_u16();
-        if let Some(limit) = facts.limit {
-            events::log(
-                Event::UpstreamLimited,
-                format_args!("id={} engine={} limit={limit}", self.call.id, target.id),
-            );
-        }
+        self.record_limit(target, facts.limit);
         if facts.not_executed || status == 421 {
             let refusal_body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
             let refusal_body = timeout(REFUSAL_READ_TIMEOUT, refusal_body).await;
@@ -481,6 +483,19 @@
         Ok(EngineResponse { head, body, connection, target, guard })
     }
 
+    /// Records the limit that a response names, and tells the other daemons if it changed.
+    fn record_limit(&self, target: &Target, limit: Option<f64>) {
+        let shared = &self.call.shared;
+        let mut state = shared.state();
+        if state.engine_limits.record_response(target.key, limit, clock::now()) {
+            events::log(
+                Event::UpstreamLimited,
+                format_args!("id={} engine={} limit={limit:?}", self.call.id, target.id),
+            );
+            shared.report_soon(&mut state);
+        }
+    }
+
     /// Records that the engine at an address isn't the expected one, or lacks the model or adapter.
     fn record_misplaced(&self, target: &Target, facts: &ResponseHeaders) {
         let now = clock::now();
--- a/crates/daemon/src/forward/selection.rs
+++ b/crates/daemon/src/forward/selection.rs
@@ -49,6 +49,8 @@
     AdapterNotLoaded,
     /// All eligible engines are at capacity.
     Full,
+    /// The limits that the eligible engines name leave no request for this time.
+    Limited(Duration),
 }
 
 /// Selects an engine among those that satisfy `allowed`. Engines in `avoided` are considered only
@@ -71,13 +73,24 @@
     let default_need = Need::default();
     let need = call.generation.as_ref().map_or(&default_need, |generation| &generation.need);
     let mut candidates = candidates(call, state, &eligible, need, now);
+    let (mut limited_count, mut shortest) = (0, Duration::MAX);
     while let Some(best) = choice::choose(&call.shared.choice, need, &candidates, call.seed()) {
         if !try_admit(call, state, best.key, now) {
             candidates.retain(|candidate| candidate.key != best.key);
             continue;
         }
+        if let Err(wait) = try_admit_limited(call, state, best.key, now) {
+            candidates.retain(|candidate| candidate.key != best.key);
+            limited_count += 1;
+            shortest = shortest.min(wait);
+            continue;
+        }
         return assign(call, state, best, eligible.len(), now);
     }
+    // An engine that is full or cold may take the request any moment.
+    if limited_count == eligible.len() {
+        return Selection::Limited(shortest);
+    }
     Selection::Full
 }
 
@@ -176,6 +189,20 @@
     state.cold_quotas.entry(key).or_default().try_acquire(limit, size, rank, now)
 }
 
+/// Takes a request from this daemon's part of the limit that an engine names, if it names one.
+/// Otherwise returns the time until the next one.
+fn try_admit_limited(
+    call: &Call,
+    state: &mut State,
+    key: UpstreamKey,
+    now: Tick,
+) -> Result<(), Duration> {
+    let Some(engine) = state.engines.get(key) else { return Ok(()) };
+    let rank = call.shared.rank(state, &engine.id);
+    let size = state.roster.size();
+    state.engine_limits.try_acquire(key, size, rank, now)
+}
+
 fn assign(
     call: &Call,
     state: &mut State,
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexSet;
 
 use crate::peers::holder;
+use crate::peers::limits;
 use crate::peers::member;
 use crate::peers::own_daemon;
 use crate::peers::quarantine;
@@ -30,7 +31,7 @@
 const HOLDER_INTERVALS: u32 = 3;
 
 /// Composes a digest. A full one covers all teams, daemons, engines and the lease holder; any other
-/// covers only crashes and teams whose tokens run low.
+/// covers only crashes, limits of engines and teams whose tokens run low.
 pub fn compose(shared: &Shared, state: &mut State, is_full: bool, now: Tick) -> Digest {
     let mut digest = Digest {
         relay: shared.settings.name.clone(),
@@ -39,6 +40,7 @@
         operator: state.operator.known_version,
         casualties: quarantine::casualties(state, true, now),
         parts: quarantine::verdicts(state, now),
+        limits: limits::compose(state, now),
         ..Digest::default()
     };
     if is_full {
@@ -123,6 +125,7 @@
     apply_team_sums(state, &digest, now);
     reports::record_operator_version(shared, state, digest.operator);
     quarantine::handle(shared, state, &digest.casualties, &digest.parts, now);
+    limits::handle(state, &digest.limits, now);
     let changed = digest.holder.as_ref().is_some_and(|holder| {
         let name = &digest.holder_name;
         name != own && holder::handle_announcement(shared, state, name, holder, now)
@@ -154,8 +157,7 @@
 
 /// Decodes the loads of engines that this daemon knows; others are skipped.
 fn decode_loads(state: &State, loads: &[word::LoadSum]) -> IndexMap<UpstreamKey, Load> {
-    let keys: IndexMap<u32, UpstreamKey> =
-        state.engines.iter().map(|(key, engine)| (engines::fingerprint(&engine.id), key)).collect();
+    let keys = state.engines.by_fingerprint();
     let known = loads.iter().filter_map(|sum| {
         let load = Load { running: sum.running, pending_prefill: sum.unread, tokens: sum.tokens };
         Some((*keys.get(&sum.engine)?, load))
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -13,6 +13,7 @@
 
 mod digest;
 mod holder;
+mod limits;
 mod member;
 mod quarantine;
 mod reports;
@@ -211,6 +212,16 @@
     }
 }
 
+/// Returns the age of a moment for a message, in milliseconds.
+fn age_ms(at: Tick, now: Tick) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns the moment that a message received now gives by its age in milliseconds.
+fn time_of(age_ms: u32, now: Tick) -> Tick {
+    Tick(now.0.saturating_sub(u64::from(age_ms) * 1_000))
+}
+
 fn sign(key: &hmac::Key, mut bytes: Vec<u8>) -> Vec<u8> {
     let tag = hmac::sign(key, &bytes);
     bytes.extend_from_slice(tag.as_ref());
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -1,7 +1,5 @@
 //! Encodes the casualties of crashes and the quarantined parts of prompts for reports and digests.
 
-use std::time::Duration;
-
 use corianderyoke_coord::serving::quarantine::Casualty;
 use corianderyoke_coord::serving::quarantine::Crash;
 use corianderyoke_coord::serving::quarantine::Hold;
@@ -9,6 +7,8 @@
 use corianderyoke_coord::time::Tick;
 use corianderyoke_wire::word;
 
+use crate::peers::age_ms;
+use crate::peers::time_of;
 use crate::quarantine;
 use crate::state::Shared;
 use crate::state::State;
@@ -21,8 +21,8 @@
         born: casualty.crash.started_ms,
         request: casualty.request,
         parts: casualty.parts.clone(),
-        sent: age(casualty.sent, now),
-        ended: age(casualty.ended, now),
+        sent: age_ms(casualty.sent, now),
+        ended: age_ms(casualty.ended, now),
     });
     encoded.collect()
 }
@@ -31,13 +31,13 @@
 pub fn verdicts(state: &State, now: Tick) -> Vec<word::PartVerdict> {
     let verdicts = state.quarantine.verdicts().into_iter();
     let encoded = verdicts.map(|verdict| {
-        let held = verdict.held.as_ref().map(|hold| age(hold.since, now));
+        let held = verdict.held.as_ref().map(|hold| age_ms(hold.since, now));
         let hold = verdict.held.unwrap_or_default();
         word::PartVerdict {
             part: verdict.part,
             held,
             failed: hold.failed_trials,
-            served: verdict.served.map(|at| age(at, now)),
+            served: verdict.served.map(|at| age_ms(at, now)),
             rivals: hold.rivals,
         }
     });
@@ -57,11 +57,11 @@
         state.quarantine.apply(Verdict {
             part: verdict.part,
             held: verdict.held.map(|age| Hold {
-                since: at(age, now),
+                since: time_of(age, now),
                 failed_trials: verdict.failed,
                 rivals: verdict.rivals.clone(),
             }),
-            served: verdict.served.map(|age| at(age, now)),
+            served: verdict.served.map(|age| time_of(age, now)),
         });
     }
     let mut has_new = false;
@@ -70,20 +70,11 @@
             crash: Crash { engine: casualty.engine, started_ms: casualty.born },
             request: casualty.request,
             parts: casualty.parts.clone(),
-            sent: at(casualty.sent, now),
-            ended: at(casualty.ended, now),
+            sent: time_of(casualty.sent, now),
+            ended: time_of(casualty.ended, now),
         };
         has_new |= state.quarantine.record_reported(casualty, now);
     }
     quarantine::publish_changes(shared, state);
     has_new
 }
-
-fn age(at: Tick, now: Tick) -> u32 {
-    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
-}
-
-fn at(age_ms: u32, now: Tick) -> Tick {
-    let age = Duration::from_millis(age_ms.into());
-    Tick(now.0.saturating_sub(age.as_micros() as u64))
-}
--- a/crates/daemon/src/peers/reports.rs
+++ b/crates/daemon/src/peers/reports.rs
@@ -14,6 +14,7 @@
 use corianderyoke_wire::word::Word;
 
 use crate::peers::holder;
+use crate::peers::limits;
 use crate::peers::member;
 use crate::peers::own_daemon;
 use crate::peers::quarantine;
@@ -42,6 +43,7 @@
         holder: holder::compose(state, now),
         casualties: quarantine::casualties(state, false, now),
         parts: quarantine::verdicts(state, now),
+        limits: limits::compose(state, now),
     }
 }
 
@@ -153,7 +155,8 @@
         holder::handle_announcement(shared, state, &name, announcement, now)
     });
     changed |= record_demand(state, &name, incarnation, &report, now);
-    let is_urgent = quarantine::handle(shared, state, &report.casualties, &report.parts, now);
+    let mut is_urgent = quarantine::handle(shared, state, &report.casualties, &report.parts, now);
+    is_urgent |= limits::handle(state, &report.limits, now);
     // Only a relay forwards it; every other daemon sends its totals to the relays itself.
     state.relay_pending |= is_low || is_urgent;
     drop(guard);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -35,8 +35,8 @@
 
 /// Interval between two flushes of buffered log lines.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between two cleanups of the connection pool.
-const POOL_CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two cleanups of idle connections and of limits that engines named.
+const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a stopping daemon still accepts requests of callers that cached its address.
 const ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 /// Margin before the forced end of the process at which a stopping daemon exits by itself.
@@ -66,7 +66,7 @@
     registry.register_collector(Box::new(StoreCalls(Arc::clone(&shared))));
     let registry = Arc::new(registry);
     tokio::spawn(flush_log());
-    tokio::spawn(clean_pool(Arc::clone(&shared)));
+    tokio::spawn(clean_up(Arc::clone(&shared)));
     for listener in [ready, directory, metrics] {
         tokio::spawn(directory::run(listener, Arc::clone(&shared), Arc::clone(&registry)));
     }
@@ -119,10 +119,11 @@
     }
 }
 
-async fn clean_pool(shared: Arc<Shared>) {
+async fn clean_up(shared: Arc<Shared>) {
     loop {
-        sleep(POOL_CLEANUP_INTERVAL).await;
+        sleep(CLEANUP_INTERVAL).await;
         shared.pool.close_expired();
+        shared.state().engine_limits.prune(clock::now());
     }
 }
 
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -18,6 +18,7 @@
 use corianderyoke_coord::serving::choice::PrefixTracker;
 use corianderyoke_coord::serving::demand::DemandRate;
 use corianderyoke_coord::serving::desired::Desired;
+use corianderyoke_coord::serving::engine_limits::EngineLimits;
 use corianderyoke_coord::serving::engines::Change;
 use corianderyoke_coord::serving::engines::Engines;
 use corianderyoke_coord::serving::lease::Lease;
@@ -144,6 +145,8 @@
     pub retry_budgets: IndexMap<String, RetryBudget>,
     /// This daemon's quotas of requests to cold engines.
     pub cold_quotas: IndexMap<UpstreamKey, ColdQuota>,
+    /// Limits that engines name on the requests of all daemons.
+    pub engine_limits: EngineLimits,
     /// Demand of this daemon's callers, by model.
     pub model_requests: IndexMap<ModelKey, ModelRequests>,
     /// Adapters that this daemon's requests wait for, with the model and the number of requests.
@@ -235,6 +238,7 @@
             team_buckets: IndexMap::new(),
             retry_budgets: IndexMap::new(),
             cold_quotas: IndexMap::new(),
+            engine_limits: EngineLimits::default(),
             model_requests: IndexMap::new(),
             wanted_adapters: IndexMap::new(),
             lease: Lease::new(lease, &settings.name),
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -361,10 +361,11 @@
     }
 }
 
-/// Removes the connections and cached prefixes of an engine that ended or restarted.
+/// Removes the connections, cached prefixes and limit of an engine that ended or restarted.
 fn clear_engine(shared: &Shared, state: &mut State, id: &str) {
     shared.pool.remove_engine(id);
     if let Some(key) = state.engines.names.engines.key(id) {
         state.prefixes.forget_engine(key);
+        state.engine_limits.forget_engine(key);
     }
 }
