Use what others leave of an engine's limit, and load its models elsewhere

Daemons that hear all others now count what those sent and use the rest. When the limits of all holders leave nothing, the request counts as waiting for its model or adapter, and the planner loads it on an engine without a limit; engines with one get no further models.

--- a/crates/coord/src/serving/engine_limits.rs
+++ b/crates/coord/src/serving/engine_limits.rs
@@ -2,12 +2,14 @@
 //!
 //! An engine in need names its limit in each response, and the limit ends with a response that names
 //! none. Daemons tell each other the latest response of each such engine, so those that send it
-//! nothing know the limit too. Each daemon uses its part of the limit without coordination.
+//! nothing know the limit too. A daemon that hears all others uses what they leave of the limit;
+//! otherwise it keeps to its own part.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::keys::UpstreamKey;
 use crate::serving::quotas;
@@ -24,6 +26,22 @@
 /// Smallest difference between two reported times that isn't due to the delay of reports.
 const MIN_TIME_DIFFERENCE: Duration = Duration::from_millis(100);
 
+/// Number of daemons that may use what others leave of a limit, and of requests per further one.
+/// They may send at the same moment, before they hear of each other.
+const BORROWERS: usize = 4;
+const REQUESTS_PER_BORROWER: usize = 4;
+
+/// What a daemon may use of a limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// Number of daemons of the fleet.
+    pub size: usize,
+    /// Rank of the daemon for the engine.
+    pub rank: usize,
+    /// Requests that the other daemons sent in the current window, if all of them were heard.
+    pub others: Option<usize>,
+}
+
 /// What an engine's latest known response said about its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Statement {
@@ -73,37 +91,58 @@
         self.limits.entry(key).or_insert(EngineLimit { statement, sent }).statement = statement;
     }
 
-    /// Takes one request from this daemon's part of an engine's limit. `rank` is this daemon's rank
-    /// for the engine among the `size` daemons of the fleet.
+    /// Takes one request from this daemon's share of an engine's limit. Returns whether there is a
+    /// limit.
     ///
     /// # Errors
     ///
-    /// Returns the time until the next request, or [`Duration::MAX`] if this daemon has no part of
-    /// the limit.
+    /// Returns the time until the next request, or [`Duration::MAX`] if it isn't known.
     pub fn try_acquire(
         &mut self,
         key: UpstreamKey,
-        size: usize,
-        rank: usize,
+        share: Share,
         now: Tick,
-    ) -> std::result::Result<(), Duration> {
-        let Some(entry) = self.limits.get_mut(&key) else { return Ok(()) };
-        let Some(limit) = entry.statement.limit else { return Ok(()) };
+    ) -> std::result::Result<bool, Duration> {
+        let Some(entry) = self.limits.get_mut(&key) else { return Ok(false) };
+        let Some(limit) = entry.statement.limit else { return Ok(false) };
         let window = window(limit);
         while entry.sent.front().is_some_and(|&at| now.since(at) >= window) {
             entry.sent.pop_front();
         }
         let total = ((limit * window.as_secs_f64()) as usize).max(1);
-        let part = quotas::divide(total, size, rank);
-        if entry.sent.len() < part {
+        let part = quotas::divide(total, share.size, share.rank);
+        let sent = entry.sent.len();
+        let is_borrower = share.rank < BORROWERS + total / REQUESTS_PER_BORROWER;
+        let is_allowed = match share.others {
+            Some(others) => sent + others < total && (sent < part || is_borrower),
+            None => sent < part,
+        };
+        if is_allowed {
             entry.sent.push_back(now);
-            return Ok(());
+            return Ok(true);
         }
-        let oldest = entry.sent.len().checked_sub(part).and_then(|index| entry.sent.get(index));
+        let oldest = sent.checked_sub(part).and_then(|index| entry.sent.get(index));
         let left = oldest.map(|&at| window.saturating_sub(now.since(at)));
         Err(left.filter(|_| part > 0).unwrap_or(Duration::MAX))
     }
 
+    /// Returns whether the latest response of an engine named a limit.
+    pub fn is_limited(&self, key: UpstreamKey) -> bool {
+        self.limits.get(&key).is_some_and(|limit| limit.statement.limit.is_some())
+    }
+
+    /// Returns the engines whose latest responses named a limit.
+    pub fn limited(&self) -> IndexSet<UpstreamKey> {
+        self.limits.keys().copied().filter(|key| self.is_limited(*key)).collect()
+    }
+
+    /// Returns the number of requests that this daemon sent to an engine in the current window.
+    pub fn sent_count(&self, key: UpstreamKey, now: Tick) -> usize {
+        let Some(entry) = self.limits.get(&key) else { return 0 };
+        let window = entry.statement.limit.map_or(MIN_WINDOW, window);
+        entry.sent.iter().filter(|&&at| now.since(at) < window).count()
+    }
+
     /// Forgets the limit of an engine that ended or restarted.
     pub fn forget_engine(&mut self, key: UpstreamKey) {
         self.limits.swap_remove(&key);
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -205,6 +205,8 @@
     /// Loads that wait for an eviction on their engine.
     deferred: IndexMap<UpstreamKey, DeferredLoad>,
     running: IndexMap<(UpstreamKey, ModelKey), u32>,
+    /// Engines that name a limit on requests.
+    limited: IndexSet<UpstreamKey>,
     remote_permits: f64,
     refilled_at: Tick,
     pruned_at: Tick,
@@ -255,6 +257,12 @@
         self.running = running;
     }
 
+    /// Sets the engines that name a limit on requests. They receive no further models, and what only
+    /// they hold is loaded elsewhere when requests wait for it.
+    pub fn set_limited(&mut self, limited: IndexSet<UpstreamKey>) {
+        self.limited = limited;
+    }
+
     /// Returns the number of entries that the planner keeps about models, adapters and daemons.
     pub fn entry_count(&self) -> usize {
         let demand: usize = self.demand.values().map(Demand::entry_count).sum();
@@ -356,7 +364,7 @@
     ) -> Vec<Action> {
         self.refill_permits(spec, now);
         let mut actions = Vec::new();
-        let usable = engines.usable(service, now);
+        let mut usable = engines.usable(service, now);
         for &key in &usable {
             // The number of accepted orders must be known before the first order is sent.
             let unknown = engines.get(key).is_some_and(|engine| engine.order_count.is_none());
@@ -364,6 +372,9 @@
                 self.pending.insert(key, PendingOrder::uncertain(now, now));
             }
         }
+        if usable.iter().any(|key| !self.limited.contains(key)) {
+            usable.retain(|key| !self.limited.contains(key));
+        }
         self.prune(engines, now);
         self.count_residents(&usable, engines, now);
         self.reconcile(engines, now, &mut actions);
--- a/crates/coord/tests/serving/engine_limits.rs
+++ b/crates/coord/tests/serving/engine_limits.rs
@@ -4,6 +4,7 @@
 
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::engine_limits::EngineLimits;
+use corianderyoke_coord::serving::engine_limits::Share;
 use corianderyoke_coord::serving::engine_limits::Statement;
 use rand::seq::SliceRandom;
 use rand::Rng;
@@ -45,7 +46,8 @@
             for &rank in &order {
                 // A daemon that has just joined isn't known to a few others yet.
                 let known = size - usize::from(rng.random_bool(0.1));
-                if fleet[rank].try_acquire(ENGINE, known, rank, ms(now)).is_ok() {
+                let share = Share { size: known, rank, others: None };
+                if fleet[rank].try_acquire(ENGINE, share, ms(now)).is_ok() {
                     sent.push(now);
                 }
             }
@@ -60,23 +62,63 @@
     }
 }
 
+/// Guards against an engine that gets less than it takes because the daemons with a part of its
+/// limit have no requests, and against daemons that use the same rest of the limit. Reports take
+/// 200 ms, and a third of them is lost.
+#[test]
+fn daemons_that_hear_each_other_use_what_others_leave() {
+    for limit in [1.0, 2.5, 20.0] {
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let mut fleet: Vec<EngineLimits> = (0..8).map(|_| limited(limit)).collect();
+        let mut heard = vec![vec![0; 8]; 8];
+        let (mut sent, mut step) = (Vec::new(), 0);
+        for now in (0..40_000).step_by(10) {
+            if now % 200 == 0 {
+                for (to, from) in (0..64).map(|pair| (pair / 8, pair % 8)) {
+                    if rng.random_bool(0.67) {
+                        heard[to][from] = fleet[from].sent_count(ENGINE, ms(now));
+                    }
+                }
+            }
+            // Two daemons at a time have requests, far more than the engine takes.
+            step += usize::from(now % 2_000 == 0);
+            for rank in [step % 8, (step + 3) % 8] {
+                let others =
+                    (0..8).filter(|from| *from != rank).map(|from| heard[rank][from]).sum();
+                let share = Share { size: 8, rank, others: Some(others) };
+                if fleet[rank].try_acquire(ENGINE, share, ms(now)).is_ok() {
+                    sent.push(now);
+                }
+            }
+        }
+        let in_window =
+            |&from: &u64| sent.iter().filter(|at| (from..from + 4_000).contains(at)).count();
+        let most = sent.iter().map(in_window).max().unwrap_or(0);
+        assert!(most as f64 <= 4.0 * limit * 1.5 + 5.0, "{most} of {limit} a second");
+        assert!(sent.len() as f64 >= 40.0 * limit * 0.6, "{} of {limit} a second", sent.len());
+    }
+}
+
 #[test]
 fn refusal_says_when_the_next_request_may_be_sent() {
     let mut limits = limited(1.0);
-    assert_eq!(limits.try_acquire(ENGINE, 4, 0, ms(0)), Ok(()));
-    assert_eq!(limits.try_acquire(ENGINE, 4, 0, ms(1_000)), Err(Duration::from_secs(3)));
-    assert_eq!(limits.try_acquire(ENGINE, 4, 0, ms(4_000)), Ok(()));
-    assert_eq!(limits.try_acquire(ENGINE, 8, 7, ms(4_000)), Err(Duration::MAX));
-    assert_eq!(limits.try_acquire(UpstreamKey(2), 8, 7, ms(4_000)), Ok(()));
+    let first = Share { size: 4, rank: 0, others: None };
+    let last = Share { size: 8, rank: 7, others: None };
+    assert_eq!(limits.try_acquire(ENGINE, first, ms(0)), Ok(true));
+    assert_eq!(limits.try_acquire(ENGINE, first, ms(1_000)), Err(Duration::from_secs(3)));
+    assert_eq!(limits.try_acquire(ENGINE, first, ms(4_000)), Ok(true));
+    assert_eq!(limits.try_acquire(ENGINE, last, ms(4_000)), Err(Duration::MAX));
+    assert_eq!(limits.try_acquire(UpstreamKey(2), last, ms(4_000)), Ok(false));
 }
 
 #[test]
 fn limit_ends_with_a_response_that_names_none() {
     let mut limits = limited(0.0);
-    assert_eq!(limits.try_acquire(ENGINE, 1, 0, ms(0)), Ok(()), "its end must be noticed");
-    assert!(limits.try_acquire(ENGINE, 1, 0, ms(9_000)).is_err());
+    let share = Share { size: 1, rank: 0, others: None };
+    assert_eq!(limits.try_acquire(ENGINE, share, ms(0)), Ok(true), "its end must be noticed");
+    assert!(limits.try_acquire(ENGINE, share, ms(9_000)).is_err());
     assert!(limits.record_response(ENGINE, None, ms(9_100)));
-    assert_eq!(limits.try_acquire(ENGINE, 1, 0, ms(9_100)), Ok(()));
+    assert_eq!(limits.try_acquire(ENGINE, share, ms(9_100)), Ok(false));
     assert!(!limits.record_response(UpstreamKey(2), None, ms(9_100)), "it never named one");
 }
 
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -327,6 +327,7 @@
                 let is_permitted = !is_exhausted || tried.contains(&key);
                 is_permitted && misplaced.iter().all(|(other, _)| *other != key)
             };
+            let mut is_limit_short = false;
             let missing = match selection::select_engine(&self.call, allowed, &self.failed, now) {
                 Selection::Engine(target, guard) => return Ok((*target, guard)),
                 Selection::NoEngine if is_exhausted => {
@@ -334,11 +335,15 @@
                 }
                 Selection::ModelNotLoaded => Some(Missing::Model),
                 Selection::AdapterNotLoaded => Some(Missing::Adapter),
-                Selection::Limited(wait) if wait > left => {
-                    let wait = wait.min(MAX_LIMITED_RETRY_AFTER);
-                    return Err(self.end_with(Refusal::NoEngine(wait)));
+                Selection::Limited(wait, missing) => {
+                    if wait > left && self.call.generation.is_none() {
+                        let wait = wait.min(MAX_LIMITED_RETRY_AFTER);
+                        return Err(self.end_with(Refusal::NoEngine(wait)));
+                    }
+                    is_limit_short = wait <= left;
+                    self.call.generation.is_some().then_some(missing)
                 }
-                Selection::NoEngine | Selection::Full | Selection::Limited(_) => None,
+                Selection::NoEngine | Selection::Full => None,
             };
             if wait_guard.as_ref().map(|guard| guard.missing) != missing {
                 events::log(
@@ -352,7 +357,8 @@
                 );
                 wait_guard = missing.and_then(|missing| WaitGuard::begin(&self.call, missing));
             }
-            if let Some(wait) = missing.and_then(|missing| self.hopeless_wait(missing, now)) {
+            let hopeless = missing.filter(|_| !is_limit_short);
+            if let Some(wait) = hopeless.and_then(|missing| self.hopeless_wait(missing, now)) {
                 return Err(self.end_with(Refusal::NotLoaded(wait)));
             }
             // Wakes on a notification, or on the timeout if none arrives.
--- a/crates/daemon/src/forward/selection.rs
+++ b/crates/daemon/src/forward/selection.rs
@@ -9,10 +9,12 @@
 use corianderyoke_coord::serving::choice::CacheScope;
 use corianderyoke_coord::serving::choice::Candidate;
 use corianderyoke_coord::serving::choice::Need;
+use corianderyoke_coord::serving::engine_limits::Share;
 use corianderyoke_coord::time::Tick;
 
 use crate::call::Call;
 use crate::call::Generation;
+use crate::forward::wait::Missing;
 use crate::state::LoadGuard;
 use crate::state::RequestLoad;
 use crate::state::State;
@@ -49,8 +51,9 @@
     AdapterNotLoaded,
     /// All eligible engines are at capacity.
     Full,
-    /// The limits that the eligible engines name leave no request for this time.
-    Limited(Duration),
+    /// The limits that the eligible engines name leave no request for this time. Unless it is short,
+    /// the model or adapter has to be loaded on another engine.
+    Limited(Duration, Missing),
 }
 
 /// Selects an engine among those that satisfy `allowed`. Engines in `avoided` are considered only
@@ -89,7 +92,7 @@
     }
     // An engine that is full or cold may take the request any moment.
     if limited_count == eligible.len() {
-        return Selection::Limited(shortest);
+        return Selection::Limited(shortest, missing_elsewhere(call, state, now));
     }
     Selection::Full
 }
@@ -197,10 +200,29 @@
     key: UpstreamKey,
     now: Tick,
 ) -> Result<(), Duration> {
+    if !state.engine_limits.is_limited(key) {
+        return Ok(());
+    }
     let Some(engine) = state.engines.get(key) else { return Ok(()) };
     let rank = call.shared.rank(state, &engine.id);
-    let size = state.roster.size();
-    state.engine_limits.try_acquire(key, size, rank, now)
+    let others = state.limited_sends(key, now);
+    let share = Share { size: state.roster.size(), rank, others };
+    state.engine_limits.try_acquire(key, share, now)?;
+    call.shared.report_soon(state);
+    Ok(())
+}
+
+/// Returns what engines without a limit lack for a call.
+fn missing_elsewhere(call: &Call, state: &State, now: Tick) -> Missing {
+    let Some(generation) = &call.generation else { return Missing::Model };
+    let usable = state.engines.usable(&call.service, now);
+    let unlimited = usable.iter().filter(|key| !state.engine_limits.is_limited(**key));
+    let mut engines = unlimited.filter_map(|key| state.engines.get(*key));
+    let has_model = engines.any(|engine| engine.holds(generation.model, None));
+    match generation.adapter {
+        Some(_) if has_model => Missing::Adapter,
+        _ => Missing::Model,
+    }
 }
 
 fn assign(
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -241,6 +241,7 @@
     }
     let running = state.running_requests(now);
     state.planner.set_running(running);
+    state.planner.set_limited(state.engine_limits.limited());
     let State { planner, engines, expected_loads, .. } = state;
     let mut actions = Vec::new();
     expected_loads.clear();
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -125,7 +125,7 @@
     apply_team_sums(state, &digest, now);
     reports::record_operator_version(shared, state, digest.operator);
     quarantine::handle(shared, state, &digest.casualties, &digest.parts, now);
-    limits::handle(state, &digest.limits, now);
+    limits::apply(state, &digest.limits, now);
     let changed = digest.holder.as_ref().is_some_and(|holder| {
         let name = &digest.holder_name;
         name != own && holder::handle_announcement(shared, state, name, holder, now)
--- a/crates/daemon/src/peers/limits.rs
+++ b/crates/daemon/src/peers/limits.rs
@@ -16,12 +16,29 @@
         engine: engines::fingerprint(names.name(key)),
         limit: statement.limit,
         age: age_ms(statement.at, now),
+        sent: state.engine_limits.sent_count(key, now) as u32,
     });
     limits.collect()
 }
 
+/// Applies the limits that the report of a daemon contains. Returns whether one changed.
+pub fn handle_report(
+    state: &mut State,
+    daemon: &str,
+    limits: &[word::EngineLimit],
+    now: Tick,
+) -> bool {
+    let changed = apply(state, limits, now);
+    let keys = state.engines.by_fingerprint();
+    if let Some(report) = state.reports.get_mut(daemon) {
+        let sent = limits.iter().filter_map(|limit| Some((*keys.get(&limit.engine)?, limit.sent)));
+        report.limited_sends = sent.collect();
+    }
+    changed
+}
+
 /// Applies the limits that another daemon or a relay knows. Returns whether one changed.
-pub fn handle(state: &mut State, limits: &[word::EngineLimit], now: Tick) -> bool {
+pub fn apply(state: &mut State, limits: &[word::EngineLimit], now: Tick) -> bool {
     if limits.is_empty() {
         return false;
     }
--- a/crates/daemon/src/peers/reports.rs
+++ b/crates/daemon/src/peers/reports.rs
@@ -156,7 +156,7 @@
     });
     changed |= record_demand(state, &name, incarnation, &report, now);
     let mut is_urgent = quarantine::handle(shared, state, &report.casualties, &report.parts, now);
-    is_urgent |= limits::handle(state, &report.limits, now);
+    is_urgent |= limits::handle_report(state, &name, &report.limits, now);
     // Only a relay forwards it; every other daemon sends its totals to the relays itself.
     state.relay_pending |= is_low || is_urgent;
     drop(guard);
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -84,6 +84,8 @@
     pub told_change: u64,
     /// Ends of loads that this daemon, as the lease holder, told that daemon.
     pub told_loads: IndexMap<ModelKey, Tick>,
+    /// Requests that the daemon recently sent to engines that name a limit.
+    pub limited_sends: IndexMap<UpstreamKey, u32>,
     /// Number of the daemon's requests in flight, by engine and model.
     pub running_requests: IndexMap<(UpstreamKey, ModelKey), u32>,
 }
@@ -380,6 +382,15 @@
         sum
     }
 
+    /// Returns the number of requests that the other daemons recently sent to an engine that names a
+    /// limit. `None` if one of them wasn't heard.
+    pub fn limited_sends(&self, engine: UpstreamKey, now: Tick) -> Option<usize> {
+        let fresh: Vec<&PeerReport> =
+            self.reports.values().filter(|report| report.is_fresh(now)).collect();
+        let sent = fresh.iter().filter_map(|report| report.limited_sends.get(&engine));
+        (fresh.len() + 1 >= self.roster.size()).then(|| sent.map(|&count| count as usize).sum())
+    }
+
     /// Returns the numbers of requests in flight by engine and model, from own requests and reports.
     pub fn running_requests(&self, now: Tick) -> IndexMap<(UpstreamKey, ModelKey), u32> {
         let mut sums: IndexMap<(UpstreamKey, ModelKey), u32> = IndexMap::new();
--- a/crates/daemon/tests/fleet/engine_limit.rs
+++ b/crates/daemon/tests/fleet/engine_limit.rs
@@ -76,3 +76,17 @@
     let (count, served) = send_all(&fixture, &daemons, STABLE_WINDOW).await;
     assert!(served * 10 >= count * 9, "{served} of {count} requests were served");
 }
+
+/// Guards against requests that are refused because only an engine with a limit holds their model.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn model_of_an_engine_with_a_limit_is_loaded_on_another_one() {
+    let fixture = Fixture::start().await;
+    let limited = fixture.model_engine("i-1", &["m1"]).await;
+    let other = fixture.model_engine("i-2", &[]).await;
+    limited.set_limit(Some("1"));
+    let daemons = start_fleet(&fixture).await;
+    send_all(&fixture, &daemons, WINDOW).await;
+    let (count, served) = send_all(&fixture, &daemons, STABLE_WINDOW).await;
+    assert!(served * 10 >= count * 9, "{served} of {count} requests were served");
+    assert!(other.orders().iter().any(|order| order["model"] == "m1"));
+}
