Leave an engine's limit some burst, and wait for it where that is short

A window now has half of the tolerance beyond the limit, as team limits have. A daemon whose part is left but whose fellows used up the window waits a fraction of the window instead of refusing. Requests beyond a daemon's own part are at least 0.5 s apart: without that, two daemons that missed each other's reports sent 23 where 20 were allowed (limit 2.5 a second, in the model without a network).

--- a/crates/coord/src/serving/engine_limits.rs
+++ b/crates/coord/src/serving/engine_limits.rs
@@ -26,10 +26,18 @@
 /// Smallest difference between two reported times that isn't due to the delay of reports.
 const MIN_TIME_DIFFERENCE: Duration = Duration::from_millis(100);
 
+/// Part of the limit, and number of requests, that are used beyond it in a window, so that requests
+/// within the limit aren't refused because of the window's edges. Both are half of what the platform
+/// tolerates.
+const BURST_FACTOR: f64 = 1.25;
+const BURST: f64 = 2.5;
 /// Number of daemons that may use what others leave of a limit, and of requests per further one.
 /// They may send at the same moment, before they hear of each other.
-const BORROWERS: usize = 4;
-const REQUESTS_PER_BORROWER: usize = 4;
+const BORROWERS: usize = 3;
+const REQUESTS_PER_BORROWER: usize = 8;
+/// Shortest time between two requests beyond a daemon's own part, so that the others hear of the
+/// first one even if a report is lost.
+const BORROW_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What a daemon may use of a limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -109,10 +117,11 @@
         while entry.sent.front().is_some_and(|&at| now.since(at) >= window) {
             entry.sent.pop_front();
         }
-        let total = ((limit * window.as_secs_f64()) as usize).max(1);
+        let total = (limit * window.as_secs_f64() * BURST_FACTOR + BURST) as usize;
         let part = quotas::divide(total, share.size, share.rank);
         let sent = entry.sent.len();
-        let is_borrower = share.rank < BORROWERS + total / REQUESTS_PER_BORROWER;
+        let is_rested = entry.sent.back().is_none_or(|&at| now.since(at) >= BORROW_INTERVAL);
+        let is_borrower = is_rested && share.rank < BORROWERS + total / REQUESTS_PER_BORROWER;
         let is_allowed = match share.others {
             Some(others) => sent + others < total && (sent < part || is_borrower),
             None => sent < part,
@@ -121,9 +130,13 @@
             entry.sent.push_back(now);
             return Ok(true);
         }
+        if part == 0 {
+            return Err(Duration::MAX);
+        }
         let oldest = sent.checked_sub(part).and_then(|index| entry.sent.get(index));
         let left = oldest.map(|&at| window.saturating_sub(now.since(at)));
-        Err(left.filter(|_| part > 0).unwrap_or(Duration::MAX))
+        // If it is the others that used up the limit, the window soon leaves the next request.
+        Err(left.unwrap_or(window / total as u32))
     }
 
     /// Returns whether the latest response of an engine named a limit.
