--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,3 +10,4 @@
 mod soak;
 mod stopping;
 mod store;
+mod unframed;
