--- a/crates/coord/src/serving/quarantine.rs
+++ b/crates/coord/src/serving/quarantine.rs
@@ -347,7 +347,9 @@
     /// Quarantines those of `parts`, which have new casualties, against which there is enough
     /// evidence.
     fn assess(&mut self, parts: &[u64], now: Tick) {
-        while let Some(worst) = self.worst_parts(parts) {
+        // Each round explains crashes. The bound holds even if the oldest parts have to make way.
+        for _ in 0..MAX_HELD {
+            let Some(worst) = self.worst_parts(parts) else { return };
             for &part in &worst {
                 let rivals = worst.iter().copied().filter(|rival| *rival != part).collect();
                 self.hold(part, Hold { since: now, failed_trials: 0, rivals });
