--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -23,6 +23,8 @@
     /// Time after the first read of the row for which nobody claims a row that doesn't exist, so
     /// that daemons which start at the same time learn of each other's ranks.
     pub settling: Duration,
+    /// Time without an announcement after which other daemons take an interest in the row.
+    pub silence: Duration,
     /// Largest clock drift over the other durations. It is also the delay between successive
     /// candidates that try to claim an expired lease.
     pub drift: Duration,
@@ -35,6 +37,7 @@
             validity: Duration::from_millis(800),
             handover: Duration::from_secs(3),
             settling: Duration::from_millis(1_500),
+            silence: Duration::from_millis(1_500),
             drift: Duration::from_millis(60),
         }
     }
@@ -121,6 +124,8 @@
 pub struct Lease {
     settings: LeaseSettings,
     name: String,
+    /// Time at which this daemon started.
+    started: Tick,
     /// Fencing token under which this daemon holds the lease, if it does.
     held_token: Option<u64>,
     /// Time of the next renewal.
@@ -129,22 +134,26 @@
     clock: Option<ClockReading>,
     /// Time of the first read of the row.
     first_read: Option<Tick>,
+    /// Time of the latest announcement by another holder.
+    last_heard: Option<Tick>,
     /// Whether the row must be read before the next write.
     must_read: bool,
     rank: usize,
 }
 
 impl Lease {
-    /// Creates the state of a daemon that hasn't read the row yet.
-    pub fn new(settings: LeaseSettings, name: &str) -> Self {
+    /// Creates the state of a daemon that started at `started` and hasn't read the row yet.
+    pub fn new(settings: LeaseSettings, name: &str, started: Tick) -> Self {
         Lease {
             settings,
             name: name.to_owned(),
+            started,
             held_token: None,
             next_renewal: Tick(0),
             snapshot: RowSnapshot::default(),
             clock: None,
             first_read: None,
+            last_heard: None,
             must_read: true,
             rank: 0,
         }
@@ -184,6 +193,10 @@
 
     /// Returns the step that is due now.
     pub fn step(&self, now: Tick) -> Step {
+        let idle_until = self.idle_until();
+        if now < idle_until {
+            return Step::Wait(idle_until);
+        }
         let Some(clock) = self.clock.filter(|_| !self.must_read) else { return Step::Read };
         match (self.held_token, &self.snapshot.row) {
             (Some(token), Some(_)) if now >= self.next_renewal => {
@@ -211,10 +224,31 @@
     }
 
     /// Processes a renewal that the holder announced to the other daemons.
-    pub fn record_announcement(&mut self, row: LeaseRow, version: u64) {
+    pub fn record_announcement(&mut self, row: LeaseRow, version: u64, now: Tick) {
         if self.held_token.is_none() && version > self.snapshot.version {
             self.snapshot = RowSnapshot { row: Some(row), version };
+            self.last_heard = Some(now);
+        }
+    }
+
+    /// Records a reading of the store's clock by a call that didn't concern the row.
+    pub fn record_clock(&mut self, clock: ClockReading) {
+        if self.held_token.is_none() {
+            self.clock = Some(clock);
+        }
+    }
+
+    /// Returns the time until which this daemon leaves the row to others: it has just started and is
+    /// no likely holder, or another daemon announces that it holds the lease. Afterwards, daemons read
+    /// the row in the order of their ranks.
+    fn idle_until(&self) -> Tick {
+        if self.held_token.is_some() {
+            return self.started;
         }
+        let LeaseSettings { settling, silence, drift, .. } = self.settings;
+        let turn = drift * self.rank as u32;
+        let after_start = self.started + turn.min(settling);
+        self.last_heard.map_or(after_start, |at| after_start.max(at + silence + turn))
     }
 
     /// Processes a successful write, which gave the row `version`.
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -255,6 +255,11 @@
         self.running = running;
     }
 
+    /// Returns whether an engine executes an order on a model, or its state is unknown.
+    pub fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Returns the number of entries that the planner keeps about models, adapters and daemons.
     pub fn entry_count(&self) -> usize {
         let demand: usize = self.demand.values().map(Demand::entry_count).sum();
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -8,13 +8,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderyoke_adapter::store::StoreRow;
+use corianderyoke_adapter::store::Rows;
+use corianderyoke_coord::serving::lease::ClockReading;
+use corianderyoke_coord::serving::lease::StoreTime;
+use corianderyoke_coord::serving::polling::Backoff;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_platform::Condition;
 use corianderyoke_platform::Error;
 use corianderyoke_platform::Transaction;
 use corianderyoke_platform::Write;
 use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
 use ring::hmac;
 use ring::rand::SecureRandom;
 use ring::rand::SystemRandom;
@@ -32,10 +37,6 @@
 const PEER_KEY_ROW: &str = "peer-key";
 /// Length of that key.
 const KEY_BYTES: usize = 32;
-/// Backoff after the first failed call.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
-/// Longest backoff after consecutive failed calls; each one doubles it.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
 /// Least interval between two reads of all rows. Reports between daemons are much faster.
 const MIN_READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Least interval between two reads of all rows because of an unknown daemon.
@@ -47,15 +48,20 @@
 
 /// Returns the key that authenticates datagrams between daemons. The first daemon creates it.
 pub async fn peer_key(shared: &Shared) -> hmac::Key {
+    let mut backoff = shared.backoff();
     loop {
         match read_or_create_key(shared).await {
             Ok(Some(key)) => return key,
             Ok(None) => {}
-            Err(_) => sleep(INITIAL_BACKOFF).await,
+            Err(_) => sleep(delay(shared, &mut backoff)).await,
         }
     }
 }
 
+fn delay(shared: &Shared, backoff: &mut Backoff) -> Duration {
+    backoff.next_delay(shared.state().roster.size())
+}
+
 async fn read_or_create_key(shared: &Shared) -> Result<Option<hmac::Key>, Error> {
     let (row, _) = shared.store.row(FLEET_TABLE, PEER_KEY_ROW).await?;
     if let Some(value) = row.and_then(|row| row.value) {
@@ -79,6 +85,7 @@
 
 /// Sets the incarnation of this process from the store's version.
 pub async fn begin(shared: &Shared) {
+    let mut backoff = shared.backoff();
     loop {
         match shared.store.rows(DAEMON_TABLE).await {
             Ok(rows) => {
@@ -86,32 +93,27 @@
                 let _ = shared.incarnation.set(rows.version);
                 return;
             }
-            Err(_) => sleep(INITIAL_BACKOFF).await,
+            Err(_) => sleep(delay(shared, &mut backoff)).await,
         }
     }
 }
 
 /// Writes this daemon's row, then reads all rows periodically until the task is aborted.
 pub async fn run(shared: Arc<Shared>) {
+    let mut backoff = shared.backoff();
     while write_row(&shared).await.is_err() {
-        sleep(INITIAL_BACKOFF).await;
+        sleep(delay(&shared, &mut backoff)).await;
     }
-    let mut backoff = INITIAL_BACKOFF;
     loop {
-        match read_rows(&shared).await {
-            Ok(()) => {
-                backoff = INITIAL_BACKOFF;
-                let size = shared.state().roster.size();
-                sleep(MIN_REREAD_INTERVAL).await;
-                let left = MIN_READ_INTERVAL.max(READ_INTERVAL_PER_DAEMON * size as u32);
-                // Wakes on a notification, or when the next read is due.
-                let _ = timeout(left, shared.unknown_peer.notified()).await;
-            }
-            Err(_) => {
-                sleep(backoff).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
-            }
+        backoff.reset();
+        while read_rows(&shared).await.is_err() {
+            sleep(delay(&shared, &mut backoff)).await;
         }
+        let size = shared.state().roster.size();
+        sleep(MIN_REREAD_INTERVAL).await;
+        let left = MIN_READ_INTERVAL.max(READ_INTERVAL_PER_DAEMON * size as u32);
+        // Wakes on a notification, or when the next read is due.
+        let _ = timeout(left, shared.unknown_peer.notified()).await;
     }
 }
 
@@ -123,15 +125,30 @@
     shared.store.transact(&Transaction { conditions: Vec::new(), writes }).await.map(drop)
 }
 
+/// Decodes the daemons' rows. Returns this daemon's own and the others.
+fn decode(shared: &Shared, rows: &Rows) -> (Vec<Daemon>, Vec<Daemon>) {
+    let mut daemons = Vec::new();
+    for row in &rows.rows {
+        let Some(value) = row.value.as_deref() else { continue };
+        match serde_json::from_slice::<Daemon>(value) {
+            Ok(daemon) => daemons.push(daemon),
+            Err(error) => {
+                events::log(Event::EntrySkipped, format_args!("daemon={}: {error}", row.key));
+            }
+        }
+    }
+    daemons.into_iter().partition(|daemon| daemon.name == shared.settings.name)
+}
+
 async fn read_rows(shared: &Shared) -> Result<(), Error> {
+    let sent = clock::now();
     let rows = shared.store.rows(DAEMON_TABLE).await?;
     let now = clock::now();
-    let decode = |row: &StoreRow| serde_json::from_slice(row.value.as_deref()?).ok();
-    let daemons = rows.rows.iter().filter_map(decode);
-    let (own, daemons): (Vec<Daemon>, Vec<Daemon>) =
-        daemons.partition(|daemon: &Daemon| daemon.name == shared.settings.name);
+    let reading = ClockReading { time: StoreTime(rows.now_ms), sent, received: now };
+    let (own, daemons) = decode(shared, &rows);
     let removable: Vec<(String, u64)> = {
         let mut state = shared.state();
+        state.lease.record_clock(reading);
         state.roster.apply_rows(daemons, now);
         state.peers_read = true;
         let is_holder = state.lease.token(now).is_some();
--- a/crates/daemon/src/peers/holder.rs
+++ b/crates/daemon/src/peers/holder.rs
@@ -176,7 +176,7 @@
 ) -> bool {
     let row =
         LeaseRow { holder: name.to_owned(), token: holder.token, until: StoreTime(holder.until) };
-    state.lease.record_announcement(row, holder.version);
+    state.lease.record_announcement(row, holder.version, now);
     let has_changes = apply_changes(shared, state, holder.token, &holder.effects, false, now);
     state.expected_loads.clear();
     decode_loads(state, &holder.loads, now);
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -22,13 +22,16 @@
 use corianderyoke_coord::serving::engines::Engines;
 use corianderyoke_coord::serving::lease::Lease;
 use corianderyoke_coord::serving::lease::LeaseSettings;
+use corianderyoke_coord::serving::polling::Backoff;
 use corianderyoke_coord::serving::polling::HolderUpdates;
+use corianderyoke_coord::serving::polling::Poller;
 use corianderyoke_coord::serving::quotas::ColdQuota;
 use corianderyoke_coord::serving::quotas::RetryAllowance;
 use corianderyoke_coord::serving::residency::Planner;
 use corianderyoke_coord::serving::roster::Roster;
 use corianderyoke_coord::serving::roster::PEER_TIMEOUT;
 use corianderyoke_coord::time::Tick;
+use corianderyoke_util::clock;
 use corianderyoke_wire::word::Holder;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -229,7 +232,7 @@
             cold_quotas: IndexMap::new(),
             model_requests: IndexMap::new(),
             wanted_adapters: IndexMap::new(),
-            lease: Lease::new(lease, &settings.name),
+            lease: Lease::new(lease, &settings.name, clock::now()),
             planner: Planner::default(),
             expected_loads: IndexMap::new(),
             announcements: Announcements::default(),
@@ -284,6 +287,11 @@
         self.report_now.notify_one();
     }
 
+    /// Returns the delays between attempts at a call to the store.
+    pub fn backoff(&self) -> Backoff {
+        Backoff::new(&self.settings.name)
+    }
+
     /// Returns the retry allowance of the whole fleet.
     pub fn retry_allowance(&self) -> RetryAllowance {
         let bounds = &self.settings.bounds;
@@ -307,6 +315,15 @@
         self.desired.is_some() && self.engines_read && self.peers_read && !self.leaving
     }
 
+    /// Returns this daemon's role in polling the engines' entries.
+    pub fn poller(&self, now: Tick) -> Poller {
+        match (self.holds_lease(now), self.planner.has_pending()) {
+            (true, true) => Poller::Ordering,
+            (true, false) => Poller::IdleHolder,
+            (false, _) => Poller::Other,
+        }
+    }
+
     /// Returns whether this daemon holds the lease and may send orders.
     pub fn holds_lease(&self, now: Tick) -> bool {
         self.lease.token(now).is_some()
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -14,6 +14,7 @@
 use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::engines::Change;
 use corianderyoke_coord::serving::engines::Entry;
+use corianderyoke_coord::serving::polling;
 use corianderyoke_platform::Error;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
@@ -27,22 +28,16 @@
 use crate::state::State;
 
 /// Time for which a feed waits for a change.
-const FEED_TIMEOUT: Duration = Duration::from_secs(10);
+const FEED_TIMEOUT: Duration = Duration::from_secs(25);
 /// Time for which the lease holder's feed of the engines waits, as a fraction of the drain time.
 const HOLDER_FEED_FRACTION: f64 = 0.25;
 /// Age of the latest read from which on the whole table is read instead of its changes. Engines
 /// rewrite their entries about once a second, so beyond this age the table is smaller than the
 /// changes.
 const FULL_READ_AGE: Duration = Duration::from_millis(2_500);
-/// Backoff after the first failed call; doubles with each further failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
-/// Longest backoff after failed calls.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Time within which a feed must return a row that another daemon has already read. After it, the
 /// connection counts as unresponsive and the row is fetched over another one.
 const BEHIND_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay between two feeds of the operator's table.
-const OPERATOR_FEED_GAP: Duration = Duration::from_millis(40);
 
 /// Table that a daemon polls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -68,7 +63,8 @@
     /// Waits until the next feed is due.
     async fn wait_for_next(self, shared: &Shared) {
         if self == Table::Operator {
-            sleep(OPERATOR_FEED_GAP).await;
+            let size = shared.state().roster.size();
+            sleep(polling::operator_interval(size)).await;
             return;
         }
         let polled = clock::now();
@@ -78,8 +74,7 @@
                 let state = shared.state();
                 let fleet = peers::fleet_timing(shared, &state);
                 let now = clock::now();
-                let interval =
-                    state.holder_updates.poll_interval(state.holds_lease(now), fleet, now);
+                let interval = state.holder_updates.poll_interval(state.poller(now), fleet, now);
                 (interval.saturating_sub(now.since(polled)), fleet.report_interval)
             };
             if left.is_zero() {
@@ -101,7 +96,7 @@
 /// Polls a table until the task is aborted.
 pub async fn run(table: Table, shared: Arc<Shared>) {
     let mut after: Option<u64> = None;
-    let mut backoff = INITIAL_BACKOFF;
+    let mut backoff = shared.backoff();
     let mut is_failing = false;
     loop {
         match poll(table, &shared, after).await {
@@ -111,7 +106,7 @@
                     events::log(Event::PlatformBack, format_args!("table={}", table.name()));
                     shared.state().engines.begin_recovery(clock::now());
                 }
-                backoff = INITIAL_BACKOFF;
+                backoff.reset();
                 after = next;
                 table.wait_for_next(&shared).await;
             }
@@ -121,8 +116,8 @@
                     let name = table.name();
                     events::log(Event::PlatformFailed, format_args!("table={name} {error}"));
                 }
-                sleep(backoff).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
+                let size = shared.state().roster.size();
+                sleep(backoff.next_delay(size)).await;
                 if table == Table::Engines {
                     // A daemon that receives announcements needn't add load to a failing store.
                     table.wait_for_next(&shared).await;
