Log the store's era, and count the entries that were ignored as older

Nothing showed whether a restored store answered 410 to a feed, or whether rows that it wrote since were taken for older ones. The client of the store keeps the era of the responses, a daemon logs its change (E112) and each full read that a 410 causes (E113), and a counter shows entries ignored as older.

--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -11,6 +11,7 @@
 //! | [`quotas`] | how much of a fleet-wide limit this daemon may use on its own |
 //! | [`roster`] | which daemons are alive |
 //! | [`polling`] | how often a daemon polls the engines' entries |
+//! | [`position`] | which of two writes to the store is the later one |
 //! | [`lease`] | which daemon orders loads and unloads |
 //! | [`announcements`] | which changes of engines the lease holder tells whom |
 //! | [`demand`] | how high the demand for a model is |
@@ -28,6 +29,7 @@
 pub mod engines;
 pub mod lease;
 pub mod polling;
+pub mod position;
 pub mod quarantine;
 pub mod quotas;
 pub mod residency;
--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -88,7 +88,7 @@
         match shared.store.rows(DAEMON_TABLE).await {
             Ok(rows) => {
                 // Can't fail, since this is the only place that sets it.
-                let _ = shared.incarnation.set(rows.version);
+                let _ = shared.incarnation.set(rows.position.version);
                 return;
             }
             Err(_) => sleep(INITIAL_BACKOFF).await,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -50,6 +50,8 @@
     pub resumed: Counter,
     /// Orders sent to engines.
     pub orders: Family<OrderLabels, Counter>,
+    /// Entries of engines that were ignored because a newer one was known.
+    pub outdated_entries: Counter,
     /// Requests in progress.
     pub open_requests: Gauge,
 }
@@ -65,6 +67,7 @@
             retries: Counter::default(),
             resumed: Counter::default(),
             orders: Family::default(),
+            outdated_entries: Counter::default(),
             open_requests: Gauge::default(),
         }
     }
@@ -79,6 +82,11 @@
         registry.register("retries", "Requests sent once more", self.retries.clone());
         registry.register("resumed", "Streams resumed elsewhere", self.resumed.clone());
         registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register(
+            "outdated_entries",
+            "Entries of engines that were ignored because a newer one was known",
+            self.outdated_entries.clone(),
+        );
         registry.register("open_requests", "Requests in work", self.open_requests.clone());
     }
 }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -10,6 +10,7 @@
 use corianderyoke_adapter::orders::Holder;
 use corianderyoke_adapter::orders::Operation;
 use corianderyoke_adapter::store::Outcome;
+use corianderyoke_adapter::store::SingleRow;
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::announcements::ChangeKind;
 use corianderyoke_coord::serving::engines::Report;
@@ -142,7 +143,7 @@
     let read_result = shared.store.row(LEASE_TABLE, LEASE_ROW).await;
     let mut state = shared.state();
     match read_result {
-        Ok((row, now_ms)) => {
+        Ok(SingleRow { row, now_ms, .. }) => {
             let version = row.as_ref().map_or(0, |row| row.version);
             let stored = row.and_then(|row| row.value);
             let stored = stored.and_then(|v| serde_json::from_slice::<StoredLease>(&v).ok());
@@ -169,8 +170,8 @@
     let outcome = shared.store.transact(&lease_transaction(write.expected, &write.row)).await;
     let mut state = shared.state();
     match outcome {
-        Ok(Outcome::Done { version, now_ms }) => {
-            state.lease.record_write(&write, version, clock_reading(now_ms, sent));
+        Ok(Outcome::Done { position, now_ms }) => {
+            state.lease.record_write(&write, position.version, clock_reading(now_ms, sent));
             Duration::ZERO
         }
         Ok(Outcome::Refused(_)) => {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -122,6 +122,8 @@
 pub struct State {
     /// Desired state in force; `None` until one was read.
     pub desired: Option<Arc<Desired>>,
+    /// Era of the store; `None` until a table was read.
+    pub era: Option<u64>,
     /// Versions of the operator's rows.
     pub operator: OperatorRows,
     /// Known engines and the models that they hold.
@@ -228,6 +230,7 @@
         };
         let state = State {
             desired: None,
+            era: None,
             operator: OperatorRows::default(),
             engines: Engines::default(),
             engines_read: false,
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -14,6 +14,7 @@
 use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::engines::Change;
 use corianderyoke_coord::serving::engines::Entry;
+use corianderyoke_coord::serving::position::Position;
 use corianderyoke_platform::Error;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
@@ -179,15 +180,22 @@
 ) -> Result<Option<u64>, Error> {
     let Some(after) = after else {
         let rows = shared.store.rows(table.name()).await?;
-        let version = rows.version;
+        let Position { era, version } = rows.position;
+        log_era(shared, table, era, version);
         replace_table(table, shared, rows);
         return Ok(Some(version));
     };
     let (mut after, mut wait) = (after, wait);
     loop {
         let response = begin_feed(table, shared, after, wait).await?;
-        let Feed::Changes(changes) = response.read().await? else { return Ok(None) };
-        after = changes.version.max(after);
+        let Feed::Changes(changes) = response.read().await? else {
+            let name = table.name();
+            events::log(Event::TableReread, format_args!("table={name} after={after} cause=gone"));
+            return Ok(None);
+        };
+        let Position { era, version } = changes.position;
+        log_era(shared, table, era, version);
+        after = version.max(after);
         wait = Duration::ZERO;
         let count = changes.rows.len();
         for row in changes.rows {
@@ -202,6 +210,18 @@
     }
 }
 
+/// Logs that the store's era changed.
+fn log_era(shared: &Shared, table: Table, era: u64, version: u64) {
+    let before = shared.state().era.replace(era);
+    if let Some(before) = before.filter(|before| *before != era) {
+        let name = table.name();
+        events::log(
+            Event::PlatformRestored,
+            format_args!("era={era} before={before} table={name} version={version}"),
+        );
+    }
+}
+
 /// Requests the changes of a table. A request for the operator's table that waits on a connection
 /// which may be unresponsive is replaced, but not once its response has begun: the response may be
 /// large and the link busy.
@@ -241,7 +261,7 @@
                 .map(|(_, engine)| engine.id.clone())
                 .collect();
             for id in removed {
-                remove_engine(shared, &mut state, &id, rows.version);
+                remove_engine(shared, &mut state, &id, rows.position.version);
             }
             state.engines_read = true;
         }
@@ -330,6 +350,9 @@
     let detail = format!("service={} address={}", entry.service, entry.address);
     let now = clock::now();
     let mut state = shared.state();
+    if state.engines.names.engines.key(id).is_some_and(|key| state.engines.version(key) > version) {
+        shared.metrics.outdated_entries.inc();
+    }
     let change = state.engines.upsert(entry, now);
     handle_change(shared, &mut state, id, change, &detail);
 }
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -47,6 +47,8 @@
     Reloaded = 103, Info, "the process was notified that its settings file changed";
     PlatformFailed = 110, Warn, "the platform gave no answer or an error";
     PlatformBack = 111, Info, "the platform answers again";
+    PlatformRestored = 112, Warn, "the platform came back from an older copy";
+    TableReread = 113, Info, "changes of a table can't be followed further, it is read in full";
     LinesDropped = 120, Warn, "log lines were dropped because standard output was not read in time";
     Joined = 200, Info, "the member joined the view";
     ViewChanged = 201, Info, "a new view is in force";
