Add failing tests of a store that comes back from an older copy

The simulated store can be restored from a copy: versions go back, its era rises, and a feed after a version that it doesn't have gets 410.

--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod fixture;
 mod orders;
+mod restored;
 mod soak;
 mod stopping;
 mod store;
--- a/crates/daemon/tests/fleet/store.rs
+++ b/crates/daemon/tests/fleet/store.rs
@@ -40,8 +40,17 @@
 /// Value and version of a row. The value is `None` if the row is deleted.
 type RowContent = (Option<Vec<u8>>, u64);
 
+/// Rows of the store at some moment.
+#[derive(Clone, Default)]
+pub struct Copy {
+    version: u64,
+    rows: BTreeMap<RowKey, RowContent>,
+}
+
 #[derive(Default)]
 struct Tables {
+    /// Number of restorations.
+    era: u64,
     version: u64,
     rows: BTreeMap<RowKey, RowContent>,
     down: bool,
@@ -100,6 +109,34 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy of the store as it is now.
+    pub fn copy(&self) -> Copy {
+        let tables = self.tables.lock();
+        Copy { version: tables.version, rows: tables.rows.clone() }
+    }
+
+    /// Replaces the content of the store by an older copy, which begins a new era.
+    pub fn restore(&self, copy: Copy) {
+        let mut tables = self.tables.lock();
+        tables.era += 1;
+        tables.version = copy.version;
+        tables.rows = copy.rows;
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// Gives out versions to writes that concern nobody.
+    pub fn skip_versions(&self, count: u64) {
+        self.tables.lock().version += count;
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the value of a row.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let tables = self.tables.lock();
+        tables.rows.get(&(table.to_owned(), key.to_owned())).and_then(|(value, _)| value.clone())
+    }
+
     /// Sets whether the store refuses all calls.
     pub fn set_down(&self, down: bool) {
         self.tables.lock().down = down;
@@ -131,7 +168,9 @@
         let slow = slow.filter(|(table, _)| {
             path == "/rows-feed" && query.split('&').any(|pair| pair == format!("table={table}"))
         });
-        let (head, body) = self.answer(request).await.into_parts();
+        let (mut head, body) = self.answer(request).await.into_parts();
+        let era = self.tables.lock().era + 1;
+        head.headers.insert("store-era", era.into());
         let body = match slow {
             Some((_, span)) => slow_body(body, span).await,
             None => body.boxed_unsync(),
@@ -188,11 +227,14 @@
         }
         let changed = self.changed.notified();
         let changes = self.changes(table, after);
-        if changes.is_empty() {
+        if changes.is_empty() && after <= self.tables.lock().version {
             let _ = tokio::time::timeout(FEED_WAIT, changed).await;
         }
         let rows = self.changes(table, after);
         let tables = self.tables.lock();
+        if after > tables.version {
+            return json_response(410, &json!({}));
+        }
         json_response(200, &json!({"rows": rows, "ver": tables.version, "now_ms": self.now_ms()}))
     }
 
