Begin the grace period of an outage before its first rows are applied

Callers got 503 when the engines' table was the first to answer after an outage in which entries had expired: these were removed, and only then began the period in which engines may renew them. The other table answering first hid it. The period now begins with the response, before its rows count. The test, in which the operator's table doesn't answer, failed before (503 at the first request).

--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -108,28 +108,29 @@
     /// Position up to which the table was read; `None` if it must be read in full.
     after: Option<Position>,
     timeline: Timeline,
+    /// Whether the latest poll failed.
+    is_failing: bool,
 }
 
 /// Polls a table until the task is aborted.
 pub async fn run(table: Table, shared: Arc<Shared>) {
-    let mut poller =
-        Poller { table, shared: Arc::clone(&shared), after: None, timeline: Timeline::default() };
+    let mut poller = Poller {
+        table,
+        shared: Arc::clone(&shared),
+        after: None,
+        timeline: Timeline::default(),
+        is_failing: false,
+    };
     let mut backoff = INITIAL_BACKOFF;
-    let mut is_failing = false;
     loop {
         match poller.poll().await {
             Ok(()) => {
-                if is_failing {
-                    is_failing = false;
-                    events::log(Event::PlatformBack, format_args!("table={}", table.name()));
-                    shared.state().engines.begin_recovery(clock::now());
-                }
                 backoff = INITIAL_BACKOFF;
                 table.wait_for_next(&shared).await;
             }
             Err(error) => {
-                if !is_failing {
-                    is_failing = true;
+                if !poller.is_failing {
+                    poller.is_failing = true;
                     let name = table.name();
                     events::log(Event::PlatformFailed, format_args!("table={name} {error}"));
                 }
@@ -187,6 +188,7 @@
                     break;
                 }
             };
+            self.record_success();
             self.after = Some(changes.position.max(after));
             wait = Duration::ZERO;
             let count = changes.rows.len();
@@ -202,6 +204,7 @@
             }
         }
         let rows = self.shared.store.rows(self.table.name()).await?;
+        self.record_success();
         self.timeline.record_read(rows.position);
         self.after = Some(rows.position);
         restoration::record_era(&self.shared, rows.position.era);
@@ -209,6 +212,15 @@
         Ok(())
     }
 
+    /// Records that the store answered, before its rows are applied. After an outage, engines have
+    /// time to renew their entries before these count as removed.
+    fn record_success(&mut self) {
+        if std::mem::take(&mut self.is_failing) {
+            events::log(Event::PlatformBack, format_args!("table={}", self.table.name()));
+            self.shared.state().engines.begin_recovery(clock::now());
+        }
+    }
+
     fn forget_position(&mut self, after: Position, cause: &str) {
         self.after = None;
         let (name, Position { era, version }) = (self.table.name(), after);
--- a/crates/daemon/tests/fleet/faults.rs
+++ b/crates/daemon/tests/fleet/faults.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use serde_json::json;
+use tokio::time::sleep;
+use tokio::time::Instant;
 
 use crate::engine::Behavior;
 use crate::engine::Engine;
@@ -310,3 +312,31 @@
     })
     .await;
 }
+
+/// Guards against entries that expired during an outage of the store and count as gone before the
+/// grace period begins, because the engines' table answers first.
+#[tokio::test]
+async fn engine_whose_entry_expired_in_an_outage_is_used_until_it_had_time_to_renew_it() {
+    let fixture = Fixture::start().await;
+    let engine = fixture.plain_engine("i-1").await;
+    let daemon = fixture.daemon("d1").await;
+    fixture.store.set_down(true);
+    sleep(Duration::from_millis(400)).await;
+    fixture.store.remove("servers", "i-1");
+    fixture.store.stall_feeds(Some("op"));
+    fixture.store.set_down(false);
+    let begin = Instant::now();
+    let mut is_renewed = false;
+    for number in 0.. {
+        if begin.elapsed() > Duration::from_millis(2_500) {
+            break;
+        }
+        if begin.elapsed() > Duration::from_millis(1_200) && !is_renewed {
+            engine.write_entry("ready");
+            is_renewed = true;
+        }
+        let response = fixture.request(&daemon, "/again/", &format!("{number:x}")).send().await;
+        assert_eq!(response.expect("a response").status(), 200, "after {:?}", begin.elapsed());
+        sleep(Duration::from_millis(20)).await;
+    }
+}
