Log with failed attempts which requests are alike

The lines of a request name its id, which is another one each time that it comes, so nobody could see whether the requests under which engines ended were the same one. E406 now has a number that requests with the same caller, path and body share.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -1,6 +1,7 @@
 //! Request of a caller with its routing decision, deadlines and log record.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,9 +17,14 @@
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
+use http::header;
+use http::uri::PathAndQuery;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::Uri;
+use ring::digest::Context;
+use ring::digest::SHA256;
 
 use crate::metrics::ResponseLabels;
 use crate::refusal::Refusal;
@@ -81,6 +87,8 @@
     pub body: Bytes,
     /// Tokens charged to the team's rate limit.
     charged_tokens: u64,
+    /// Number that the request shares with its repetitions, once it was needed.
+    identity: OnceLock<u64>,
     record: RequestRecord,
 }
 
@@ -255,10 +263,19 @@
             headers: headers::forwarded(&outgoing.headers),
             body: outgoing.body,
             charged_tokens,
+            identity: OnceLock::new(),
             record,
         }
     }
 
+    /// Returns the number that the request shares with its repetitions. See [`identify`].
+    pub fn identity(&self) -> u64 {
+        *self.identity.get_or_init(|| {
+            let caller = Caller { team: self.team.as_deref(), host: host(&self.headers) };
+            identify(caller, &self.method, &self.uri, &self.body)
+        })
+    }
+
     /// Records that the request was sent to an engine. Returns how often it was sent so far.
     pub fn record_send(&mut self, engine: &str) -> u32 {
         engine.clone_into(&mut self.record.engine);
@@ -314,6 +331,36 @@
     }
 }
 
+/// Sender of a request and the name under which it called.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller<'a> {
+    /// Team of the API key; `None` without a known key.
+    pub team: Option<&'a str>,
+    /// Value of the `Host` header.
+    pub host: &'a [u8],
+}
+
+/// Returns the value of the `Host` header; empty without one.
+pub fn host(headers: &HeaderMap) -> &[u8] {
+    headers.get(header::HOST).map_or(&[], HeaderValue::as_bytes)
+}
+
+/// Returns a number that a request shares with its repetitions, however often and by whichever daemon
+/// they are received: that of the same caller, method, path and body.
+pub fn identify(caller: Caller<'_>, method: &Method, uri: &Uri, body: &[u8]) -> u64 {
+    let path = uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let mut context = Context::new(&SHA256);
+    for field in [caller.team.unwrap_or("").as_bytes(), caller.host, method.as_str().as_bytes()] {
+        context.update(field);
+        context.update(&[0]);
+    }
+    context.update(path.as_bytes());
+    context.update(&[0]);
+    context.update(body);
+    let digest = context.finish();
+    digest.as_ref().iter().take(8).fold(0, |number, byte| number << 8 | u64::from(*byte))
+}
+
 /// Derives the seed of a request from its identifier, which is hexadecimal.
 pub fn seed(id: &str) -> u64 {
     u64::from_str_radix(id, 16).unwrap_or_else(|_| id.bytes().map(u64::from).sum())
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -524,10 +524,11 @@
         events::log(
             Event::AttemptFailed,
             format_args!(
-                "id={} engine={} nth={} parts={:x?} cause={cause}",
+                "id={} engine={} nth={} request={:x} parts={:x?} cause={cause}",
                 self.call.id,
                 target.id,
                 self.send_count,
+                self.call.identity(),
                 self.call.shared_parts()
             ),
         );
