--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -60,6 +60,8 @@
     Fail,
     /// Streams one event, then the engine crashes.
     Crash,
+    /// Begins to run the request, then the engine crashes.
+    CrashUnanswered,
 }
 
 /// Time between the first event of a response and the crash that it causes.
@@ -98,6 +100,8 @@
     busy: bool,
     /// Part of a prompt under which the engine crashes once it begins a response.
     crashing_part: Option<&'static str>,
+    /// Body of requests under which the engine crashes once it begins to run them.
+    crashing_body: Option<&'static str>,
     /// Times at which the engine crashed.
     crashes: Vec<Instant>,
     /// Limit on the requests per second of all daemons that the engine names in its responses.
@@ -195,6 +199,11 @@
         self.state.lock().crashing_part = Some(part);
     }
 
+    /// Makes the engine crash under each request with this body.
+    pub fn crash_under_body(&self, body: &'static str) {
+        self.state.lock().crashing_body = Some(body);
+    }
+
     /// Makes the engine name a limit in its responses, in requests per second, or none.
     pub fn set_limit(&self, limit: Option<&'static str>) {
         self.state.lock().limit = limit;
@@ -266,9 +275,12 @@
                 state.behaviors.pop_front().unwrap_or_else(|| self.default_behavior(&path));
             let executed = !matches!(behavior, Behavior::Refuse | Behavior::LacksModel);
             let crashes = state.crashing_part.is_some_and(|part| has_shared_part(&headers, part));
+            let is_poison = state.crashing_body.is_some_and(|poison| body == poison);
             let at = Instant::now();
             state.received.push(ReceivedRequest { path, headers, body, executed, at });
-            if crashes {
+            if is_poison {
+                Behavior::CrashUnanswered
+            } else if crashes {
                 Behavior::Crash
             } else {
                 behavior
@@ -310,12 +322,13 @@
             }
             Behavior::WrongId | Behavior::Unsigned => full_response(200, "answer"),
             Behavior::Fail => full_response(500, "failure"),
+            Behavior::CrashUnanswered => {
+                self.crash_soon();
+                // The crash ends the connection.
+                return std::future::pending().await;
+            }
             Behavior::Crash => {
-                let crash = Arc::clone(&self.crash);
-                tokio::spawn(async move {
-                    sleep(CRASH_DELAY).await;
-                    crash.notify_one();
-                });
+                self.crash_soon();
                 event_stream(after, 1, Duration::ZERO, StreamEnd::Stalled, Arc::clone(&self.state))
             }
         };
@@ -335,6 +348,14 @@
         Ok(response)
     }
 
+    fn crash_soon(&self) {
+        let crash = Arc::clone(&self.crash);
+        tokio::spawn(async move {
+            sleep(CRASH_DELAY).await;
+            crash.notify_one();
+        });
+    }
+
     fn handle_order(&self, body: &Bytes) -> Response<Body> {
         let order: Value = serde_json::from_slice(body).expect("an order is JSON");
         let mut state = self.state.lock();
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod crashing_part;
+mod crashing_request;
 mod engine;
 mod engine_limit;
 mod faults;
