Quarantine whole requests that crash engines

Callers of a plain service got 502 and 503 in waves: a request that crashed each engine came again and again, at any daemon, and 35 engines ended under it.

Cause: only parts of prompts could be recognized, so a request without such parts wasn't even evidence; on a model service its parts were blamed, and sound requests with them refused.

A casualty now carries a hash of its caller, path and body beside its parts. A request is quarantined after three crashes at different times, by the whole fleet and through restarts, on every kind of route, and isn't repeated after two. Where it explains the same crashes as its parts, these stay free; crashes that something quarantined explains count only beside one that nothing explains, so that a part whose requests are quarantined one by one is still found. The hash is computed only while a request is accused.

The simulated fleets now report a crash at once, as daemons do.

--- a/crates/coord/tests/serving/quarantine.rs
+++ b/crates/coord/tests/serving/quarantine.rs
@@ -1,6 +1,7 @@
-//! Tests of the quarantine of prompt parts that crash engines, at one daemon and in fleets whose
-//! reports get lost, late and reordered.
+//! Tests of the quarantine of requests and prompt parts that crash engines, at one daemon and in
+//! fleets whose reports get lost, late and reordered.
 
+use std::iter;
 use std::time::Duration;
 
 use corianderyoke_coord::serving::quarantine::Admission;
@@ -8,6 +9,7 @@
 use corianderyoke_coord::serving::quarantine::Crash;
 use corianderyoke_coord::serving::quarantine::Quarantine;
 use corianderyoke_coord::serving::quarantine::QuarantineSettings;
+use corianderyoke_coord::serving::quarantine::Subject;
 use corianderyoke_coord::time::Tick;
 use rand::Rng;
 use rand::SeedableRng;
@@ -16,11 +18,13 @@
 use crate::fixtures::ms;
 
 /// Part that crashes engines.
-const BAD: u64 = 0xbad;
+const BAD: Subject = Subject::Part(0xbad);
 /// First part of all prompts.
-const FIRST: u64 = 1;
+const FIRST: Subject = Subject::Part(1);
 /// Part of few prompts.
-const RARE: u64 = 2;
+const RARE: Subject = Subject::Part(2);
+/// Request that crashes engines.
+const POISON: Subject = Subject::Request(0xbad);
 
 fn quarantine() -> Quarantine {
     Quarantine::new(QuarantineSettings::default())
@@ -30,18 +34,24 @@
     Crash { engine, started_ms: 1 }
 }
 
-fn casualty(engine: u32, request: u64, parts: &[u64], sent: Tick, ended: Tick) -> Casualty {
-    Casualty { crash: crash(engine), request, parts: parts.to_vec(), sent, ended }
+fn casualty(engine: u32, attempt: u64, subjects: &[Subject], sent: Tick, ended: Tick) -> Casualty {
+    Casualty { crash: crash(engine), attempt, subjects: subjects.to_vec(), sent, ended }
 }
 
 /// Records that an engine crashed under one request, which was sent 100 ms before.
-fn crash_under(quarantine: &mut Quarantine, engine: u32, request: u64, parts: &[u64], at: u64) {
-    quarantine.record_broken(casualty(engine, request, parts, ms(at - 100), ms(at)), ms(at));
+fn crash_under(
+    quarantine: &mut Quarantine,
+    engine: u32,
+    attempt: u64,
+    subjects: &[Subject],
+    at: u64,
+) {
+    quarantine.record_broken(casualty(engine, attempt, subjects, ms(at - 100), ms(at)), ms(at));
     quarantine.confirm(crash(engine), ms(at));
 }
 
-fn held(quarantine: &Quarantine) -> Vec<u64> {
-    quarantine.held_parts().map(|(part, _)| part).collect()
+fn held(quarantine: &Quarantine) -> Vec<Subject> {
+    quarantine.held_subjects().map(|(subject, _)| subject).collect()
 }
 
 /// Guards against engines that crash one after the other under requests with one part in common.
@@ -101,7 +111,7 @@
         let at = 1_000 + u64::from(index) * 200;
         let sound = casualty(index, 100 + u64::from(index), &[RARE], ms(at - 100), ms(at));
         quarantine.record_broken(sound, ms(at));
-        let parts: &[u64] = if index < 2 { &[BAD] } else { &[BAD, FIRST] };
+        let parts: &[Subject] = if index < 2 { &[BAD] } else { &[BAD, FIRST] };
         crash_under(&mut quarantine, index, u64::from(index), parts, at);
         if index == 1 {
             quarantine.record_served(&[RARE], true, ms(at + 50));
@@ -170,17 +180,103 @@
     assert!(matches!(quarantine.admit(&[FIRST, BAD], |_| true, ms(1_700)), Admission::Held(_)));
 }
 
+/// Guards against a request without parts that comes again and crashes one engine after the other.
+#[test]
+fn request_that_crashes_engines_again_is_held_and_its_parts_are_not() {
+    let mut quarantine = quarantine();
+    for (index, at) in [1_000, 1_200, 1_400].into_iter().enumerate() {
+        assert!(held(&quarantine).is_empty(), "after {index} crashes");
+        crash_under(&mut quarantine, index as u32, index as u64, &[POISON, FIRST, RARE], at);
+    }
+    assert_eq!(held(&quarantine), [POISON]);
+    assert!(quarantine.is_suspect(&[POISON], ms(1_500)));
+    assert!(!quarantine.is_suspect(&[Subject::Request(7), FIRST], ms(1_500)));
+    let refused = quarantine.admit(&[POISON, FIRST], |_| true, ms(1_500));
+    assert!(matches!(refused, Admission::Held(_)));
+    let sound = quarantine.admit(&[Subject::Request(7), FIRST, RARE], |_| true, ms(1_500));
+    assert_eq!(sound, Admission::Free);
+}
+
+/// Guards against copies that crash all engines before any of them has ended.
+#[test]
+fn copies_of_a_request_at_the_same_time_are_evidence() {
+    let mut quarantine = quarantine();
+    for engine in 0..3 {
+        let ended = ms(1_000 + u64::from(engine) * 30);
+        let broken = casualty(engine, engine.into(), &[POISON], ms(950), ended);
+        quarantine.record_broken(broken, ended);
+        quarantine.confirm(crash(engine), ended);
+    }
+    assert_eq!(held(&quarantine), [POISON]);
+}
+
+/// Guards against blaming a request that many send for engines that fail with their rack.
+#[test]
+fn engines_that_fail_together_accuse_no_request() {
+    let mut quarantine = quarantine();
+    for engine in 0..8 {
+        let ended = ms(1_000 + u64::from(engine) * 2);
+        let broken = casualty(engine, engine.into(), &[POISON], ms(950), ended);
+        quarantine.record_broken(broken, ended);
+        quarantine.confirm(crash(engine), ended);
+    }
+    assert!(held(&quarantine).is_empty());
+    assert!(!quarantine.is_suspect(&[POISON], ms(1_100)));
+}
+
+/// Guards against blaming a sound request that is repeated while others take its engines down.
+#[test]
+fn request_that_is_served_between_crashes_is_sound() {
+    let mut quarantine = quarantine();
+    for index in 0..8 {
+        let at = 1_000 + u64::from(index) * 400;
+        crash_under(&mut quarantine, index, index.into(), &[POISON], at);
+        quarantine.record_served(&[POISON], true, ms(at + 200));
+    }
+    assert!(held(&quarantine).is_empty());
+}
+
+/// Guards against a part that goes unnoticed because each request with it is quarantined first.
+#[test]
+fn part_is_held_once_it_crashes_an_engine_under_another_request() {
+    let mut quarantine = quarantine();
+    for index in 0..3 {
+        let at = 1_000 + u64::from(index) * 200;
+        crash_under(&mut quarantine, index, index.into(), &[POISON, BAD], at);
+    }
+    assert_eq!(held(&quarantine), [POISON]);
+    crash_under(&mut quarantine, 9, 9, &[Subject::Request(9), BAD], 2_000);
+    assert_eq!(held(&quarantine), [POISON, BAD]);
+}
+
+/// Guards against memory that grows with the requests served.
+#[test]
+fn responses_to_requests_that_nobody_accuses_are_not_remembered() {
+    let mut quarantine = quarantine();
+    assert!(!quarantine.concerns_requests());
+    quarantine.record_served(&[Subject::Request(5)], true, ms(0));
+    assert_eq!(quarantine.entry_count(), 0);
+    crash_under(&mut quarantine, 1, 1, &[POISON], 1_000);
+    assert!(quarantine.concerns_requests());
+    quarantine.prune(ms(1_000_000));
+    assert!(!quarantine.concerns_requests());
+}
+
 #[test]
 fn state_is_bounded_and_pruned() {
     let mut quarantine = quarantine();
     for index in 0..1_000_u32 {
         let at = 1_000 + u64::from(index) * 10;
         for request in 0..3 {
-            let parts: Vec<u64> = (0..20).map(|part| u64::from(index) * 100 + part).collect();
-            let request = u64::from(index) * 10 + request;
-            let broken = casualty(index, request, &parts, ms(at - 1), ms(at));
+            let attempt = u64::from(index) * 10 + request;
+            let parts = (0..20).map(|part| Subject::Part(u64::from(index) * 100 + part));
+            let subjects: Vec<Subject> =
+                iter::once(Subject::Request(attempt)).chain(parts).collect();
+            let broken = casualty(index, attempt, &subjects, ms(at - 1), ms(at));
             quarantine.record_broken(broken, ms(at));
-            quarantine.record_served(&[u64::from(index) * 1_000 + request], true, ms(at));
+            let served = u64::from(index) * 1_000 + attempt;
+            let served = [Subject::Part(served), Subject::Request(served), subjects[0]];
+            quarantine.record_served(&served, true, ms(at));
         }
         quarantine.confirm(crash(index), ms(at));
         quarantine.prune(ms(at));
@@ -264,14 +360,29 @@
             let casualties: Vec<Casualty> =
                 report.sender.recent_casualties(report.is_relay).cloned().collect();
             let verdicts = report.sender.verdicts();
+            let mut has_new = false;
             for to in report.to.into_iter().filter(|to| *to != report.from) {
                 for verdict in &verdicts {
                     self.daemons[to].apply(verdict.clone());
                 }
                 for casualty in &casualties {
-                    self.daemons[to].record_reported(casualty.clone(), ms(now));
+                    let is_new = self.daemons[to].record_reported(casualty.clone(), ms(now));
+                    has_new |= is_new && to == 0;
                 }
             }
+            if has_new && self.daemons.len() > 12 {
+                self.send(now, 0, (1..self.daemons.len()).collect(), true);
+            }
+        }
+    }
+
+    /// Sends the report of a daemon that learned of a crash.
+    fn report_crash(&mut self, now: u64, from: usize) {
+        let size = self.daemons.len();
+        match size {
+            0..=12 => self.send(now, from, (0..size).filter(|to| *to != from).collect(), false),
+            _ if from == 0 => self.send(now, 0, (1..size).collect(), true),
+            _ => self.send(now, from, vec![0, 1], false),
         }
     }
 
@@ -294,7 +405,7 @@
                 self.daemons.iter_mut().for_each(|daemon| daemon.prune(ms(now)));
             }
             let daemon = self.rng.random_range(0..size);
-            let parts = [FIRST, 1_000 + self.rng.random_range(0..50)];
+            let parts = [FIRST, Subject::Part(1_000 + self.rng.random_range(0..50))];
             outcome.sound += 1;
             match self.daemons[daemon].admit(&parts, |_| false, ms(now)) {
                 Admission::Held(_) => outcome.refused += 1,
@@ -304,7 +415,7 @@
                 continue;
             }
             let daemon = self.rng.random_range(0..size);
-            let parts = [FIRST, BAD, 1_000 + self.rng.random_range(0..50)];
+            let parts = [FIRST, BAD, Subject::Part(1_000 + self.rng.random_range(0..50))];
             if self.daemons[daemon].admit(&parts, |_| false, ms(now)) != Admission::Free {
                 continue;
             }
@@ -326,17 +437,88 @@
                 // Another daemon has a sound request at the engine.
                 let other = self.rng.random_range(0..size);
                 let ended = ms(sent + 90);
-                for (at, request, parts) in
+                for (at, attempt, parts) in
                     [(other, now + 1, vec![FIRST, RARE]), (daemon, now, parts.to_vec())]
                 {
-                    let casualty = Casualty { crash, request, parts, sent: ms(sent), ended };
+                    // No two of these requests are alike.
+                    let request = Subject::Request(attempt);
+                    let subjects = iter::once(request).chain(parts).collect();
+                    let casualty = Casualty { crash, attempt, subjects, sent: ms(sent), ended };
                     self.daemons[at].record_broken(casualty, ended);
                     self.daemons[at].confirm(crash, ended);
+                    self.report_crash(sent + 90, at);
                 }
             }
         }
         outcome
     }
+
+    /// Plays 25 s with a request that crashes engines, of which `copies` come at once at any daemons,
+    /// among many sound ones. Crashed engines are back after 3 s.
+    fn play_request(&mut self, copies: u64, restarts: bool) -> Outcome {
+        let size = self.daemons.len();
+        let mut outcome = Outcome::default();
+        let mut back = vec![(0, 0_u64); 6];
+        for now in (0..25_000).step_by(10) {
+            self.deliver(now);
+            self.report(now);
+            if restarts && now % 5_000 == 4_990 {
+                let index = self.rng.random_range(2..size);
+                self.daemons[index] = quarantine();
+            }
+            if now % 500 == 0 {
+                self.daemons.iter_mut().for_each(|daemon| daemon.prune(ms(now)));
+            }
+            let daemon = self.rng.random_range(0..size);
+            let sound = [Subject::Request(now + 1_000_000), FIRST, RARE];
+            outcome.sound += 1;
+            match self.daemons[daemon].admit(&sound, |_| false, ms(now)) {
+                Admission::Held(_) => outcome.refused += 1,
+                _ => self.daemons[daemon].record_served(&sound, true, ms(now)),
+            }
+            if now % 500 != 250 || now < 3_000 {
+                continue;
+            }
+            for copy in 0..copies {
+                self.send_poison(now + copy, &mut back, &mut outcome);
+            }
+        }
+        outcome
+    }
+
+    /// Sends the request that crashes engines from any daemon, on to a second engine if it may be.
+    fn send_poison(&mut self, now: u64, back: &mut [(u64, u64)], outcome: &mut Outcome) {
+        let size = self.daemons.len();
+        let daemon = self.rng.random_range(0..size);
+        let subjects = [POISON, FIRST];
+        if self.daemons[daemon].admit(&subjects, |_| false, ms(now)) != Admission::Free {
+            return;
+        }
+        for attempt in 0..2 {
+            let sent = now + attempt * 60;
+            if attempt > 0 && self.daemons[daemon].is_suspect(&subjects, ms(sent)) {
+                return;
+            }
+            let Some(engine) = back.iter().position(|(until, _)| *until <= sent) else { return };
+            let process = back[engine].1 + 1;
+            let ended = sent + self.rng.random_range(20..60);
+            back[engine] = (ended + 3_000, process);
+            outcome.reached.push(sent);
+            outcome.crashes.push(ended);
+            let crash = Crash { engine: engine as u32, started_ms: process };
+            let other = self.rng.random_range(0..size);
+            let sound = vec![Subject::Request(sent), FIRST, RARE];
+            for (at, attempt, subjects) in
+                [(other, sent + 500_000, sound), (daemon, now, subjects.to_vec())]
+            {
+                let at_end = ms(ended);
+                let casualty = Casualty { crash, attempt, subjects, sent: ms(sent), ended: at_end };
+                self.daemons[at].record_broken(casualty, at_end);
+                self.daemons[at].confirm(crash, at_end);
+                self.report_crash(ended, at);
+            }
+        }
+    }
 }
 
 /// Guards against fleets of any size that pass on requests which crash engines, also while reports
@@ -362,3 +544,32 @@
     }
     insta::assert_debug_snapshot!(summaries);
 }
+
+/// Guards against fleets of any size that pass on a request which crashes engines, also while reports
+/// are lost, late and reordered and daemons start again.
+#[test]
+fn every_fleet_holds_the_request_in_time_and_serves_sound_ones() {
+    let mut summaries = Vec::new();
+    for (size, loss, max_delay, restarts) in [
+        (8, 0.0, 20, false),
+        (8, 0.5, 900, true),
+        (80, 0.0, 20, false),
+        (80, 0.3, 700, true),
+        (195, 0.3, 700, true),
+        (510, 0.2, 400, true),
+    ] {
+        for copies in [1, 2, 6] {
+            let mut fleet = Fleet::new(size, size as u64 + copies, loss, max_delay);
+            let outcome = fleet.play_request(copies, restarts);
+            let mut crashes = outcome.crashes.clone();
+            crashes.sort_unstable();
+            let known = crashes.get(2).map_or(u64::MAX, |third| third + 3_000);
+            let later = outcome.reached.iter().filter(|at| **at > known).count();
+            assert!(later <= 3, "{size} daemons, {copies} copies: {later} later requests");
+            assert!(crashes.len() >= 3, "{size} daemons, {copies} copies");
+            assert!(outcome.refused * 100 <= outcome.sound, "{size} daemons, {copies} copies");
+            summaries.push((size, copies, crashes.len(), outcome.refused));
+        }
+    }
+    insta::assert_debug_snapshot!(summaries);
+}
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -166,18 +166,18 @@
         }
     }
 
-    /// Returns whether a request that may have run may be sent again. One whose prompt is suspected
-    /// of crashing engines isn't, so that it takes no further one down.
+    /// Returns whether a request that may have run may be sent again. One that is suspected of
+    /// crashing engines isn't, so that it takes no further one down.
     fn may_repeat(&self) -> bool {
-        let parts = self.call.shared_parts();
+        let subjects = quarantine::subjects(&self.call);
         self.call.route.repeat.may_repeat()
-            && !self.call.shared.state().quarantine.is_suspect(&parts, clock::now())
+            && !self.call.shared.state().quarantine.is_suspect(&subjects, clock::now())
     }
 
-    /// Returns for how long a part of the prompt is quarantined, if one is.
+    /// Returns for how long the request, or a part of its prompt, is quarantined, if it is.
     fn quarantined_for(&self) -> Option<Duration> {
-        let parts = self.call.shared_parts();
-        self.call.shared.state().quarantine.held_for(&parts, clock::now())
+        let subjects = quarantine::subjects(&self.call);
+        self.call.shared.state().quarantine.held_for(&subjects, clock::now())
     }
 
     /// Records that the connection ended within a response.
@@ -246,7 +246,7 @@
     }
 
     /// Waits for the duration that `limit` returns, and repeats that while no other engine is
-    /// eligible and time remains. Gives up if a part of the prompt is quarantined.
+    /// eligible and time remains. Gives up if the request is quarantined.
     async fn wait<T>(
         &self,
         awaited: impl Future<Output = T>,
@@ -557,12 +557,9 @@
 
     fn record_possible_crash(&mut self, target: &Target) {
         let Some((sent, crash)) = self.sent else { return };
-        let parts = self.call.shared_parts();
-        if parts.is_empty() {
-            return;
-        }
+        let subjects = quarantine::casualty_subjects(&self.call);
         let ended = clock::now();
-        let casualty = Casualty { crash, request: self.call.seed(), parts, sent, ended };
+        let casualty = Casualty { crash, attempt: self.call.seed(), subjects, sent, ended };
         if quarantine::record_broken(&self.call.shared, casualty) {
             self.unchecked = Some((target.address, crash));
         }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -35,6 +35,7 @@
 use crate::body::Body;
 use crate::call;
 use crate::call::Call;
+use crate::call::Caller;
 use crate::call::OutgoingRequest;
 use crate::call::RequestRecord;
 use crate::call::RoutingDecision;
@@ -122,7 +123,9 @@
     };
     let time_limit = facts.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(body, desired.callers.body_bytes, time_limit).await?;
-    quarantine::admit(shared, facts, arrived)?;
+    let caller = Caller { team: team.as_deref(), host: call::host(&head.headers) };
+    let identity = || call::identify(caller, &head.method, &head.uri, &body);
+    quarantine::admit(shared, facts, identity, arrived)?;
     let charged_tokens = charge_tokens(shared, facts, &desired, team.as_deref(), arrived)?;
     count_request(shared, facts, &route, &service, arrived);
     let outgoing =
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -1,7 +1,8 @@
-//! Applies the quarantine of prompt parts that crash engines to requests, and keeps it in the store
+//! Applies the quarantine of requests and prompt parts that crash engines, and keeps it in the store
 //! for daemons that start.
 
 use std::io::ErrorKind;
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use corianderyoke_coord::serving::quarantine::Admission;
 use corianderyoke_coord::serving::quarantine::Casualty;
 use corianderyoke_coord::serving::quarantine::Crash;
+use corianderyoke_coord::serving::quarantine::Subject;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_platform::Transaction;
 use corianderyoke_platform::Write;
@@ -31,9 +33,11 @@
 use crate::state::Shared;
 use crate::state::State;
 
-/// Row that lists the quarantined parts: a list for each, of the part and its rivals as hexadecimal
-/// numbers.
+/// Row that lists what is quarantined: a list for each subject, of the subject and its rivals. A part
+/// of a prompt is a hexadecimal number, a whole request one after [`REQUEST_PREFIX`].
 pub const ROW: &str = "quarantine";
+/// Prefix of whole requests in the row.
+const REQUEST_PREFIX: &str = "request-";
 /// Time limit for a connection that shows whether an engine is alive.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an engine that accepted a connection is checked again, since a crash may take
@@ -45,32 +49,67 @@
 const WRITE_BACKOFF: Duration = Duration::from_secs(1);
 
 /// Content of the row.
-type StoredParts = Vec<Vec<String>>;
+type StoredSubjects = Vec<Vec<String>>;
 
-/// Refuses a request if a part of its prompt is quarantined.
+/// Refuses a request if it, or a part of its prompt, is quarantined. `identity` returns the number
+/// that it shares with its repetitions.
 ///
 /// # Errors
 ///
 /// Returns [`Refusal::Quarantined`].
-pub fn admit(shared: &Shared, facts: &RequestHeaders, now: Tick) -> Result<(), Refusal> {
-    let Some(need) = &facts.need else { return Ok(()) };
-    let parts: Vec<u64> = choice::shared_parts(need).collect();
-    let mut guard = shared.state();
-    let state = &mut *guard;
-    if state.quarantine.held_parts().next().is_none() {
+pub fn admit(
+    shared: &Shared,
+    facts: &RequestHeaders,
+    identity: impl FnOnce() -> u64,
+    now: Tick,
+) -> Result<(), Refusal> {
+    if shared.state().quarantine.held_subjects().next().is_none() {
         return Ok(());
     }
-    let homes: Vec<u64> =
-        parts.iter().copied().filter(|part| is_home(shared, state, *part)).collect();
-    match state.quarantine.admit(&parts, |part| homes.contains(&part), now) {
+    let parts = facts.need.iter().flat_map(choice::shared_parts).map(Subject::Part);
+    let subjects: Vec<Subject> = iter::once(Subject::Request(identity())).chain(parts).collect();
+    let mut guard = shared.state();
+    let state = &mut *guard;
+    let homes: Vec<Subject> =
+        subjects.iter().copied().filter(|subject| is_home(shared, state, *subject)).collect();
+    match state.quarantine.admit(&subjects, |subject| homes.contains(&subject), now) {
         Admission::Free | Admission::Trial => Ok(()),
         Admission::Held(left) => Err(Refusal::Quarantined(left)),
     }
 }
 
-/// Returns whether this daemon tries whether a quarantined part still crashes engines.
-fn is_home(shared: &Shared, state: &State, part: u64) -> bool {
-    shared.rank(state, &format!("{part:x}")) == 0
+/// Returns whether this daemon tries whether a quarantined subject still crashes engines.
+fn is_home(shared: &Shared, state: &State, subject: Subject) -> bool {
+    shared.rank(state, &name(subject)) == 0
+}
+
+/// Returns what a call has in common with other requests. Includes the whole request only where that
+/// matters, since its number depends on the body.
+pub fn subjects(call: &Call) -> Vec<Subject> {
+    let concerns_requests = call.shared.state().quarantine.concerns_requests();
+    let request = concerns_requests.then(|| Subject::Request(call.identity()));
+    request.into_iter().chain(call.shared_parts().into_iter().map(Subject::Part)).collect()
+}
+
+/// Returns what a call whose engine may have crashed has in common with other requests.
+pub fn casualty_subjects(call: &Call) -> Vec<Subject> {
+    let request = Subject::Request(call.identity());
+    iter::once(request).chain(call.shared_parts().into_iter().map(Subject::Part)).collect()
+}
+
+/// Returns the name of a subject in the store's row.
+fn name(subject: Subject) -> String {
+    match subject {
+        Subject::Request(identity) => format!("{REQUEST_PREFIX}{identity:x}"),
+        Subject::Part(part) => format!("{part:x}"),
+    }
+}
+
+fn parse_name(name: &str) -> Option<Subject> {
+    match name.strip_prefix(REQUEST_PREFIX) {
+        Some(identity) => u64::from_str_radix(identity, 16).ok().map(Subject::Request),
+        None => u64::from_str_radix(name, 16).ok().map(Subject::Part),
+    }
 }
 
 /// Returns the process of an engine that receives a request now.
@@ -129,20 +168,32 @@
     publish_changes(shared, &mut state);
 }
 
-/// Records the complete response to a request, whose parts therefore don't crash engines.
+/// Records the complete response to a request, which therefore doesn't crash engines.
 pub fn record_served(call: &Call, head: &HeaderMap) {
-    let parts = call.shared_parts();
+    let subjects = subjects(call);
     let mut state = call.shared.state();
-    state.quarantine.record_served(&parts, headers::is_framed(head), clock::now());
+    state.quarantine.record_served(&subjects, headers::is_framed(head), clock::now());
     publish_changes(&call.shared, &mut state);
 }
 
-/// Logs which parts were quarantined or cleared, and gives up the requests concerned.
+/// Logs what was quarantined or cleared, and gives up the requests concerned.
 pub fn publish_changes(shared: &Shared, state: &mut State) {
     let changes = state.quarantine.take_changes();
-    for (part, is_held) in &changes {
-        let event = if *is_held { Event::Quarantined } else { Event::PartCleared };
-        events::log(event, format_args!("part={part:x}"));
+    for (subject, is_held) in &changes {
+        match (*subject, is_held) {
+            (Subject::Part(part), true) => {
+                events::log(Event::Quarantined, format_args!("part={part:x}"));
+            }
+            (Subject::Part(part), false) => {
+                events::log(Event::PartCleared, format_args!("part={part:x}"));
+            }
+            (Subject::Request(identity), true) => {
+                events::log(Event::RequestQuarantined, format_args!("request={identity:x}"));
+            }
+            (Subject::Request(identity), false) => {
+                events::log(Event::RequestCleared, format_args!("request={identity:x}"));
+            }
+        }
     }
     if !changes.is_empty() {
         shared.report_soon(state);
@@ -151,22 +202,20 @@
     }
 }
 
-/// Quarantines the parts that a row of the store lists.
+/// Quarantines the subjects that a row of the store lists.
 pub fn restore(shared: &Shared, row: &[u8]) {
-    let parts: StoredParts = match serde_json::from_slice(row) {
-        Ok(parts) => parts,
+    let stored: StoredSubjects = match serde_json::from_slice(row) {
+        Ok(stored) => stored,
         Err(error) => {
             events::log(Event::EntrySkipped, format_args!("name={ROW} {error}"));
             return;
         }
     };
     let mut state = shared.state();
-    for listed in &parts {
-        let numbers = listed.iter().filter_map(|part| u64::from_str_radix(part, 16).ok());
-        let mut numbers: Vec<u64> = numbers.collect();
-        if !numbers.is_empty() {
-            let part = numbers.remove(0);
-            state.quarantine.restore(part, numbers, clock::now());
+    for listed in &stored {
+        let mut subjects = listed.iter().filter_map(|name| parse_name(name));
+        if let Some(subject) = subjects.next() {
+            state.quarantine.restore(subject, subjects.collect(), clock::now());
         }
     }
     publish_changes(shared, &mut state);
@@ -175,27 +224,27 @@
 /// Drops old evidence, and while this daemon holds the lease keeps the store's row up to date, until
 /// the task is aborted.
 pub async fn maintain(shared: Arc<Shared>) {
-    let mut written: Option<(u64, StoredParts)> = None;
+    let mut written: Option<(u64, StoredSubjects)> = None;
     loop {
         sleep(MAINTENANCE_INTERVAL).await;
-        let parts = {
+        let subjects = {
             let mut state = shared.state();
             let now = clock::now();
             state.quarantine.prune(now);
             publish_changes(&shared, &mut state);
             state.holds_lease(now).then(|| list(&state))
         };
-        let Some(parts) = parts else {
+        let Some(subjects) = subjects else {
             written = None;
             continue;
         };
         // What was written in an earlier era may be lost, or an older list may be there again.
         let era = shared.store.era();
-        if written.as_ref().is_some_and(|(of, list)| *of == era && *list == parts) {
+        if written.as_ref().is_some_and(|(of, list)| *of == era && *list == subjects) {
             continue;
         }
-        match write(&shared, &parts).await {
-            Ok(()) => written = Some((era, parts)),
+        match write(&shared, &subjects).await {
+            Ok(()) => written = Some((era, subjects)),
             Err(error) => {
                 events::log(Event::PlatformFailed, format_args!("row={ROW} {error}"));
                 sleep(WRITE_BACKOFF).await;
@@ -204,16 +253,16 @@
     }
 }
 
-fn list(state: &State) -> StoredParts {
-    let parts = state.quarantine.held_parts().map(|(part, rivals)| {
-        [part].iter().chain(rivals).map(|part| format!("{part:x}")).collect()
+fn list(state: &State) -> StoredSubjects {
+    let subjects = state.quarantine.held_subjects().map(|(subject, rivals)| {
+        [subject].iter().chain(rivals).map(|subject| name(*subject)).collect()
     });
-    parts.collect()
+    subjects.collect()
 }
 
-async fn write(shared: &Shared, parts: &[Vec<String>]) -> anyhow::Result<()> {
+async fn write(shared: &Shared, subjects: &[Vec<String>]) -> anyhow::Result<()> {
     let (table, key) = (FLEET_TABLE.to_owned(), ROW.to_owned());
-    let writes = vec![Write::Put { table, key, value: serde_json::to_string(parts)? }];
+    let writes = vec![Write::Put { table, key, value: serde_json::to_string(subjects)? }];
     shared.store.transact(&Transaction { conditions: Vec::new(), writes }).await?;
     Ok(())
 }
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -28,7 +28,7 @@
     NoEngine(Duration),
     /// The model or adapter can't be loaded before the request's deadline; retry after this time.
     NotLoaded(Duration),
-    /// A part of the prompt crashes engines; it is quarantined for this time.
+    /// The request, or a part of its prompt, crashes engines and is quarantined for this time.
     Quarantined(Duration),
     /// The request wasn't sent to an engine before its deadline.
     NotStarted,
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -174,7 +174,7 @@
     pub own_loads: IndexMap<UpstreamKey, OwnLoad>,
     /// Prompt prefixes that the engines have cached.
     pub prefixes: PrefixTracker,
-    /// Parts of prompts that crash engines.
+    /// Requests and parts of prompts that crash engines.
     pub quarantine: Quarantine,
     /// Other daemons of the fleet.
     pub roster: Roster,
@@ -243,7 +243,7 @@
     pub choice: ChoiceSettings,
     /// Notified when engines, routes or loads changed, so that waiting requests retry the choice.
     pub changed: Notify,
-    /// Notified when a part of prompts was quarantined, so that requests with it are given up.
+    /// Notified when something was quarantined, so that the requests concerned are given up.
     pub quarantined: Notify,
     /// Notified when a message to other daemons may be due before the regular interval is over.
     pub report_now: Notify,
--- a/crates/daemon/tests/fleet/crashing_part.rs
+++ b/crates/daemon/tests/fleet/crashing_part.rs
@@ -43,7 +43,7 @@
         Fleet { fixture, engines, daemons }
     }
 
-    /// Sends a stream request with these shared parts and returns its status, or `None` if the
+    /// Sends a stream request with these shared parts, unlike any other, and returns its status, or `None` if the
     /// response broke off.
     async fn send(&self, daemon: usize, parts: &str, id: u64) -> Option<u16> {
         let id = format!("{id:016x}");
@@ -53,7 +53,8 @@
             .request(daemon, "/resume/soak", &id)
             .header("corianderyoke-model", "m1")
             .header("corianderyoke-token-count", "100,20")
-            .header("corianderyoke-prompt-prefix", format!("{parts},{id}:40"));
+            .header("corianderyoke-prompt-prefix", format!("{parts},{id}:40"))
+            .body(id.clone());
         let response = request.send().await.ok()?;
         let status = response.status().as_u16();
         response.text().await.ok().map(|_| status)
--- a/crates/daemon/tests/fleet/restored.rs
+++ b/crates/daemon/tests/fleet/restored.rs
@@ -301,7 +301,8 @@
             .request(&daemon, "/resume/soak", &id)
             .header("corianderyoke-model", "m1")
             .header("corianderyoke-token-count", "100,20")
-            .header("corianderyoke-prompt-prefix", format!("dead:60,{id}:40"));
+            .header("corianderyoke-prompt-prefix", format!("dead:60,{id}:40"))
+            .body(id.clone());
         async {
             // Only what the store holds afterwards matters.
             let _ = request.send().await;
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -75,6 +75,8 @@
     Quarantined = 409, Warn, "a part of prompts crashes upstreams, requests with it are refused";
     CallUnknown = 410, Warn, "a call that may not be repeated ended with an unknown outcome";
     PartCleared = 411, Info, "a part of prompts no longer counts as crashing upstreams";
+    RequestQuarantined = 412, Warn, "a request crashes upstreams, its repetitions are refused";
+    RequestCleared = 413, Info, "a request no longer counts as crashing upstreams";
     Decided = 500, Info, "a placement decision was recorded";
     Ordered = 501, Info, "an order was sent to an upstream";
     OrderRefused = 502, Warn, "an upstream refused an order";
