--- a/crates/daemon/tests/fleet/fixture.rs
+++ b/crates/daemon/tests/fleet/fixture.rs
@@ -235,6 +235,17 @@
     })
 }
 
+/// Returns a desired state with one route more, `/added/`.
+pub fn desired_state_with_added_route(revision: u64) -> Value {
+    let mut desired = desired_state(revision);
+    let routes = desired["routes"].as_array_mut().expect("a list");
+    let mut route = routes[1].clone();
+    route["name"] = json!("added");
+    route["prefix"] = json!("/added/");
+    routes.push(route);
+    desired
+}
+
 /// Returns the status of a response and whether it has a `Retry-After` header.
 pub fn status_and_retry_after(response: &Response) -> (u16, bool) {
     (response.status().as_u16(), response.headers().contains_key("retry-after"))
--- a/crates/daemon/tests/fleet/restored.rs
+++ b/crates/daemon/tests/fleet/restored.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use serde_json::json;
-use serde_json::Value;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::Instant;
 
 use crate::engine::Behavior;
 use crate::fixture::desired_state;
+use crate::fixture::desired_state_with_added_route;
 use crate::fixture::wait_until;
 use crate::fixture::Daemon;
 use crate::fixture::Fixture;
@@ -23,17 +22,6 @@
 /// Time after which engines have written their entries again, with some to spare.
 const RENEWAL: Duration = Duration::from_millis(2_800);
 
-/// Returns a desired state with one route more, `/added/`.
-fn desired_state_with_added_route(revision: u64) -> Value {
-    let mut desired = desired_state(revision);
-    let routes = desired["routes"].as_array_mut().expect("a list");
-    let mut route = routes[1].clone();
-    route["name"] = json!("added");
-    route["prefix"] = json!("/added/");
-    routes.push(route);
-    desired
-}
-
 async fn status(fixture: &Fixture, daemon: &Daemon, path: &str, id: &str) -> Option<u16> {
     let response = fixture.request(daemon, path, id).send().await.ok()?;
     Some(response.status().as_u16())
