--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -115,6 +115,8 @@
 pub struct LeaseWrite {
     /// Version that the row must have; 0 if it must not exist.
     pub expected: u64,
+    /// Era of the store in which it had that version. In a later one the write is void.
+    pub era: u64,
     /// Content to write.
     pub row: LeaseRow,
 }
@@ -305,7 +307,7 @@
         let until = clock.latest(now);
         let row = LeaseRow { holder: self.name.clone(), token, until };
         self.must_read = true;
-        Some(LeaseWrite { expected: self.snapshot.position.version, row })
+        Some(self.conditional_write(row))
     }
 
     /// Processes the era of any response of the store. Returns whether it is the latest one. In a new
@@ -403,6 +405,11 @@
         let validity = self.settings.validity + latency * 2;
         let until = clock.latest(now).after(validity);
         let row = LeaseRow { holder: self.name.clone(), token, until };
-        Step::Write(LeaseWrite { expected: self.snapshot.position.version, row })
+        Step::Write(self.conditional_write(row))
+    }
+
+    fn conditional_write(&self, row: LeaseRow) -> LeaseWrite {
+        let expected = self.snapshot.position.version;
+        LeaseWrite { expected, era: self.era.unwrap_or(0), row }
     }
 }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -112,7 +112,10 @@
 /// Releases the lease so that another daemon can claim it before the term expires.
 pub async fn release(shared: &Shared) {
     let write = shared.state().lease.release(clock::now());
-    let Some(LeaseWrite { expected, row }) = write else { return };
+    let Some(LeaseWrite { expected, era, row }) = write else { return };
+    if shared.store.era() != era {
+        return;
+    }
     // If the release fails, the successor waits until the term expires.
     let _ = shared.store.transact(&lease_transaction(expected, &row)).await;
 }
@@ -172,6 +175,12 @@
 /// Writes the lease row conditionally. Returns the delay until the next step.
 async fn write_lease(shared: &Shared, write: LeaseWrite) -> Duration {
     let sent = clock::now();
+    let era = shared.store.era();
+    if era != write.era {
+        // The version may have been given out again.
+        shared.state().lease.record_conflict(era, sent);
+        return Duration::ZERO;
+    }
     let outcome = shared.store.transact(&lease_transaction(write.expected, &write.row)).await;
     let mut state = shared.state();
     match outcome {
