Let the last holder before a restoration claim the lease once only

Found by reading. After a late write had put an old row back over that of a successor, the former holder would have claimed the lease without waiting while the successor's term ran. The test failed before (the former holder had a token).

--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -246,10 +246,12 @@
         self.first_read.get_or_insert(clock.sent);
         self.must_read = false;
         self.snapshot = RowSnapshot { row, position };
-        self.unclear_until = (!self.is_of_this_era()).then(|| {
+        if self.is_of_this_era() {
+            self.end_unclear_term();
+        } else {
             let latest = clock.received + self.settings.max_term() + self.settings.handover;
-            self.unclear_until.unwrap_or(latest)
-        });
+            self.unclear_until.get_or_insert(latest);
+        }
         let own = self.snapshot.row.as_ref().filter(|row| row.holder == self.name);
         self.held_token =
             self.held_token.filter(|token| own.is_some_and(|row| row.token == *token));
@@ -263,7 +265,7 @@
         if self.held_token.is_none() && position > self.snapshot.position {
             self.snapshot = RowSnapshot { row: Some(row), position };
             if self.is_of_this_era() {
-                self.unclear_until = None;
+                self.end_unclear_term();
             }
         }
     }
@@ -277,7 +279,7 @@
         }
         self.clock = Some(clock);
         self.snapshot = RowSnapshot { row: Some(write.row.clone()), position };
-        self.unclear_until = None;
+        self.end_unclear_term();
         self.held_token = Some(write.row.token);
         self.next_renewal = clock.sent + self.settings.renewal;
     }
@@ -328,6 +330,12 @@
         true
     }
 
+    /// Records that the latest holder is known.
+    fn end_unclear_term(&mut self) {
+        self.unclear_until = None;
+        self.was_last = false;
+    }
+
     /// Returns whether this daemon held the lease last, so recently that nobody can have succeeded it.
     fn is_last(&self, now: Tick) -> bool {
         let (Some(clock), Some(row)) = (self.clock, &self.snapshot.row) else { return false };
--- a/crates/coord/tests/serving/restored_lease.rs
+++ b/crates/coord/tests/serving/restored_lease.rs
@@ -174,6 +174,33 @@
     assert_eq!(first.token(ms(2_400)), None);
 }
 
+/// Guards against a holder of the earlier era that claims the lease at once a second time, when a
+/// late write has put its row back over that of its successor.
+#[test]
+fn last_holder_before_a_restoration_has_one_claim_without_waiting() {
+    let mut store = Store::new();
+    let mut first = holder("d1", &mut store);
+    let copy = store.clone();
+    let Step::Write(late) = first.step(ms(2_300)) else { panic!("a renewal is due") };
+    store.restore(copy, 500_000);
+    first.record_era(2, ms(2_400));
+    let mut second = lease("d2", false);
+    let taken = (2_400..20_000).step_by(20).find(|&at| {
+        drive(&mut second, &mut store, ms(at));
+        second.token(ms(at)).is_some()
+    });
+    let taken = taken.expect("it acquires the lease");
+    drive(&mut first, &mut store, ms(taken));
+    assert_eq!(first.token(ms(taken)), None, "another daemon holds it");
+    store.row = Some(late.row);
+    store.version += 1;
+    store.row_version = store.version;
+    first.record_fenced();
+    drive(&mut first, &mut store, ms(taken + 40));
+    assert!(second.token(ms(taken + 40)).is_some());
+    assert_eq!(first.token(ms(taken + 40)), None);
+}
+
 #[test]
 fn late_messages_of_an_earlier_era_change_nothing() {
     let mut store = Store::new();
