Reset the connection of an order that is given up

The former holder's zone was cut from 20.8 to 24.5 s; it had the lease until 22.55 s. An order without an answer was given up after 700 ms and its connection closed, but the operating system goes on delivering what was written: its retransmissions come 0.2, 0.6, 1.4, 3.0 and 6.2 s later, and 21.3 + 6.2 s is the time of the late order.

Such a connection is now reset, which discards what hasn't been received.

--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -376,7 +376,9 @@
     Some(request)
 }
 
-/// Sends a request and reads the complete response. Returns `None` on failure or timeout.
+/// Sends a request and reads the complete response. Returns `None` on failure or timeout. The
+/// connection is then reset, so that an order doesn't arrive after those of the next holder, when the
+/// link works again.
 async fn exchange(
     shared: &Shared,
     id: &str,
@@ -388,7 +390,10 @@
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?;
         Some((head, body.to_bytes()))
     });
-    let (head, body) = response.await.ok().flatten()?;
+    let Some((head, body)) = response.await.ok().flatten() else {
+        connection.reset();
+        return None;
+    };
     shared.pool.release(id, connection, &head.headers);
     Some((head, body))
 }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -8,6 +8,8 @@
 use corianderyoke_adapter::headers;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
 use http::header;
 use http::HeaderMap;
 use http::Request;
@@ -19,6 +21,7 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -56,7 +59,9 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    task: AbortHandle,
+    /// Task that drives the connection; `None` once the connection is to be reset.
+    task: Option<AbortHandle>,
+    reset: Option<oneshot::Sender<()>>,
 }
 
 #[derive(Debug)]
@@ -97,11 +102,41 @@
     }
 }
 
+impl Connection {
+    /// Resets the connection. What the engine hasn't received is discarded, whereas the operating
+    /// system goes on delivering it after a close.
+    pub fn reset(mut self) {
+        self.task = None;
+        if let Some(reset) = self.reset.take() {
+            // Fails if the connection has ended already.
+            let _ = reset.send(());
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         // Closes the connection. If the response wasn't read to its end, the engine cancels the
         // request.
-        self.task.abort();
+        if let Some(task) = &self.task {
+            task.abort();
+        }
+    }
+}
+
+/// Drives a connection until it ends or is to be reset. An error is reported to the request that the
+/// connection carries.
+async fn drive(
+    mut driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    reset: oneshot::Receiver<()>,
+) {
+    tokio::select! {
+        _ = &mut driver => return,
+        Ok(()) = reset => {}
+    }
+    let stream = driver.into_parts().io.into_inner();
+    if let Err(error) = stream.set_zero_linger() {
+        events::log(Event::AttemptFailed, format_args!("cause=not_reset {error}"));
     }
 }
 
@@ -128,9 +163,9 @@
         };
         let result = timeout(CONNECT_TIMEOUT, connecting).await.ok().flatten();
         let Some((sender, driver)) = result else { return Err(Error::Connect(address)) };
-        // An error of the connection is reported to the request that it carries.
-        let task = tokio::spawn(async move { drop(driver.await) }).abort_handle();
-        Ok(Connection { sender, task })
+        let (reset, is_reset) = oneshot::channel();
+        let task = tokio::spawn(drive(driver, is_reset)).abort_handle();
+        Ok(Connection { sender, task: Some(task), reset: Some(reset) })
     }
 
     /// Returns a connection to the pool after its response was read to the end. The response
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod engine_limit;
 mod faults;
 mod fixture;
+mod late_order;
 mod orders;
 mod restored;
 mod soak;
