Reset an abandoned order's connection though it also ends by itself

The test of the reset failed in the whole suite and in three of four runs alone: the driver of a connection that is no longer in use ends too, and which of both was seen first was left to chance. The reset now goes first; the test passed ten times. Also computes a request's number only where a request is accused.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -131,8 +131,10 @@
     reset: oneshot::Receiver<()>,
 ) {
     tokio::select! {
-        _ = &mut driver => return,
+        // The driver may end as well, because the connection is no longer in use.
+        biased;
         Ok(()) = reset => {}
+        _ = &mut driver => return,
     }
     let stream = driver.into_parts().io.into_inner();
     if let Err(error) = stream.set_zero_linger() {
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -63,11 +63,16 @@
     identity: impl FnOnce() -> u64,
     now: Tick,
 ) -> Result<(), Refusal> {
-    if shared.state().quarantine.held_subjects().next().is_none() {
-        return Ok(());
-    }
+    let concerns_requests = {
+        let state = shared.state();
+        if state.quarantine.held_subjects().next().is_none() {
+            return Ok(());
+        }
+        state.quarantine.concerns_requests()
+    };
+    let request = concerns_requests.then(|| Subject::Request(identity()));
     let parts = facts.need.iter().flat_map(choice::shared_parts).map(Subject::Part);
-    let subjects: Vec<Subject> = iter::once(Subject::Request(identity())).chain(parts).collect();
+    let subjects: Vec<Subject> = request.into_iter().chain(parts).collect();
     let mut guard = shared.state();
     let state = &mut *guard;
     let homes: Vec<Subject> =
