--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -18,6 +18,8 @@
 use corianderyoke_platform::Transaction;
 use corianderyoke_platform::Write;
 use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
 use ring::rand::SecureRandom;
 use ring::rand::SystemRandom;
 use tokio::time::sleep;
@@ -58,7 +60,10 @@
         match read_or_write_key(shared).await {
             Ok(true) => return,
             Ok(false) => {}
-            Err(_) => sleep(INITIAL_BACKOFF).await,
+            Err(error) => {
+                events::log(Event::PlatformFailed, format_args!("row={PEER_KEY_ROW} {error}"));
+                sleep(INITIAL_BACKOFF).await;
+            }
         }
     }
 }
@@ -73,7 +78,10 @@
         quarantine::restore(shared, parts);
     }
     if let Some(value) = value(PEER_KEY_ROW) {
-        shared.peer_keys.lock().replace(PeerKey::new(value));
+        let is_other = shared.peer_keys.lock().replace(PeerKey::new(value));
+        if is_other && used.is_some() {
+            events::log(Event::PeerKeyChanged, format_args!("row={PEER_KEY_ROW}"));
+        }
         return Ok(true);
     }
     let used = used.and_then(|row| String::from_utf8(row).ok());
@@ -105,7 +113,9 @@
         let rank = shared.rank(&shared.state(), PEER_KEY_ROW);
         sleep(CHECK_INTERVAL_PER_DAEMON * rank as u32).await;
         agree_on_key(&shared).await;
-        while write_row_if_lost(&shared).await.is_err() {
+        while let Err(error) = write_row_if_lost(&shared).await {
+            let name = &shared.settings.name;
+            events::log(Event::PlatformFailed, format_args!("row={name} {error}"));
             sleep(INITIAL_BACKOFF).await;
         }
     }
@@ -124,7 +134,7 @@
     serde_json::from_slice(row.value.as_deref()?).ok()
 }
 
-/// Sets the incarnation of this process from the store's version.
+/// Sets the incarnation of this process from the store's era and version.
 pub async fn begin(shared: &Shared) {
     loop {
         match shared.store.rows(DAEMON_TABLE).await {
