--- a/crates/daemon/tests/fleet/restored.rs
+++ b/crates/daemon/tests/fleet/restored.rs
@@ -19,6 +19,8 @@
 const SAMPLE: usize = 40;
 /// Time that the store is away before it comes back.
 const OUTAGE: Duration = Duration::from_millis(300);
+/// Time after which a daemon gives up a feed that gets no answer.
+const FEED_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time after which engines have written their entries again, with some to spare.
 const RENEWAL: Duration = Duration::from_millis(2_800);
 
@@ -332,6 +334,34 @@
     assert_eq!(fixture.status(second.ready, "/readyz").await, Some(200));
 }
 
+/// Guards against a daemon whose feed gets no answer and that nobody tells of the restoration, since
+/// the change written after it has a lower position than what the daemon has read.
+#[tokio::test]
+async fn daemon_with_an_unresponsive_feed_learns_of_a_restoration_from_the_others() {
+    let fixture = Fixture::start().await;
+    let _engine = fixture.plain_engine("i-1").await;
+    let first = fixture.daemon("d1").await;
+    let copy = fixture.store.copy();
+    fixture.store.skip_versions(OTHER_WRITES);
+    fixture.write_desired_state(&desired_state_with_added_route(2));
+    wait_until(|| async { status(&fixture, &first, "/added/", "1").await == Some(200) }).await;
+    fixture.store.stall_feeds(Some("op"));
+    wait_until(|| async { fixture.store.stalled_feeds() > 0 }).await;
+    fixture.store.stall_feeds(None);
+    let second = fixture.daemon("d2").await;
+    wait_until(|| async { fixture.addresses(&second).await.len() == 2 }).await;
+    let begin = Instant::now();
+    during_outage(&fixture, || {
+        fixture.store.restore(copy);
+        fixture.write_desired_state(&desired_state(3));
+    })
+    .await;
+    for daemon in [&second, &first] {
+        wait_until(|| async { status(&fixture, daemon, "/added/", "2").await == Some(404) }).await;
+    }
+    assert!(begin.elapsed() < FEED_TIMEOUT, "only the end of the feed's time limit told it");
+}
+
 /// Guards against rows of several restorations in a row, one while a daemon is away.
 #[tokio::test]
 async fn changes_come_into_force_through_a_series_of_restorations() {
--- a/crates/daemon/tests/fleet/store.rs
+++ b/crates/daemon/tests/fleet/store.rs
@@ -60,6 +60,16 @@
     slow: Option<(String, Duration)>,
 }
 
+impl Tables {
+    /// Returns the rows of a table that were written after a version.
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let rows = self.rows.iter();
+        rows.filter(|((name, _), (_, version))| name == table && *version > after)
+            .map(row)
+            .collect()
+    }
+}
+
 /// Store that a test controls.
 #[derive(Clone)]
 pub struct Store {
@@ -168,9 +178,7 @@
         let slow = slow.filter(|(table, _)| {
             path == "/rows-feed" && query.split('&').any(|pair| pair == format!("table={table}"))
         });
-        let (mut head, body) = self.answer(request).await.into_parts();
-        let era = self.tables.lock().era + 1;
-        head.headers.insert("store-era", era.into());
+        let (head, body) = self.answer(request).await.into_parts();
         let body = match slow {
             Some((_, span)) => slow_body(body, span).await,
             None => body.boxed_unsync(),
@@ -179,8 +187,12 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        if self.tables.lock().down {
-            return json_response(503, &json!({}));
+        let (is_down, era) = {
+            let tables = self.tables.lock();
+            (tables.down, tables.era)
+        };
+        if is_down {
+            return json_response(503, era, &json!({}));
         }
         let query = request.uri().query().unwrap_or_default().to_owned();
         let param = |name: &str| {
@@ -197,7 +209,7 @@
                     serde_json::from_slice(&body.to_bytes()).expect("the body is JSON");
                 self.transact(&body)
             }
-            _ => json_response(404, &json!({})),
+            _ => json_response(404, era, &json!({})),
         }
     }
 
@@ -212,6 +224,7 @@
         let rows: Vec<Value> = rows.map(row).collect();
         json_response(
             200,
+            tables.era,
             &json!({"rows": rows, "has_more": false, "ver": tables.version, "now_ms": self.now_ms()}),
         )
     }
@@ -226,30 +239,26 @@
             return std::future::pending().await;
         }
         let changed = self.changed.notified();
-        let changes = self.changes(table, after);
-        if changes.is_empty() && after <= self.tables.lock().version {
+        let is_waiting = {
+            let tables = self.tables.lock();
+            tables.changes(table, after).is_empty() && after <= tables.version
+        };
+        if is_waiting {
             let _ = tokio::time::timeout(FEED_WAIT, changed).await;
         }
-        let rows = self.changes(table, after);
         let tables = self.tables.lock();
         if after > tables.version {
-            return json_response(410, &json!({}));
+            return json_response(410, tables.era, &json!({}));
         }
-        json_response(200, &json!({"rows": rows, "ver": tables.version, "now_ms": self.now_ms()}))
+        let rows = tables.changes(table, after);
+        let body = json!({"rows": rows, "ver": tables.version, "now_ms": self.now_ms()});
+        json_response(200, tables.era, &body)
     }
 
     fn now_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
 
-    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
-        let tables = self.tables.lock();
-        let rows = tables.rows.iter();
-        rows.filter(|((name, _), (_, version))| name == table && *version > after)
-            .map(row)
-            .collect()
-    }
-
     fn transact(&self, body: &Value) -> Response<Full<Bytes>> {
         let mut tables = self.tables.lock();
         let row_key = |row: &Value| {
@@ -264,6 +273,7 @@
             if row["ver"].as_u64() != Some(version) {
                 return json_response(
                     412,
+                    tables.era,
                     &json!({"rows": [], "ver": tables.version, "now_ms": self.now_ms()}),
                 );
             }
@@ -278,9 +288,10 @@
         for row in list("remove") {
             tables.rows.insert(row_key(&row), (None, version));
         }
+        let era = tables.era;
         drop(tables);
         self.changed.notify_waiters();
-        json_response(200, &json!({"ver": version, "now_ms": self.now_ms()}))
+        json_response(200, era, &json!({"ver": version, "now_ms": self.now_ms()}))
     }
 }
 
@@ -308,8 +319,10 @@
     StreamBody::new(stream).boxed_unsync()
 }
 
-fn json_response(status: u16, body: &Value) -> Response<Full<Bytes>> {
+fn json_response(status: u16, era: u64, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body.to_string().into()));
+    // The first era has the number 1.
+    response.headers_mut().insert("store-era", (era + 1).into());
     *response.status_mut() = status.try_into().expect("a valid status");
     response
 }
