--- a/crates/coord/src/serving/position.rs
+++ b/crates/coord/src/serving/position.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Returns the position up to which the store must be read to find a row that has this version at
+    /// present, whenever it was written.
+    pub fn present(&self, version: u64) -> Position {
+        Position { era: self.eras.back().map_or(0, |(era, _)| *era), version }
+    }
+
     /// Returns the position at which a row was written that has this version at present.
     pub fn locate(&self, version: u64) -> Position {
         let written = self.eras.iter().rev().find(|(_, after)| version > *after);
--- a/crates/coord/tests/serving/position.rs
+++ b/crates/coord/tests/serving/position.rs
@@ -21,6 +21,7 @@
     timeline.record_read(Position { era: 2, version: 70 });
     assert_eq!(timeline.locate(60), Position { era: 1, version: 60 });
     assert_eq!(timeline.locate(61), Position { era: 2, version: 61 });
+    assert_eq!(timeline.present(60), Position { era: 2, version: 60 });
     // The store came back twice before it was read again, from a copy of the first era.
     timeline.record_read(Position { era: 4, version: 50 });
     assert_eq!(timeline.locate(50), Position { era: 1, version: 50 });
--- a/crates/daemon/src/restoration.rs
+++ b/crates/daemon/src/restoration.rs
@@ -1,6 +1,5 @@
 //! Reacts to a store that came back from an older copy, which lacks the latest writes.
 
-use corianderyoke_coord::serving::position::Position;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
@@ -18,9 +17,6 @@
     let now = clock::now();
     state.lease.record_era(era, now);
     state.engines.begin_recovery(now);
-    // A daemon that hasn't read the operator's rows in this era lacks them, whatever it has read.
-    let begin = Position { era, version: 0 };
-    state.operator.known = state.operator.known.max(begin);
     state.holder_updates.mark_missed();
     drop(state);
     events::log(Event::PlatformRestored, format_args!("era={era} before={before}"));
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -108,7 +108,8 @@
 pub struct OperatorRows {
     /// Position up to which this daemon has read them.
     pub read: Position,
-    /// Position of the newest row that any daemon is known to have read.
+    /// Position up to which a daemon must have read them to have the newest row that any daemon is
+    /// known to have.
     pub known: Position,
 }
 
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -193,8 +193,7 @@
             wait = Duration::ZERO;
             let count = changes.rows.len();
             for row in changes.rows {
-                let position = self.timeline.locate(row.version);
-                apply_row(self.table, &self.shared, row, position);
+                apply_row(self.table, &self.shared, row, &self.timeline);
             }
             if count > 0 {
                 notify_changed(&self.shared);
@@ -287,17 +286,16 @@
         }
     }
     for row in rows.rows {
-        let position = timeline.locate(row.version);
-        apply_row(table, shared, row, position);
+        apply_row(table, shared, row, timeline);
     }
     notify_changed(shared);
 }
 
-/// Applies a row that was written at this position.
-fn apply_row(table: Table, shared: &Shared, row: StoreRow, position: Position) {
+fn apply_row(table: Table, shared: &Shared, row: StoreRow, timeline: &Timeline) {
+    let position = timeline.locate(row.version);
     if table == Table::Operator {
         let operator = &mut shared.state().operator;
-        operator.known = operator.known.max(position);
+        operator.known = operator.known.max(timeline.present(row.version));
     }
     match (table, row.value) {
         (Table::Operator, value) => match desired::drained_zone(&row.key) {
--- a/crates/daemon/tests/fleet/restored.rs
+++ b/crates/daemon/tests/fleet/restored.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -362,6 +363,30 @@
     assert!(begin.elapsed() < FEED_TIMEOUT, "only the end of the feed's time limit told it");
 }
 
+/// Guards against the same where the daemon has read the table in the new era, but before the change.
+#[tokio::test]
+async fn daemon_whose_feed_stalls_after_a_restoration_learns_of_the_next_change() {
+    let fixture = Fixture::start().await;
+    let _engine = fixture.plain_engine("i-1").await;
+    let daemons = [fixture.daemon("d1").await, fixture.daemon("d2").await];
+    let copy = fixture.store.copy();
+    fixture.store.skip_versions(OTHER_WRITES);
+    daemons[1].signal(Signal::SIGSTOP);
+    during_outage(&fixture, || fixture.store.restore(copy)).await;
+    // The first daemon reads the copy.
+    sleep(OUTAGE * 3).await;
+    fixture.store.stall_feeds(Some("op"));
+    wait_until(|| async { fixture.store.stalled_feeds() > 0 }).await;
+    fixture.write_desired_state(&desired_state_with_added_route(2));
+    fixture.store.stall_feeds(None);
+    let begin = Instant::now();
+    daemons[1].signal(Signal::SIGCONT);
+    for daemon in daemons.iter().rev() {
+        wait_until(|| async { status(&fixture, daemon, "/added/", "1").await == Some(200) }).await;
+    }
+    assert!(begin.elapsed() < FEED_TIMEOUT, "only the end of the feed's time limit told it");
+}
+
 /// Guards against rows of several restorations in a row, one while a daemon is away.
 #[tokio::test]
 async fn changes_come_into_force_through_a_series_of_restorations() {
