--- a/crates/daemon/tests/fleet/restored.rs
+++ b/crates/daemon/tests/fleet/restored.rs
@@ -363,6 +363,26 @@
     assert!(begin.elapsed() < FEED_TIMEOUT, "only the end of the feed's time limit told it");
 }
 
+/// Guards against the same where no daemon's feed gets an answer, and only other calls show the era.
+#[tokio::test]
+async fn fleet_with_unresponsive_feeds_reads_the_table_again_in_a_new_era() {
+    let fixture = Fixture::start().await;
+    let _engine = fixture.plain_engine("i-1").await;
+    let daemon = fixture.daemon("d1").await;
+    let copy = fixture.store.copy();
+    fixture.store.stall_feeds(Some("op"));
+    wait_until(|| async { fixture.store.stalled_feeds() > 0 }).await;
+    fixture.store.stall_feeds(None);
+    let begin = Instant::now();
+    during_outage(&fixture, || {
+        fixture.store.restore(copy);
+        fixture.write_desired_state(&desired_state_with_added_route(2));
+    })
+    .await;
+    wait_until(|| async { status(&fixture, &daemon, "/added/", "1").await == Some(200) }).await;
+    assert!(begin.elapsed() < FEED_TIMEOUT, "only the end of the feed's time limit told it");
+}
+
 /// Guards against the same where the daemon has read the table in the new era, but before the change.
 #[tokio::test]
 async fn daemon_whose_feed_stalls_after_a_restoration_learns_of_the_next_change() {
