Log what was read in reply to a failed attempt, and on which connection

E406 names the status, the request that the response answers by the identifier that it echoes, how many requests the connection has carried and whether this one was among them.

--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -17,6 +17,7 @@
 //! | [`demand`] | how high the demand for a model is |
 //! | [`residency`] | which engine loads which models |
 //! | [`quarantine`] | which parts of prompts crash engines |
+//! | [`responses`] | which request a response on a kept connection answers |
 //! | [`shortage`] | whether a request that waits for a load can be served in time |
 //! | [`stream`] | which part of an event stream is complete |
 
@@ -33,6 +34,7 @@
 pub mod quarantine;
 pub mod quotas;
 pub mod residency;
+pub mod responses;
 pub mod roster;
 pub mod shortage;
 pub mod stream;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts of one call: waits for an engine, sends the request and classifies the response head.
 
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -13,6 +14,7 @@
 use corianderyoke_coord::serving::choice;
 use corianderyoke_coord::serving::quarantine::Casualty;
 use corianderyoke_coord::serving::quarantine::Crash;
+use corianderyoke_coord::serving::responses::Origin;
 use corianderyoke_coord::serving::shortage::Outlook;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
@@ -80,6 +82,25 @@
     pub guard: LoadGuard,
 }
 
+/// What was read in reply to an attempt, for the log.
+#[derive(Clone, Copy, Debug)]
+struct Reply {
+    status: u16,
+    /// Request that the response answers, by the identifier that it echoes.
+    origin: Origin,
+    /// Number of requests that the connection has carried.
+    carried: u32,
+    /// Whether the connection has carried this request before.
+    repeated: bool,
+}
+
+impl fmt::Display for Reply {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Reply { status, origin, carried, repeated } = self;
+        write!(formatter, "{status} origin={origin:?} carried={carried} repeated={repeated}")
+    }
+}
+
 /// Reason why an attempt produced no usable response.
 #[derive(Debug)]
 enum Failure {
@@ -117,6 +138,8 @@
     sent: Option<(Tick, Crash)>,
     /// Engine process that ended the connection, at this address, perhaps because it crashed.
     unchecked: Option<(SocketAddr, Crash)>,
+    /// Response to the latest attempt.
+    reply: Option<Reply>,
     /// Latest server error of an engine, returned if no later attempt succeeds.
     server_error: Option<Box<(Parts, Bytes)>>,
 }
@@ -134,6 +157,7 @@
             may_have_run: false,
             sent: None,
             unchecked: None,
+            reply: None,
             server_error: None,
         }
     }
@@ -401,6 +425,7 @@
         let count = self.call.record_send(&target.id);
         self.sent = Some((clock::now(), quarantine::process(&shared.state(), target)));
         self.send_count = count;
+        self.reply = None;
         if !self.tried.contains(&target.key) {
             self.tried.push(target.key);
         }
@@ -458,18 +483,26 @@
     async fn classify(
         &mut self,
         response: Response<Incoming>,
-        connection: Connection,
+        mut connection: Connection,
         target: &Target,
         guard: LoadGuard,
     ) -> Result<EngineResponse, Failure> {
         let (head, body) = response.into_parts();
         let facts = headers::decode_response(&head.headers);
         let status = head.status.as_u16();
+        let history = connection.history();
+        self.reply = Some(Reply {
+            status,
+            origin: history.origin(&self.call.id, &facts.id),
+            carried: history.count(),
+            repeated: history.has_unserved(&self.call.id),
+        });
         self.record_limit(target, facts.limit);
         if facts.not_executed || status == 421 {
             let refusal_body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
             let refusal_body = timeout(REFUSAL_READ_TIMEOUT, refusal_body).await;
-            if matches!(refusal_body, Ok(Ok(_))) {
+            let is_kept = connection.record_unserved(&self.call.id);
+            if matches!(refusal_body, Ok(Ok(_))) && is_kept {
                 self.call.shared.pool.release(&target.id, connection, &head.headers);
             }
             return Err(if status == 421 {
@@ -521,10 +554,11 @@
             Failure::Unsent => "unsent",
             Failure::Broken(cause) | Failure::Cut(cause) => cause,
         };
+        let reply = self.reply.map_or_else(|| "none".to_owned(), |reply| reply.to_string());
         events::log(
             Event::AttemptFailed,
             format_args!(
-                "id={} engine={} nth={} request={:x} parts={:x?} cause={cause}",
+                "id={} engine={} nth={} request={:x} parts={:x?} cause={cause} reply={reply}",
                 self.call.id,
                 target.id,
                 self.send_count,
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use corianderyoke_adapter::headers;
+use corianderyoke_coord::serving::responses::ConnectionHistory;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
@@ -62,6 +63,7 @@
     /// Task that drives the connection; `None` once the connection is to be reset.
     task: Option<AbortHandle>,
     reset: Option<oneshot::Sender<()>>,
+    history: ConnectionHistory,
 }
 
 #[derive(Debug)]
@@ -91,6 +93,7 @@
     /// Returns [`Error::Unsent`] if the connection closed before the request was sent, and
     /// [`Error::Broken`] if the request may have been executed.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        self.history.record_sent();
         self.sender.send_request(request).await.map_err(|error| {
             // The connection closed before it accepted the request.
             if error.is_canceled() {
@@ -103,6 +106,16 @@
 }
 
 impl Connection {
+    /// Returns what the connection has carried.
+    pub fn history(&self) -> &ConnectionHistory {
+        &self.history
+    }
+
+    /// Records that the request wasn't served. Returns whether the connection may be kept.
+    pub fn record_unserved(&mut self, id: &str) -> bool {
+        self.history.record_unserved(id)
+    }
+
     /// Resets the connection. What the engine hasn't received is discarded, whereas the operating
     /// system goes on delivering it after a close.
     pub fn reset(mut self) {
@@ -167,7 +180,12 @@
         let Some((sender, driver)) = result else { return Err(Error::Connect(address)) };
         let (reset, is_reset) = oneshot::channel();
         let task = tokio::spawn(drive(driver, is_reset)).abort_handle();
-        Ok(Connection { sender, task: Some(task), reset: Some(reset) })
+        Ok(Connection {
+            sender,
+            task: Some(task),
+            reset: Some(reset),
+            history: ConnectionHistory::default(),
+        })
     }
 
     /// Returns a connection to the pool after its response was read to the end. The response
