Believe only responses that answer the request

Cause: connections to engines are kept, and whatever was read after a request counted as its response. A refusal was believed before its identifier was compared, so one that a faulty engine wrote once more, or late, was taken for that of the next request. Under the second sending of the same request on the same connection even the identifiers agree. Limits were taken from such heads as well, and orders and reports, whose responses bear no identifier, were read on connections that had carried other requests.

The class is a response that is believed without being known to answer the request. Each connection now knows what it has carried: a request that wasn't served isn't sent on it again, a request without an identifier gets a connection of its own, and a head reaches the rest of the daemon only if it answers the request that was sent last. Otherwise the outcome is unknown, and the connection is given up.

--- a/crates/coord/src/serving/responses.rs
+++ b/crates/coord/src/serving/responses.rs
@@ -1,8 +1,10 @@
-//! Tells whether a response on a kept connection answers the request that was sent last.
+//! Tells whether a response on a kept connection answers the request that was sent last, and whether
+//! that was executed.
 //!
 //! A faulty upstream may write a response once more, or late, so that it is read in place of the
 //! response to a later request. The identifier that responses echo tells them apart, unless the same
-//! request was sent on that connection before.
+//! request was sent on that connection before. Requests without an identifier need a connection of
+//! their own.
 
 use crate::hash::hash;
 
@@ -24,20 +26,24 @@
 #[derive(Debug, Default)]
 pub struct ConnectionHistory {
     count: u32,
+    /// Identifier of the request that was sent last; empty if it has none.
+    current: String,
     /// Hashes of the identifiers of requests that weren't served and may be sent again.
     unserved: Vec<u64>,
 }
 
 impl ConnectionHistory {
-    /// Returns whether the response to a request can be told from those to earlier ones. `id` is
+    /// Returns whether the response to a request could be told from those to earlier ones. `id` is
     /// empty if the request has no identifier.
     pub fn may_carry(&self, id: &str) -> bool {
-        self.count == 0 || (!id.is_empty() && !self.has_unserved(id))
+        self.count == 0 || (!id.is_empty() && !self.unserved.contains(&fingerprint(id)))
     }
 
     /// Records that a request is sent.
-    pub fn record_sent(&mut self) {
+    pub fn begin(&mut self, id: &str) {
         self.count = self.count.saturating_add(1);
+        self.current.clear();
+        self.current.push_str(id);
     }
 
     /// Returns the number of requests that were sent.
@@ -45,28 +51,28 @@
         self.count
     }
 
-    /// Returns whether a request with this identifier was sent before and wasn't served.
-    pub fn has_unserved(&self, id: &str) -> bool {
-        self.unserved.contains(&fingerprint(id))
-    }
-
-    /// Returns which request a response answers that echoes `echoed`, where `id` was sent last. A
-    /// response without an identifier answers the only request of its connection.
-    pub fn origin(&self, id: &str, echoed: &str) -> Origin {
-        let is_first = self.count <= 1;
+    /// Returns which request a response answers that echoes the identifier `echoed`, or none if that
+    /// is empty.
+    pub fn origin(&self, echoed: &str) -> Origin {
+        let id = &self.current;
+        if self.count <= 1 && (echoed.is_empty() || id.is_empty()) {
+            // No other request can have been answered on this connection.
+            return Origin::Own;
+        }
         match (echoed.is_empty(), echoed == id) {
-            (true, _) if is_first => Origin::Own,
             (true, _) => Origin::Ambiguous,
             (false, false) => Origin::Other,
-            (false, true) if is_first || !self.has_unserved(id) => Origin::Own,
-            (false, true) => Origin::Ambiguous,
+            (false, true) if self.unserved.contains(&fingerprint(id)) => Origin::Ambiguous,
+            (false, true) => Origin::Own,
         }
     }
 
-    /// Records that the request that was sent last wasn't served, so that it may be sent again.
-    /// Returns whether the connection may be kept.
-    pub fn record_unserved(&mut self, id: &str) -> bool {
-        self.unserved.push(fingerprint(id));
+    /// Records that the response to the request that was sent last was read to its end. One that
+    /// wasn't served may be sent again. Returns whether the connection may be kept.
+    pub fn end(&mut self, is_served: bool) -> bool {
+        if !is_served && !self.current.is_empty() {
+            self.unserved.push(fingerprint(&self.current));
+        }
         self.unserved.len() <= MAX_UNSERVED
     }
 }
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod quarantine;
 mod quotas;
 mod residency;
+mod responses;
 mod restored_lease;
 mod roster;
 mod scarcity;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -86,18 +86,16 @@
 #[derive(Clone, Copy, Debug)]
 struct Reply {
     status: u16,
-    /// Request that the response answers, by the identifier that it echoes.
+    /// Request that the response answers.
     origin: Origin,
     /// Number of requests that the connection has carried.
     carried: u32,
-    /// Whether the connection has carried this request before.
-    repeated: bool,
 }
 
 impl fmt::Display for Reply {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Reply { status, origin, carried, repeated } = self;
-        write!(formatter, "{status} origin={origin:?} carried={carried} repeated={repeated}")
+        let Reply { status, origin, carried } = self;
+        write!(formatter, "{status} origin={origin:?} carried={carried}")
     }
 }
 
@@ -416,7 +414,8 @@
         let repeat = self.call.route.repeat;
         let shared = std::sync::Arc::clone(&self.call.shared);
         let avoid_stale = !repeat.may_repeat();
-        let connection = shared.pool.connection(&target.id, target.address, avoid_stale).await;
+        let (pool, id) = (&shared.pool, &self.call.id);
+        let connection = pool.connection(&target.id, target.address, id, avoid_stale).await;
         let mut connection = connection.map_err(|_| {
             shared.state().engines.record_failure(target.key, clock::now());
             Failure::Unsent
@@ -444,12 +443,19 @@
                 self.call.desired.revision
             ),
         );
-        let response = match self.wait_for_response(connection.send(request), target).await {
+        let sending = connection.send(request, &self.call.id);
+        let result = match self.wait_for_response(sending, target).await {
             None => return Err(Failure::Broken("no_answer_in_time")),
-            Some(Err(Error::Connect(_) | Error::Unsent)) => return Err(Failure::Unsent),
-            Some(Err(Error::Broken(_))) => return Err(Failure::Cut("connection_failed")),
-            Some(Ok(response)) => response,
+            Some(result) => result,
         };
+        let (status, origin) = match &result {
+            Ok(response) => (response.status().as_u16(), Origin::Own),
+            Err(Error::Foreign { status, origin }) => (*status, *origin),
+            Err(Error::Connect(_) | Error::Unsent) => return Err(Failure::Unsent),
+            Err(Error::Broken(_)) => return Err(Failure::Cut("connection_failed")),
+        };
+        self.reply = Some(Reply { status, origin, carried: connection.carried() });
+        let Ok(response) = result else { return Err(Failure::Broken("other_request")) };
         self.classify(response, connection, target, guard).await
     }
 
@@ -478,32 +484,24 @@
         Some(request)
     }
 
-    /// Distinguishes a response to this request from a refusal and from a response that lacks the
-    /// request's identifier or the signature.
+    /// Distinguishes a usable response from a refusal and from one that lacks the request's identifier
+    /// or the signature.
     async fn classify(
         &mut self,
         response: Response<Incoming>,
-        mut connection: Connection,
+        connection: Connection,
         target: &Target,
         guard: LoadGuard,
     ) -> Result<EngineResponse, Failure> {
         let (head, body) = response.into_parts();
         let facts = headers::decode_response(&head.headers);
-        let status = head.status.as_u16();
-        let history = connection.history();
-        self.reply = Some(Reply {
-            status,
-            origin: history.origin(&self.call.id, &facts.id),
-            carried: history.count(),
-            repeated: history.has_unserved(&self.call.id),
-        });
         self.record_limit(target, facts.limit);
+        let status = head.status.as_u16();
         if facts.not_executed || status == 421 {
             let refusal_body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
             let refusal_body = timeout(REFUSAL_READ_TIMEOUT, refusal_body).await;
-            let is_kept = connection.record_unserved(&self.call.id);
-            if matches!(refusal_body, Ok(Ok(_))) && is_kept {
-                self.call.shared.pool.release(&target.id, connection, &head.headers);
+            if matches!(refusal_body, Ok(Ok(_))) {
+                self.call.shared.pool.release(&target.id, connection, &head);
             }
             return Err(if status == 421 {
                 self.record_misplaced(target, &facts);
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -89,7 +89,7 @@
             return None;
         }
     };
-    attempts.call.shared.pool.release(&target.id, connection, &head.headers);
+    attempts.call.shared.pool.release(&target.id, connection, &head);
     attempts.call.shared.state().engines.record_success(target.key);
     quarantine::record_served(&attempts.call, &head.headers);
     let status = head.status;
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -161,7 +161,7 @@
     fn finish(&mut self) {
         let Some(source) = self.source.take() else { return };
         let shared = &self.attempts.call.shared;
-        shared.pool.release(&source.target.id, source.connection, &source.head.headers);
+        shared.pool.release(&source.target.id, source.connection, &source.head);
         shared.state().engines.record_success(source.target.key);
         quarantine::record_served(&self.attempts.call, &source.head.headers);
         self.attempts.call.record().set_response(200, "engine");
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -68,6 +68,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Largest response of an engine to an order or an inspection.
 const MAX_REPORT_BYTES: usize = 1 << 20;
+/// Orders and inspections have no identifier that their responses would echo.
+const NO_ID: &str = "";
 /// Time between the acceptance of an adapter load and the moment the adapter is usable.
 const ADAPTER_LOAD_DELAY: Duration = Duration::from_millis(12);
 
@@ -325,7 +327,7 @@
             .and_then(|token| compose_order(shared, &state, order, token))
     };
     let Some((id, address, body)) = prepared else { return Answer::Busy };
-    let Ok(connection) = shared.pool.connection(&id, address, true).await else {
+    let Ok(connection) = shared.pool.connection(&id, address, NO_ID, true).await else {
         return Answer::Busy;
     };
     // The lease may have expired while the connection was being established.
@@ -386,7 +388,7 @@
     request: Request<Full<Bytes>>,
 ) -> Option<(Parts, Bytes)> {
     let response = timeout(ORDER_TIMEOUT, async {
-        let (head, body) = connection.send(request).await.ok()?.into_parts();
+        let (head, body) = connection.send(request, NO_ID).await.ok()?.into_parts();
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?;
         Some((head, body.to_bytes()))
     });
@@ -394,7 +396,7 @@
         connection.reset();
         return None;
     };
-    shared.pool.release(id, connection, &head.headers);
+    shared.pool.release(id, connection, &head);
     Some((head, body))
 }
 
@@ -422,7 +424,7 @@
         let engine = state.engines.get(engine)?;
         (engine.id.clone(), engine.address)
     };
-    let connection = shared.pool.connection(&id, address, false).await.ok()?;
+    let connection = shared.pool.connection(&id, address, NO_ID, false).await.ok()?;
     let request = build_request(Method::GET, orders::REPORT_PATH, &id, Bytes::new())?;
     let (head, body) = exchange(shared, &id, connection, request).await?;
     if !head.status.is_success() {
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -7,11 +7,13 @@
 use bytes::Bytes;
 use corianderyoke_adapter::headers;
 use corianderyoke_coord::serving::responses::ConnectionHistory;
+use corianderyoke_coord::serving::responses::Origin;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
 use http::header;
+use http::response::Parts;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -51,6 +53,15 @@
     /// The connection failed before the response head arrived; the request may have been executed.
     #[error("connection failed before the response head: {0}")]
     Broken(#[source] hyper::Error),
+    /// The response may answer an earlier request on this connection, so that the request may have
+    /// been executed.
+    #[error("read a response of status {status} to another request: {origin:?}")]
+    Foreign {
+        /// Status of the response.
+        status: u16,
+        /// Request that it answers.
+        origin: Origin,
+    },
 }
 
 /// Result of an operation on a connection.
@@ -86,34 +97,36 @@
 }
 
 impl Connection {
-    /// Sends a request and waits for the response head.
+    /// Sends a request and waits for the head of its response. `id` is the identifier that the
+    /// response echoes; empty if the request has none.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Unsent`] if the connection closed before the request was sent, and
-    /// [`Error::Broken`] if the request may have been executed.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-        self.history.record_sent();
-        self.sender.send_request(request).await.map_err(|error| {
+    /// [`Error::Broken`] or [`Error::Foreign`] if the request may have been executed.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        id: &str,
+    ) -> Result<Response<Incoming>> {
+        self.history.begin(id);
+        let response = self.sender.send_request(request).await.map_err(|error| {
             // The connection closed before it accepted the request.
             if error.is_canceled() {
                 Error::Unsent
             } else {
                 Error::Broken(error)
             }
-        })
-    }
-}
-
-impl Connection {
-    /// Returns what the connection has carried.
-    pub fn history(&self) -> &ConnectionHistory {
-        &self.history
+        })?;
+        match self.history.origin(headers::request_id(response.headers())) {
+            Origin::Own => Ok(response),
+            origin => Err(Error::Foreign { status: response.status().as_u16(), origin }),
+        }
     }
 
-    /// Records that the request wasn't served. Returns whether the connection may be kept.
-    pub fn record_unserved(&mut self, id: &str) -> bool {
-        self.history.record_unserved(id)
+    /// Returns the number of requests that the connection has carried.
+    pub fn carried(&self) -> u32 {
+        self.history.count()
     }
 
     /// Resets the connection. What the engine hasn't received is discarded, whereas the operating
@@ -156,8 +169,9 @@
 }
 
 impl Pool {
-    /// Returns an idle connection to an engine or opens one. With `avoid_stale`, an idle connection
-    /// is reused only if it is far from the idle time limit at which the engine closes it.
+    /// Returns a connection to an engine for the request with the identifier `id`: an idle one on
+    /// which its response can be told from earlier ones, or a new one. With `avoid_stale`, an idle
+    /// connection is reused only if it is far from the idle time limit at which the engine closes it.
     ///
     /// # Errors
     ///
@@ -166,9 +180,10 @@
         &self,
         engine: &str,
         address: SocketAddr,
+        id: &str,
         avoid_stale: bool,
     ) -> Result<Connection> {
-        if let Some(connection) = self.take_idle(engine, avoid_stale) {
+        if let Some(connection) = self.take_idle(engine, id, avoid_stale) {
             return Ok(connection);
         }
         let connecting = async {
@@ -188,13 +203,16 @@
         })
     }
 
-    /// Returns a connection to the pool after its response was read to the end. The response
-    /// headers `head` state whether and for how long the engine keeps the connection alive.
-    pub fn release(&self, engine: &str, connection: Connection, head: &HeaderMap) {
-        let keep_alive = headers::decode_response(head).keep_alive;
+    /// Returns a connection to the pool after its response was read to the end. The response's `head`
+    /// states whether and for how long the engine keeps the connection alive.
+    pub fn release(&self, engine: &str, mut connection: Connection, head: &Parts) {
+        if !connection.history.end(head.status.is_success()) {
+            return;
+        }
+        let keep_alive = headers::decode_response(&head.headers).keep_alive;
         let keep_alive =
             keep_alive.map_or(DEFAULT_KEEP_ALIVE, |value| value.saturating_sub(KEEP_ALIVE_MARGIN));
-        if keep_alive.is_zero() || is_close(head) {
+        if keep_alive.is_zero() || is_close(&head.headers) {
             return;
         }
         let mut idle = self.idle.lock();
@@ -220,20 +238,18 @@
         });
     }
 
-    fn take_idle(&self, engine: &str, avoid_stale: bool) -> Option<Connection> {
+    fn take_idle(&self, engine: &str, id: &str, avoid_stale: bool) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(engine)?;
-        while let Some(candidate) = connections.pop() {
-            let limit = if avoid_stale {
-                candidate.keep_alive / SAFE_IDLE_DIVISOR
-            } else {
-                candidate.keep_alive
-            };
-            if now.since(candidate.since) < limit && candidate.connection.sender.is_ready() {
-                return Some(candidate.connection);
-            }
-        }
-        None
+        connections.retain(|idle| {
+            now.since(idle.since) < idle.keep_alive && idle.connection.sender.is_ready()
+        });
+        let position = connections.iter().rposition(|idle| {
+            let divisor = if avoid_stale { SAFE_IDLE_DIVISOR } else { 1 };
+            let is_fresh = now.since(idle.since) < idle.keep_alive / divisor;
+            is_fresh && idle.connection.history.may_carry(id)
+        })?;
+        Some(connections.remove(position).connection)
     }
 }
