Pass on no status that promises more than the engine stated

Cause: a status counted as the engine's answer whatever it means to the caller, and the header counted whatever the status. Only the header, or 421, states that a request wasn't executed. A response that contradicts itself, or gives a status that would promise it without the header, now leaves the outcome unknown: the caller gets 502, or the request goes on where it may be repeated.

--- a/crates/coord/src/serving/responses.rs
+++ b/crates/coord/src/serving/responses.rs
@@ -77,6 +77,34 @@
     }
 }
 
+/// What a response states about the execution of its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Execution {
+    /// It was executed.
+    Done,
+    /// It wasn't executed and never will be.
+    Refused,
+    /// It wasn't executed, because the upstream isn't the expected one or lacks what it needs.
+    Misplaced,
+    /// Status and header contradict each other, so it may have been executed.
+    Unclear,
+}
+
+impl Execution {
+    /// Returns what a response with this status states. `not_executed` is whether a header says that
+    /// the request wasn't executed.
+    pub fn of(status: u16, not_executed: bool) -> Self {
+        match (status, not_executed) {
+            (421, _) => Execution::Misplaced,
+            (200..=299, true) => Execution::Unclear,
+            (_, true) => Execution::Refused,
+            // To the caller these mean that the request wasn't executed.
+            (408 | 429 | 503, false) => Execution::Unclear,
+            (_, false) => Execution::Done,
+        }
+    }
+}
+
 fn fingerprint(id: &str) -> u64 {
     hash(0, id.bytes())
 }
--- a/crates/coord/tests/serving/responses.rs
+++ b/crates/coord/tests/serving/responses.rs
@@ -2,6 +2,7 @@
 //! engines write responses once more.
 
 use corianderyoke_coord::serving::responses::ConnectionHistory;
+use corianderyoke_coord::serving::responses::Execution;
 use corianderyoke_coord::serving::responses::Origin;
 use indexmap::IndexMap;
 use rand::Rng;
@@ -61,6 +62,22 @@
     assert_eq!(kept.count(), 16);
 }
 
+/// Guards against statuses and headers that promise the caller more than the engine stated.
+#[test]
+fn only_a_stated_refusal_counts_as_not_executed() {
+    for status in [400, 429, 500, 503] {
+        assert_eq!(Execution::of(status, true), Execution::Refused);
+    }
+    assert_eq!(Execution::of(421, false), Execution::Misplaced);
+    for status in [200, 400, 404, 500, 502, 504] {
+        assert_eq!(Execution::of(status, false), Execution::Done);
+    }
+    for status in [408, 429, 503] {
+        assert_eq!(Execution::of(status, false), Execution::Unclear);
+    }
+    assert_eq!(Execution::of(200, true), Execution::Unclear);
+}
+
 /// Share of sendings that engines refuse.
 const REFUSED: f64 = 0.3;
 /// Share of responses that a faulty engine writes once more.
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -14,6 +14,7 @@
 use corianderyoke_coord::serving::choice;
 use corianderyoke_coord::serving::quarantine::Casualty;
 use corianderyoke_coord::serving::quarantine::Crash;
+use corianderyoke_coord::serving::responses::Execution;
 use corianderyoke_coord::serving::responses::Origin;
 use corianderyoke_coord::serving::shortage::Outlook;
 use corianderyoke_coord::time::Tick;
@@ -496,19 +497,22 @@
         let (head, body) = response.into_parts();
         let facts = headers::decode_response(&head.headers);
         self.record_limit(target, facts.limit);
-        let status = head.status.as_u16();
-        if facts.not_executed || status == 421 {
-            let refusal_body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
-            let refusal_body = timeout(REFUSAL_READ_TIMEOUT, refusal_body).await;
-            if matches!(refusal_body, Ok(Ok(_))) {
-                self.call.shared.pool.release(&target.id, connection, &head);
-            }
-            return Err(if status == 421 {
+        let execution = Execution::of(head.status.as_u16(), facts.not_executed);
+        match execution {
+            Execution::Done => {}
+            Execution::Unclear => return Err(Failure::Broken("unclear_status")),
+            Execution::Refused | Execution::Misplaced => {
+                let refusal_body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+                let refusal_body = timeout(REFUSAL_READ_TIMEOUT, refusal_body).await;
+                if matches!(refusal_body, Ok(Ok(_))) {
+                    self.call.shared.pool.release(&target.id, connection, &head);
+                }
+                if execution == Execution::Refused {
+                    return Err(Failure::Refused);
+                }
                 self.record_misplaced(target, &facts);
-                Failure::Misplaced
-            } else {
-                Failure::Refused
-            });
+                return Err(Failure::Misplaced);
+            }
         }
         if facts.id != self.call.id {
             return Err(Failure::Broken("other_id"));
