Write refusals once more in the soak

The simulated engine writes responses once more on kept connections, before the next response. The soak lets engines refuse six requests in a row and write each of these refusals twice.

--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -3,7 +3,11 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::ready;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +28,9 @@
 use parking_lot::Mutex;
 use serde_json::json;
 use serde_json::Value;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -106,6 +113,9 @@
     crashes: Vec<Instant>,
     /// Limit on the requests per second of all daemons that the engine names in its responses.
     limit: Option<&'static str>,
+    /// Number of responses that are written once more, each before the next response on its
+    /// connection.
+    repetitions: usize,
 }
 
 impl State {
@@ -186,14 +196,22 @@
 
     async fn serve(self, stream: TcpStream) {
         stream.set_zero_linger().expect("the stream is connected");
+        let state = Arc::clone(&self.state);
         let service = service_fn(move |request| {
             let engine = self.clone();
             async move { engine.respond(request).await }
         });
         // The connection may end in any way; the requests record what they caused.
+        let stream = RepeatingStream::new(stream, state);
         let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
     }
 
+    /// Makes the engine write this many responses once more, each before the next response on its
+    /// connection.
+    pub fn repeat_responses(&self, count: usize) {
+        self.state.lock().repetitions += count;
+    }
+
     /// Makes the engine crash under each request whose prompt has this part before its last one.
     pub fn crash_under(&self, part: &'static str) {
         self.state.lock().crashing_part = Some(part);
@@ -389,6 +407,82 @@
     }
 }
 
+/// Connection of an engine, on which some responses are written once more.
+struct RepeatingStream {
+    stream: TcpStream,
+    state: Arc<Mutex<State>>,
+    /// Bytes of the latest response.
+    written: Vec<u8>,
+    /// Bytes to be written before the next response.
+    repeated: Vec<u8>,
+    /// Whether a request arrived since the latest response.
+    has_request: bool,
+}
+
+impl RepeatingStream {
+    fn new(stream: TcpStream, state: Arc<Mutex<State>>) -> Self {
+        let (written, repeated) = (Vec::new(), Vec::new());
+        RepeatingStream { stream, state, written, repeated, has_request: false }
+    }
+
+    /// Decides whether the latest response is written once more.
+    fn begin_response(&mut self) {
+        let latest = std::mem::take(&mut self.written);
+        let mut state = self.state.lock();
+        if state.repetitions > 0 && !latest.is_empty() {
+            state.repetitions -= 1;
+            self.repeated = latest;
+        }
+    }
+}
+
+impl AsyncRead for RepeatingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.has_request |= buffer.filled().len() > before;
+        result
+    }
+}
+
+impl AsyncWrite for RepeatingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        if std::mem::take(&mut self.has_request) {
+            self.begin_response();
+        }
+        let this = &mut *self;
+        while !this.repeated.is_empty() {
+            let length = ready!(Pin::new(&mut this.stream).poll_write(context, &this.repeated))?;
+            this.repeated.drain(..length);
+        }
+        let length = ready!(Pin::new(&mut this.stream).poll_write(context, bytes))?;
+        this.written.extend_from_slice(&bytes[..length]);
+        Poll::Ready(Ok(length))
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 /// Counts a request as in flight until dropped.
 struct InFlight {
     state: Arc<Mutex<State>>,
--- a/crates/daemon/tests/fleet/soak.rs
+++ b/crates/daemon/tests/fleet/soak.rs
@@ -1,7 +1,7 @@
 //! Injects random faults, some of which overlap, into a fleet of real daemons and checks what
 //! callers and engines received: no request of a non-idempotent route runs twice, no refused one
-//! runs, and streams are complete. Beside them comes a request that crashes engines, the operator
-//! changes routes, and the store is restored from older copies; once the faults have ended, every
+//! runs, and streams are complete. Engines write responses once more on kept connections. Beside them
+//! comes a request that crashes engines, the operator changes routes, and the store is restored from older copies; once the faults have ended, every
 //! daemon serves by the latest change, and the crashing request hardly reaches engines.
 //!
 //! CI runs a few seeds; `CORIANDERYOKE_SOAK=FROM..TO` runs others.
@@ -49,6 +49,8 @@
 const MAX_LATER_POISON: usize = 3;
 /// Copies of the store that a restoration may use, the latest ones.
 const MAX_COPIES: usize = 4;
+/// Number of refusals that an engine writes twice.
+const REFUSALS: usize = 6;
 /// Longest time that engines take to write their entries again, in milliseconds.
 const RENEWAL_MS: u64 = 1_000;
 
@@ -272,6 +274,12 @@
         if self.engines[engine].service == service {
             self.engines[engine].queue_behaviors(&[behavior, behavior]);
         }
+        if self.rng.random_bool(0.5) {
+            // Refusals that are written once more may seem to be those of the requests after them.
+            let engine = &self.engines[self.rng.random_range(0..self.engines.len())];
+            engine.queue_behaviors(&[Behavior::Refuse; REFUSALS]);
+            engine.repeat_responses(REFUSALS);
+        }
     }
 
     /// Kills a daemon and starts it again at other addresses.
