Believe no head that consists of two responses

Callers of requests that may run at most once got an answer after the request had run twice, or a success for a request that an engine had answered with a failure.

Cause: a faulty engine may write additional bytes after a response. Where these are the beginning of another response, such as "HTTP/1.1 421 Misdirected", and the next response follows, both parse as one head: the status is that of the first, and the identifier and the signature are those of the second. The comparison of identifiers therefore passes. The same happens where the first breaks off within the value of a header, which may be the one that states that the request wasn't executed.

In such a head a header or the reason contains the other status line. It now counts as ambiguous, like one without an identifier, so the outcome is unknown and the connection is given up. If the first response breaks off anywhere else, the head doesn't parse.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -15,11 +15,13 @@
 use http::header;
 use http::response::Parts;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -40,6 +42,8 @@
 const SAFE_IDLE_DIVISOR: u32 = 2;
 /// Most idle connections kept for one engine.
 const MAX_IDLE_PER_ENGINE: usize = 16;
+/// Length of a version and a status at the start of a response.
+const STATUS_LINE_START_BYTES: usize = "HTTP/1.1 200".len();
 
 /// Error of a connection to an engine.
 #[derive(Debug, thiserror::Error)]
@@ -90,6 +94,19 @@
     value.is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
 
+/// Returns whether a head consists of two: where a response breaks off within its reason or a header,
+/// the next response continues that line, and its headers pass for those of the first.
+fn is_merged(response: &Response<Incoming>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+    let values = response.headers().values().map(HeaderValue::as_bytes);
+    values.chain(reason).any(|text| text.windows(STATUS_LINE_START_BYTES).any(starts_status_line))
+}
+
+fn starts_status_line(text: &[u8]) -> bool {
+    let Some([minor, b' ', status @ ..]) = text.strip_prefix(b"HTTP/1.") else { return false };
+    minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
+}
+
 /// Idle connections by engine.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -118,7 +135,12 @@
                 Error::Broken(error)
             }
         })?;
-        match self.history.origin(headers::request_id(response.headers())) {
+        let origin = if is_merged(&response) {
+            Origin::Ambiguous
+        } else {
+            self.history.origin(headers::request_id(response.headers()))
+        };
+        match origin {
             Origin::Own => Ok(response),
             origin => Err(Error::Foreign { status: response.status().as_u16(), origin }),
         }
--- /dev/null
+++ b/crates/daemon/tests/fleet/review.rs
@@ -0,0 +1,63 @@
+//! Tests of responses and connections that belong to another request, process or address.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
+use crate::fixture::Fixture;
+use crate::raw_engine::answer;
+use crate::raw_engine::response;
+use crate::raw_engine::RawEngine;
+use crate::raw_engine::Step;
+use crate::raw_engine::SEAL;
+
+/// Guards against the beginning of an earlier response that runs into the status line of the next one,
+/// so that a request which an engine ran counts as not executed.
+#[tokio::test]
+async fn beginning_of_another_response_is_not_believed_with_the_rest_of_the_own_one() {
+    let strays =
+        ["HTTP/1.1 421 Misdirected Requ", "HTTP/1.1 503 Status\r\ncorianderyoke-not-executed: 1"];
+    for stray in strays {
+        let fixture = Fixture::start().await;
+        let runs = Arc::new(Mutex::new(IndexMap::<String, usize>::new()));
+        let recorded = Arc::clone(&runs);
+        RawEngine::start(&fixture, "i-1", "orders", &[], move |request| {
+            *recorded.lock().entry(request.id.clone()).or_default() += 1;
+            let own = answer(&request.id, "answer");
+            match request.nth {
+                1 => vec![Step::Send([stray.as_bytes(), &own].concat())],
+                _ => vec![Step::Send(own)],
+            }
+        })
+        .await;
+        let daemon = fixture.daemon("d1").await;
+        for id in ["1", "2"] {
+            let response = fixture.request(&daemon, "/once/", id).send().await;
+            let status = response.expect("a response").status().as_u16();
+            let count = runs.lock().get(id).copied().unwrap_or(0);
+            let is_promise = matches!(status, 408 | 421 | 429 | 503);
+            assert!(count <= 1, "request {id} ran {count} times, status {status}: {stray}");
+            assert!(!is_promise || count == 0, "request {id}: {status}, but it ran: {stray}");
+        }
+    }
+}
+
+/// Guards against the beginning of an earlier success that runs into the status line of a failure.
+#[tokio::test]
+async fn failure_after_the_beginning_of_another_response_is_no_success() {
+    let fixture = Fixture::start().await;
+    RawEngine::start(&fixture, "i-1", "orders", &[], move |request| match request.nth {
+        1 => {
+            let own = response(500, &request.id, &[SEAL], "failed");
+            vec![Step::Send([b"HTTP/1.1 200 Sta".as_slice(), &own].concat())]
+        }
+        _ => vec![Step::Send(answer(&request.id, "answer"))],
+    })
+    .await;
+    let daemon = fixture.daemon("d1").await;
+    for (id, is_success) in [("1", true), ("2", false)] {
+        let response = fixture.request(&daemon, "/once/", id).send().await.expect("a response");
+        assert_eq!(response.status().is_success(), is_success, "request {id}");
+    }
+}
