Reuse connections only to an engine's current address

A request went to the former process of an engine that had moved to another address under the same identity, though the daemon had read the new address a second before.

Cause: idle connections are kept by identity, and those to an engine are closed when its entry shows a new address. One that carries a request at that moment isn't idle; it came back to the pool afterwards and was used for later requests. A connection now knows its address, and one that leads elsewhere than to the current address is closed instead of used.

Evidence: connection_to_the_former_address_of_an_engine_is_not_used_again failed before (the former process received two requests) and passes.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -74,6 +74,7 @@
 /// Connection in use by one request.
 #[derive(Debug)]
 pub struct Connection {
+    address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     /// Task that drives the connection; `None` once the connection is to be reset.
     task: Option<AbortHandle>,
@@ -205,7 +206,7 @@
         id: &str,
         avoid_stale: bool,
     ) -> Result<Connection> {
-        if let Some(connection) = self.take_idle(engine, id, avoid_stale) {
+        if let Some(connection) = self.take_idle(engine, address, id, avoid_stale) {
             return Ok(connection);
         }
         let connecting = async {
@@ -218,6 +219,7 @@
         let (reset, is_reset) = oneshot::channel();
         let task = tokio::spawn(drive(driver, is_reset)).abort_handle();
         Ok(Connection {
+            address,
             sender,
             task: Some(task),
             reset: Some(reset),
@@ -260,12 +262,20 @@
         });
     }
 
-    fn take_idle(&self, engine: &str, id: &str, avoid_stale: bool) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        engine: &str,
+        address: SocketAddr,
+        id: &str,
+        avoid_stale: bool,
+    ) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(engine)?;
         connections.retain(|idle| {
-            now.since(idle.since) < idle.keep_alive && idle.connection.sender.is_ready()
+            let is_alive = now.since(idle.since) < idle.keep_alive;
+            // One that was in use while the engine moved leads to its former process.
+            is_alive && idle.connection.address == address && idle.connection.sender.is_ready()
         });
         let position = connections.iter().rposition(|idle| {
             let divisor = if avoid_stale { SAFE_IDLE_DIVISOR } else { 1 };
--- a/crates/daemon/tests/fleet/review.rs
+++ b/crates/daemon/tests/fleet/review.rs
@@ -1,10 +1,12 @@
 //! Tests of responses and connections that belong to another request, process or address.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
+use crate::fixture::wait_until;
 use crate::fixture::Fixture;
 use crate::raw_engine::answer;
 use crate::raw_engine::response;
@@ -61,3 +63,27 @@
         assert_eq!(response.status().is_success(), is_success, "request {id}");
     }
 }
+
+/// Guards against a connection that was in use while its engine moved to another address, and carries
+/// later requests to the former process.
+#[tokio::test]
+async fn connection_to_the_former_address_of_an_engine_is_not_used_again() {
+    let fixture = Fixture::start().await;
+    let start = |delay| {
+        RawEngine::start(&fixture, "i-1", "orders", &[], move |request| {
+            vec![Step::Pause(delay), Step::Send(answer(&request.id, "answer"))]
+        })
+    };
+    let former = start(Duration::from_millis(1_000)).await;
+    let daemon = fixture.daemon("d1").await;
+    let first = tokio::spawn(fixture.request(&daemon, "/once/", "1").send());
+    wait_until(|| async { former.received().len() == 1 }).await;
+    let current = start(Duration::ZERO).await;
+    let first = first.await.expect("the task ends").expect("a response");
+    assert_eq!(first.status(), 200);
+    drop(first.text().await);
+    let second = fixture.request(&daemon, "/once/", "2").send().await.expect("a response");
+    assert_eq!(second.status(), 200);
+    assert_eq!(former.received().len(), 1, "the former process gets no later request");
+    assert_eq!(current.received().len(), 1);
+}
