Count an engine that ran a request although it refused it later

Cause: an engine no longer counted once an attempt at it ended as misplaced or unsent, also if an earlier attempt of the same request may have run there. Engines that may have executed a request are now recorded by themselves and go on counting; whether the request may have run at all follows from the same list.

Evidence: engine_that_ran_a_request_and_then_refused_it_counts_as_an_attempt failed before ("request 1 ran on the engines {2, 1, 0}", of two allowed) and passes.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -123,16 +123,16 @@
     pub call: Call,
     /// Identifier of the last event that the caller received.
     pub last_event: Option<u64>,
-    /// Engines that may have executed the request.
+    /// Engines that count against the route's limit of attempts.
     tried: Vec<UpstreamKey>,
+    /// Engines that may have executed the request.
+    executed: Vec<UpstreamKey>,
     /// Number of times that the request was sent.
     send_count: u32,
     /// Engines whose attempt failed or was refused.
     failed: Vec<UpstreamKey>,
     /// Engines that lacked the model or adapter, and when they responded so.
     misplaced: Vec<(UpstreamKey, Tick)>,
-    /// Whether an engine may have executed the request.
-    may_have_run: bool,
     /// Time at which the request was last sent, and the engine process that received it.
     sent: Option<(Tick, Crash)>,
     /// Engine process that ended the connection, at this address, perhaps because it crashed.
@@ -150,10 +150,10 @@
             last_event: call.last_event,
             call,
             tried: Vec::new(),
+            executed: Vec::new(),
             send_count: 0,
             failed: Vec::new(),
             misplaced: Vec::new(),
-            may_have_run: false,
             sent: None,
             unchecked: None,
             reply: None,
@@ -165,7 +165,7 @@
     pub async fn next(&mut self) -> Result<EngineResponse, CallEnd> {
         loop {
             self.check_crash().await;
-            if self.may_have_run && !self.may_repeat() {
+            if self.may_have_run() && !self.may_repeat() {
                 return Err(self.end_with(Refusal::OutcomeUnknown));
             }
             let (target, guard) = self.acquire_target().await?;
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Returns whether an engine may have executed the request.
+    fn may_have_run(&self) -> bool {
+        !self.executed.is_empty()
+    }
+
     /// Returns whether a request that may have run may be sent again. One that is suspected of
     /// crashing engines isn't, so that it takes no further one down.
     fn may_repeat(&self) -> bool {
@@ -220,7 +225,7 @@
             && self.tried.len() < self.call.route.attempts as usize
             && self.call.time_left() > MIN_TIME_LEFT * 4;
         if may_retry {
-            self.may_have_run = true;
+            self.executed.push(target.key);
             self.failed.push(target.key);
             self.server_error = Some(Box::new((head.clone(), bytes.clone())));
         }
@@ -302,7 +307,7 @@
         if let Some(failure) = self.server_error.take() {
             return CallEnd::Failed(failure);
         }
-        let refusal = match (self.may_have_run, refusal) {
+        let refusal = match (self.may_have_run(), refusal) {
             (true, Refusal::NotStarted) => Refusal::TimedOut,
             (
                 true,
@@ -571,11 +576,9 @@
         self.failed.push(target.key);
         match failure {
             Failure::Refused => {}
-            Failure::Unsent => self.tried.retain(|key| *key != target.key),
-            // The engine didn't execute the request, so it doesn't count against the route's limit
-            // of attempts.
+            Failure::Unsent => self.uncount(target),
             Failure::Misplaced => {
-                self.tried.retain(|key| *key != target.key);
+                self.uncount(target);
                 self.misplaced.push((target.key, clock::now()));
             }
             Failure::Broken(_) => self.record_possible_run(target),
@@ -586,8 +589,15 @@
         }
     }
 
+    /// Stops counting an engine against the route's limit of attempts, unless it may have executed the
+    /// request at an earlier attempt.
+    fn uncount(&mut self, target: &Target) {
+        let Attempts { tried, executed, .. } = self;
+        tried.retain(|key| *key != target.key || executed.contains(key));
+    }
+
     fn record_possible_run(&mut self, target: &Target) {
-        self.may_have_run = true;
+        self.executed.push(target.key);
         self.call.shared.state().engines.record_failure(target.key, clock::now());
     }
 
--- a/crates/daemon/tests/fleet/review.rs
+++ b/crates/daemon/tests/fleet/review.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use parking_lot::Mutex;
 
 use crate::fixture::wait_until;
@@ -87,3 +88,29 @@
     assert_eq!(former.received().len(), 1, "the former process gets no later request");
     assert_eq!(current.received().len(), 1);
 }
+
+/// Guards against a request that runs on more engines than its route allows, because an engine that ran
+/// it refused it later and no longer counted.
+#[tokio::test]
+async fn engine_that_ran_a_request_and_then_refused_it_counts_as_an_attempt() {
+    let fixture = Fixture::start().await;
+    let runs = Arc::new(Mutex::new(IndexMap::<String, IndexSet<usize>>::new()));
+    for number in 0..3 {
+        let recorded = Arc::clone(&runs);
+        RawEngine::start(&fixture, &format!("i-{number}"), "orders", &[], move |request| {
+            let is_first = recorded.lock().entry(request.id.clone()).or_default().insert(number);
+            let status = if is_first { 503 } else { 421 };
+            vec![Step::Send(response(status, &request.id, &[], "failed"))]
+        })
+        .await;
+    }
+    let daemon = fixture.daemon("d1").await;
+    // Engines that failed recently are tried only if there are no others.
+    for number in 0..12 {
+        let id = format!("{number:x}");
+        drop(fixture.request(&daemon, "/again/", &id).send().await);
+    }
+    for (id, engines) in runs.lock().iter() {
+        assert!(engines.len() <= 2, "request {id} ran on the engines {engines:?}");
+    }
+}
