Believe only reports of the engine's listed process

A request went to an engine that had restarted under its identity and held nothing, after the daemon had read the entry that said so.

Cause: a report is requested from an engine and applied when it arrives. If the engine's entry shows another process meanwhile, the report of the former one replaced the models and the number of accepted orders of the new one. Reports, like entries, state in `born` when the process started; it wasn't decoded. A report whose start differs from that of the listed process now counts as a failed inspection, which is repeated. One without a start is applied as before. The simulated engines state it, too.

Evidence: report_of_a_former_process_is_not_believed failed before (the engine received the request) and passes.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -82,6 +82,8 @@
     pub models: IndexMap<String, Vec<String>>,
     /// Adapters that are being loaded from the weight store, as pairs of model and adapter.
     pub loading_adapters: Vec<(String, String)>,
+    /// Start time in milliseconds since 1970 by the engine's clock; `None` if not reported.
+    pub started_ms: Option<u64>,
 }
 
 /// Known state of an engine.
@@ -405,8 +407,15 @@
         }
     }
 
-    /// Applies a report.
-    pub fn apply_report(&mut self, key: UpstreamKey, report: &Report) {
+    /// Applies a report. Returns whether it is that of the listed process: an engine that starts
+    /// again under its identity may have reported just before.
+    pub fn apply_report(&mut self, key: UpstreamKey, report: &Report) -> bool {
+        let Some(started_ms) = self.listed.get(&key).map(|engine| engine.started_ms) else {
+            return false;
+        };
+        if started_ms.zip(report.started_ms).is_some_and(|(listed, reported)| listed != reported) {
+            return false;
+        }
         let mut held = IndexMap::new();
         for (model, adapters) in &report.models {
             held.insert(self.names.models.intern(model), self.names.adapters(model, adapters));
@@ -417,13 +426,14 @@
                 (self.names.models.intern(model), self.names.adapter(model, adapter))
             })
             .collect();
-        let Some(engine) = self.listed.get_mut(&key) else { return };
+        let Some(engine) = self.listed.get_mut(&key) else { return false };
         engine.pending_adapters = pending;
         engine.unloading = engine.unloading.filter(|model| report.busy && held.contains_key(model));
         engine.models = held;
         engine.order_count = Some(report.orders);
         engine.adapter_updates.clear();
         engine.misses.clear();
+        true
     }
 
     /// Increments the number of orders that an engine has accepted.
--- a/crates/coord/tests/serving/fixtures.rs
+++ b/crates/coord/tests/serving/fixtures.rs
@@ -60,7 +60,8 @@
 
 /// Returns the report of an engine that matches its entry.
 pub fn report(entry: &Entry, orders: u64) -> Report {
-    Report { busy: false, orders, models: entry.models.clone(), loading_adapters: Vec::new() }
+    let (models, started_ms) = (entry.models.clone(), entry.started_ms);
+    Report { busy: false, orders, models, loading_adapters: Vec::new(), started_ms }
 }
 
 /// Returns parameters for engines with `memory_mb` and for models of 60 GB each, which load from
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -407,11 +407,10 @@
     let mut state = shared.state();
     let State { planner, engines, .. } = &mut *state;
     match report {
-        Some(report) => {
-            engines.apply_report(engine, &report);
+        Some(report) if engines.apply_report(engine, &report) => {
             planner.handle_inspection(engine, report.busy, now);
         }
-        None => planner.handle_inspection_failure(engine, now),
+        _ => planner.handle_inspection_failure(engine, now),
     }
     drop(state);
     shared.changed.notify_waiters();
--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -384,7 +384,10 @@
     fn report(&self) -> Response<Body> {
         let state = self.state.lock();
         let models = state.loaded_models();
-        let report = json!({"busy": state.busy, "seq": state.orders.len(), "models": models});
+        let report = json!({
+            "busy": state.busy, "seq": state.orders.len(), "models": models,
+            "born": state.crashes.len() + 1,
+        });
         full_response(200, &report.to_string())
     }
 }
--- a/crates/daemon/tests/fleet/review.rs
+++ b/crates/daemon/tests/fleet/review.rs
@@ -6,6 +6,9 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use parking_lot::Mutex;
+use serde_json::json;
+use serde_json::Value;
+use tokio::time::sleep;
 
 use crate::fixture::wait_until;
 use crate::fixture::Fixture;
@@ -114,3 +117,36 @@
         assert!(engines.len() <= 2, "request {id} ran on the engines {engines:?}");
     }
 }
+
+/// Guards against a report of an engine's former process that is believed for the process that started
+/// again under its identity.
+#[tokio::test]
+async fn report_of_a_former_process_is_not_believed() {
+    let fixture = Fixture::start().await;
+    let engine = RawEngine::start(&fixture, "i-1", "advice", &["m1"], move |request| {
+        let reply = |text: &str| Step::Send(response(200, "", &[], text));
+        match (request.path.as_str(), request.connection) {
+            ("/report", 0) => vec![
+                Step::Pause(Duration::from_millis(500)),
+                reply(r#"{"busy": false, "seq": 0, "models": [{"name": "m1"}], "born": 1}"#),
+            ],
+            ("/report", _) => vec![reply(r#"{"busy": false, "seq": 0, "models": [], "born": 2}"#)],
+            ("/order", _) => vec![Step::Send(response(409, "", &[], ""))],
+            _ => vec![Step::Send(response(421, &request.id, &[], "not here"))],
+        }
+    })
+    .await;
+    let daemon = fixture.daemon("d1").await;
+    wait_until(|| async { !engine.received().is_empty() }).await;
+    let entry = fixture.store.value("servers", "i-1").expect("the engine's entry");
+    let mut entry: Value = serde_json::from_slice(&entry).expect("an entry");
+    entry["born"] = json!(2);
+    entry["models"] = json!([]);
+    fixture.store.put("servers", "i-1", entry.to_string().as_bytes());
+    sleep(Duration::from_millis(700)).await;
+    let request = fixture.generation_request(&daemon, "/resume/", "1", "m1");
+    drop(request.send().await);
+    let received = engine.received();
+    let sent = received.iter().filter(|request| request.id == "1").count();
+    assert_eq!(sent, 0, "the engine doesn't hold the model");
+}
