Log no earlier reply for an attempt without a connection

E406 of an attempt that found no connection repeated what had been read in reply to the attempt before: cause=unsent reply=503 origin=Own, as if an engine had refused it. The field was reset only once there was a connection.

Only the log changes; found by reading, no test covers log lines.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -420,6 +420,7 @@
         let repeat = self.call.route.repeat;
         let shared = std::sync::Arc::clone(&self.call.shared);
         let avoid_stale = !repeat.may_repeat();
+        self.reply = None;
         let (pool, id) = (&shared.pool, &self.call.id);
         let connection = pool.connection(&target.id, target.address, id, avoid_stale).await;
         let mut connection = connection.map_err(|_| {
@@ -430,7 +431,6 @@
         let count = self.call.record_send(&target.id);
         self.sent = Some((clock::now(), quarantine::process(&shared.state(), target)));
         self.send_count = count;
-        self.reply = None;
         if !self.tried.contains(&target.key) {
             self.tried.push(target.key);
         }
