Check that a resumed stream goes on where it broke off

Callers whose stream broke off and was resumed found in it whatever the next engine sent with a successful status and their request's id: plain text, a JSON error or another status (206), a head written into the body, events from the first one on, repeated or skipped events. An empty response ended their stream as if it were complete. An engine that wrote the head and text of an error into its own response without length put both into the stream, resumable or not.

The buffer of events split whatever came at blank lines and believed the last id. It now checks each event: its lines are fields, its id is above the one before, and the rest of a stream begins with the next id. A response that goes on with a stream has the status and media type of the first one and adds at least one event. What doesn't continue the stream counts as broken, like a silent engine: another engine goes on, or the caller's stream breaks off visibly. A repeated event isn't dropped: from an engine that ignores where to go on, what follows it belongs to another run.

An event's bytes were scanned for its id before; they are still scanned once.

A response without length that is closed after an event can't be told from a complete one.

--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -5,8 +5,11 @@
 use corianderyoke_util::events;
 use corianderyoke_util::events::Event;
 use futures::stream;
+use http::header;
 use http::response::Parts;
+use http::HeaderValue;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 
@@ -39,9 +42,40 @@
     Cut(&'static str),
 }
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// Kind of the response that begins a stream.
+#[derive(Debug)]
+struct StreamKind {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamKind {
+    fn of(head: &Parts) -> Self {
+        let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
+        StreamKind { status: head.status, content_type }
+    }
+
+    /// Returns whether a response of another kind may go on with the stream.
+    fn may_continue_with(&self, other: &StreamKind) -> bool {
+        let media_type = other.media_type();
+        let is_stream = media_type == Some(EVENT_STREAM) || media_type == self.media_type();
+        is_stream && other.status == self.status
+    }
+
+    /// Returns the content type without its parameters.
+    fn media_type(&self) -> Option<&[u8]> {
+        let value = self.content_type.as_ref()?.as_bytes();
+        value.split(|byte| *byte == b';').next().map(<[u8]>::trim_ascii)
+    }
+}
+
 /// Stream that is being relayed.
 struct StreamRelay {
     attempts: Attempts,
+    kind: StreamKind,
     source: Option<EngineResponse>,
     buffer: EventBuffer,
 }
@@ -49,8 +83,10 @@
 /// Waits for the first events and starts the caller's response with them.
 pub async fn begin(attempts: Attempts, response: EngineResponse) -> StreamStart {
     let head = response.head.clone();
-    let buffer = EventBuffer::after(attempts.last_event);
-    let mut relay = StreamRelay { attempts, source: Some(response), buffer };
+    let kind = StreamKind::of(&head);
+    let may_repeat = attempts.call.route.repeat.may_repeat();
+    let buffer = EventBuffer::after(attempts.last_event.filter(|_| may_repeat));
+    let mut relay = StreamRelay { attempts, kind, source: Some(response), buffer };
     match relay.next_chunk().await {
         NextChunk::Events(events) => StreamStart::Stream(relay.response(head, Some(events))),
         NextChunk::End => {
@@ -104,11 +140,15 @@
     async fn next_chunk(&mut self) -> NextChunk {
         let Some(source) = &mut self.source else { return NextChunk::End };
         loop {
+            if let Some(fault) = self.buffer.fault() {
+                return NextChunk::Broken(fault.cause());
+            }
             let frame = self.attempts.wait_for_event(source.body.frame(), &source.target).await;
             match frame {
                 None => return NextChunk::Broken("silent"),
                 Some(Some(Err(_))) => return NextChunk::Cut("stream_broken"),
                 Some(None) if self.buffer.is_partial() => return NextChunk::Cut("stream_cut"),
+                Some(None) if self.buffer.lacks_rest() => return NextChunk::Broken("empty"),
                 Some(None) => return NextChunk::End,
                 Some(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
@@ -141,10 +181,16 @@
         if !self.attempts.call.route.repeat.may_repeat() {
             return false;
         }
-        let Ok(source) = self.attempts.next().await else { return false };
-        if !source.head.status.is_success() {
-            return false;
-        }
+        let source = loop {
+            let Ok(source) = self.attempts.next().await else { return false };
+            if self.kind.may_continue_with(&StreamKind::of(&source.head)) {
+                break source;
+            }
+            self.attempts.record_broken(&source.target, "other_kind");
+            if !source.head.status.is_success() {
+                return false;
+            }
+        };
         events::log(
             Event::Resumed,
             format_args!(
@@ -153,7 +199,7 @@
             ),
         );
         self.attempts.call.shared.metrics.resumed.inc();
-        self.buffer = EventBuffer::after(self.attempts.last_event);
+        self.buffer.resume();
         self.source = Some(source);
         true
     }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod raw_engine;
 mod restored;
+mod resumed_streams;
 mod soak;
 mod stopping;
 mod store;
