Send no length with streams, which another engine may end

A stream whose first response stated its length kept it when another engine went on. The length was forwarded with the head of the first response; streams are now sent in chunks.

Evidence: before, resumed_stream_does_not_have_the_length_of_the_first_response received three of five events and a complete response.

--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -82,7 +82,9 @@
 
 /// Waits for the first events and starts the caller's response with them.
 pub async fn begin(attempts: Attempts, response: EngineResponse) -> StreamStart {
-    let head = response.head.clone();
+    let mut head = response.head.clone();
+    // The rest of another engine may have another length.
+    head.headers.remove(header::CONTENT_LENGTH);
     let kind = StreamKind::of(&head);
     let may_repeat = attempts.call.route.repeat.may_repeat();
     let buffer = EventBuffer::after(attempts.last_event.filter(|_| may_repeat));
--- a/crates/daemon/tests/fleet/resumed_streams.rs
+++ b/crates/daemon/tests/fleet/resumed_streams.rs
@@ -304,6 +304,36 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against a length in the first response that cuts off the events of the next one.
+#[tokio::test]
+async fn resumed_stream_does_not_have_the_length_of_the_first_response() {
+    let fixture = Fixture::start().await;
+    let first = events(1..=FIRST_COUNT);
+    // The first response would have ended with its third event.
+    let length = events(1..=FIRST_COUNT + 1).len();
+    let runs = Arc::new(Mutex::new(0));
+    for engine in ["i-1", "i-2"] {
+        let (runs, first) = (Arc::clone(&runs), first.clone());
+        RawEngine::start(&fixture, engine, "advice", &["m1"], move |request| {
+            if request.method == "GET" {
+                return vec![Step::Send(response(200, "", &[], REPORT))];
+            }
+            *runs.lock() += 1;
+            if *runs.lock() > 1 {
+                return rest(&request.id, FIRST_COUNT);
+            }
+            let id = format!("corianderyoke-attempt-id: {}", request.id);
+            let head = [FIRST_SEAL, EVENT_STREAM, &id].join("\r\n");
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n{head}\r\n\r\n");
+            vec![Step::Send((head + &first).into_bytes()), Step::Close]
+        })
+        .await;
+    }
+    let daemon = fixture.daemon("d1").await;
+    let received = send(&fixture, &daemon, "/resume/", "1").await;
+    assert!(received.is_sound() && received.is_complete, "{received:?}");
+}
+
 /// Bytes that an engine writes after a complete response.
 type Extra = fn(&str) -> Vec<u8>;
 
