--- a/crates/coord/src/serving/stream.rs
+++ b/crates/coord/src/serving/stream.rs
@@ -44,6 +44,8 @@
     last: Option<u64>,
     /// Whether the ids don't rise by one.
     is_sparse: bool,
+    /// Whether events with data but without an id came after the event `last`.
+    has_unnumbered: bool,
     /// Whether another response goes on with a stream that was cut off.
     is_resumed: bool,
     /// Whether no event of the present response has come yet.
@@ -92,6 +94,11 @@
         self.fault
     }
 
+    /// Returns whether [`EventBuffer::last`] tells another upstream where to go on.
+    pub fn may_resume(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Returns whether a response that goes on with a stream has added no event to it.
     pub fn lacks_rest(&self) -> bool {
         self.is_resumed && self.is_fresh
@@ -125,7 +132,7 @@
             (None, _) if !has_data => return Ok(()),
             // The rest of a numbered stream begins with a number.
             (None, Some(_)) if self.lacks_rest() => return Err(Fault::OutOfOrder),
-            (None, _) => {}
+            (None, _) => self.has_unnumbered = true,
             (Some(id), last) => {
                 let follows = last.is_none_or(|last| {
                     let is_next = last.checked_add(1) == Some(id);
@@ -136,6 +143,7 @@
                 }
                 self.is_sparse |= !self.is_fresh && last.is_some_and(|last| id - last > 1);
                 self.last = Some(id);
+                self.has_unnumbered = false;
             }
         }
         self.is_fresh = false;
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -180,7 +180,7 @@
     /// succeeded.
     async fn resume(&mut self) -> bool {
         self.attempts.check_crash().await;
-        if !self.attempts.call.route.repeat.may_repeat() {
+        if !self.attempts.call.route.repeat.may_repeat() || !self.buffer.may_resume() {
             return false;
         }
         let source = loop {
--- a/crates/daemon/tests/fleet/resumed_streams.rs
+++ b/crates/daemon/tests/fleet/resumed_streams.rs
@@ -334,6 +334,29 @@
     assert!(received.is_sound() && received.is_complete, "{received:?}");
 }
 
+/// Guards against events without ids that another engine sends again from the first one.
+#[tokio::test]
+async fn stream_without_ids_is_broken_off() {
+    const EVENTS: &str = "data: a\n\ndata: b\n\n";
+    let fixture = Fixture::start().await;
+    for engine in ["i-1", "i-2"] {
+        RawEngine::start(&fixture, engine, "advice", &["m1"], move |request| {
+            match request.method.as_str() {
+                "GET" => vec![Step::Send(response(200, "", &[], REPORT))],
+                _ => {
+                    let framing = Framing::Chunked;
+                    let head = framing.head(&request.id, &[FIRST_SEAL, EVENT_STREAM]);
+                    vec![head, framing.piece(EVENTS), Step::Close]
+                }
+            }
+        })
+        .await;
+    }
+    let daemon = fixture.daemon("d1").await;
+    let received = send(&fixture, &daemon, "/resume/", "1").await;
+    assert_eq!((received.text.as_str(), received.is_complete), (EVENTS, false));
+}
+
 /// Bytes that an engine writes after a complete response.
 type Extra = fn(&str) -> Vec<u8>;
 
