Resume streams that break off later than a first event is due

A stream that broke off more than 3 s after its request arrived (the time of a first event, less a margin) was never resumed: its caller got a broken stream. The limit for sending a request to an engine counted from its arrival, also when it was sent again to go on with its stream. It now counts from the latest chunk of the response, as callers count the gap after which they give up.

Evidence: stream_that_breaks_off_late_goes_on_at_another_engine got three of five events and a broken stream before.

The tests of resumed streams now share one pair of engines.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -231,9 +231,7 @@
         let caller_deadline = arrived + facts.timeout.unwrap_or(route.timeout);
         let deadline = Tick(caller_deadline.0.saturating_sub(RESPONSE_MARGIN.as_micros() as u64));
         let deadline = deadline.min(arrived + route.timeout);
-        let start_deadline = route
-            .first_event_timeout()
-            .map_or(deadline, |span| arrived + span.saturating_sub(START_MARGIN));
+        let start_deadline = start_deadline(&route, arrived, deadline);
         let team_priority =
             team.as_deref().and_then(|name| desired.team(name)).and_then(|t| t.priority);
         let generation = facts.model.as_deref().map(|model| {
@@ -250,7 +248,7 @@
             arrived,
             caller_deadline,
             deadline,
-            start_deadline: start_deadline.min(deadline),
+            start_deadline,
             priority: team_priority.unwrap_or(route.priority),
             desired,
             route,
@@ -320,6 +318,14 @@
         seed(&self.id)
     }
 
+    /// Sets the time limit for going on with a stream at another engine. It counts from the latest
+    /// chunk of the response.
+    pub fn extend_start(&mut self) {
+        if let Some((_, latest)) = self.record.chunks {
+            self.start_deadline = start_deadline(&self.route, latest, self.deadline);
+        }
+    }
+
     /// Returns the time left to send the request to an engine.
     pub fn time_to_start(&self) -> Duration {
         self.start_deadline.since(clock::now())
@@ -331,6 +337,13 @@
     }
 }
 
+/// Returns when a request is refused that hasn't been sent to an engine, if its caller has waited for
+/// an event since `waiting`.
+fn start_deadline(route: &Route, waiting: Tick, deadline: Tick) -> Tick {
+    let limit = route.first_event_timeout();
+    limit.map_or(deadline, |span| deadline.min(waiting + span.saturating_sub(START_MARGIN)))
+}
+
 /// Sender of a request and the name under which it called.
 #[derive(Clone, Copy, Debug)]
 pub struct Caller<'a> {
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -183,6 +183,7 @@
         if !self.attempts.call.route.repeat.may_repeat() || !self.buffer.may_resume() {
             return false;
         }
+        self.attempts.call.extend_start();
         let source = loop {
             let Ok(source) = self.attempts.next().await else { return false };
             if self.kind.may_continue_with(&StreamKind::of(&source.head)) {
--- a/crates/daemon/tests/fleet/resumed_streams.rs
+++ b/crates/daemon/tests/fleet/resumed_streams.rs
@@ -6,7 +6,9 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use reqwest::Response;
+use serde_json::json;
 
+use crate::fixture::desired_state;
 use crate::fixture::Daemon;
 use crate::fixture::Fixture;
 use crate::raw_engine::response;
@@ -177,12 +179,15 @@
     }),
 ];
 
-/// Starts two engines. The first request with an identifier gets the events of a stream that breaks
-/// off, the next one the response `next`, and later ones an error.
-async fn start_engines(fixture: &Fixture, framing: Framing, broken: Break, next: Next) {
+/// Starts two engines. `respond` gets each request and how often one with its identifier arrived.
+async fn start_engines(
+    fixture: &Fixture,
+    respond: impl Fn(&RawRequest, usize) -> Vec<Step> + Send + Sync + 'static,
+) {
     let counts = Arc::new(Mutex::new(IndexMap::<String, usize>::new()));
+    let respond = Arc::new(respond);
     for engine in ["i-1", "i-2"] {
-        let counts = Arc::clone(&counts);
+        let (counts, respond) = (Arc::clone(&counts), Arc::clone(&respond));
         RawEngine::start(fixture, engine, "advice", &["m1"], move |request| {
             if request.method == "GET" {
                 return vec![Step::Send(response(200, "", &[], REPORT))];
@@ -190,19 +195,16 @@
             let mut counts = counts.lock();
             let count = counts.entry(request.id.clone()).or_default();
             *count += 1;
-            match *count {
-                1 => first_response(request, framing, broken),
-                2 => next(&request.id, last_event(request).unwrap_or(0)),
-                _ => failed(&request.id, 500, &[SEAL]),
-            }
+            respond(request, *count)
         })
         .await;
     }
 }
 
-fn last_event(request: &RawRequest) -> Option<u64> {
+/// Returns the last event that the caller has; 0 if it has none.
+fn last_event(request: &RawRequest) -> u64 {
     let value = request.head.lines().find_map(|line| line.strip_prefix("last-event-id: "));
-    value.map(|value| value.parse().expect("a number"))
+    value.map_or(0, |value| value.parse().expect("a number"))
 }
 
 /// What a caller received.
@@ -249,7 +251,12 @@
 
 async fn play(path: &str, framing: Framing, broken: Break, next: Next) -> Received {
     let fixture = Fixture::start().await;
-    start_engines(&fixture, framing, broken, next).await;
+    start_engines(&fixture, move |request, nth| match nth {
+        1 => first_response(request, framing, broken),
+        2 => next(&request.id, last_event(request)),
+        _ => failed(&request.id, 500, &[SEAL]),
+    })
+    .await;
     let daemon = fixture.daemon("d1").await;
     send(&fixture, &daemon, path, "1").await
 }
@@ -308,27 +315,18 @@
 #[tokio::test]
 async fn resumed_stream_does_not_have_the_length_of_the_first_response() {
     let fixture = Fixture::start().await;
-    let first = events(1..=FIRST_COUNT);
     // The first response would have ended with its third event.
     let length = events(1..=FIRST_COUNT + 1).len();
-    let runs = Arc::new(Mutex::new(0));
-    for engine in ["i-1", "i-2"] {
-        let (runs, first) = (Arc::clone(&runs), first.clone());
-        RawEngine::start(&fixture, engine, "advice", &["m1"], move |request| {
-            if request.method == "GET" {
-                return vec![Step::Send(response(200, "", &[], REPORT))];
-            }
-            *runs.lock() += 1;
-            if *runs.lock() > 1 {
-                return rest(&request.id, FIRST_COUNT);
-            }
-            let id = format!("corianderyoke-attempt-id: {}", request.id);
-            let head = [FIRST_SEAL, EVENT_STREAM, &id].join("\r\n");
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n{head}\r\n\r\n");
-            vec![Step::Send((head + &first).into_bytes()), Step::Close]
-        })
-        .await;
-    }
+    start_engines(&fixture, move |request, nth| {
+        if nth > 1 {
+            return rest(&request.id, FIRST_COUNT);
+        }
+        let id = format!("corianderyoke-attempt-id: {}", request.id);
+        let head = [FIRST_SEAL, EVENT_STREAM, &id].join("\r\n");
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n{head}\r\n\r\n");
+        vec![Step::Send((head + &events(1..=FIRST_COUNT)).into_bytes()), Step::Close]
+    })
+    .await;
     let daemon = fixture.daemon("d1").await;
     let received = send(&fixture, &daemon, "/resume/", "1").await;
     assert!(received.is_sound() && received.is_complete, "{received:?}");
@@ -339,19 +337,12 @@
 async fn stream_without_ids_is_broken_off() {
     const EVENTS: &str = "data: a\n\ndata: b\n\n";
     let fixture = Fixture::start().await;
-    for engine in ["i-1", "i-2"] {
-        RawEngine::start(&fixture, engine, "advice", &["m1"], move |request| {
-            match request.method.as_str() {
-                "GET" => vec![Step::Send(response(200, "", &[], REPORT))],
-                _ => {
-                    let framing = Framing::Chunked;
-                    let head = framing.head(&request.id, &[FIRST_SEAL, EVENT_STREAM]);
-                    vec![head, framing.piece(EVENTS), Step::Close]
-                }
-            }
-        })
-        .await;
-    }
+    start_engines(&fixture, |request, _| {
+        let framing = Framing::Chunked;
+        let head = framing.head(&request.id, &[FIRST_SEAL, EVENT_STREAM]);
+        vec![head, framing.piece(EVENTS), Step::Close]
+    })
+    .await;
     let daemon = fixture.daemon("d1").await;
     let received = send(&fixture, &daemon, "/resume/", "1").await;
     assert_eq!((received.text.as_str(), received.is_complete), (EVENTS, false));
@@ -398,3 +389,32 @@
         }
     }
 }
+
+/// Guards against streams that can't be resumed once they are older than a first event may be.
+#[tokio::test]
+async fn stream_that_breaks_off_late_goes_on_at_another_engine() {
+    // The first event is due within 3.2 s.
+    const PAUSE: Duration = Duration::from_millis(1_200);
+    let fixture = Fixture::start().await;
+    let mut desired = desired_state(2);
+    for route in desired["routes"].as_array_mut().expect("a list") {
+        route["timeout_ms"] = json!(30_000);
+    }
+    fixture.store.put("op", "config", desired.to_string().as_bytes());
+    start_engines(&fixture, |request, nth| match nth {
+        1 => {
+            let head = Framing::Chunked.head(&request.id, &[FIRST_SEAL, EVENT_STREAM]);
+            let piece = |id| [Framing::Chunked.piece(&event(id)), Step::Pause(PAUSE)];
+            std::iter::once(head).chain((1..=3).flat_map(piece)).chain([Step::Close]).collect()
+        }
+        _ => rest(&request.id, last_event(request)),
+    })
+    .await;
+    let daemon = fixture.daemon("d1").await;
+    let request = fixture.generation_request(&daemon, "/resume/", "1", "m1");
+    let (client, request) = request.build_split();
+    let mut request = request.expect("a valid request");
+    request.headers_mut().insert("corianderyoke-deadline-ms", 30_000.into());
+    let received = receive(client.execute(request).await.expect("a response")).await;
+    assert!(received.is_sound() && received.is_complete, "{received:?}");
+}
