Bound the incomplete event that is buffered

A response of an event stream without any blank line was buffered to its end, whatever its length. An event of more than 1 MiB now counts as broken.

Evidence: incomplete_event_is_bounded; no limit existed.

--- a/crates/coord/src/serving/stream.rs
+++ b/crates/coord/src/serving/stream.rs
@@ -11,6 +11,9 @@
 /// Name of the field that carries an event's data.
 const DATA: &[u8] = b"data";
 
+/// Largest incomplete event that is buffered, in bytes.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Reason why bytes aren't the continuation of a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
@@ -18,6 +21,8 @@
     NotAnEvent,
     /// The id of an event doesn't follow that of the event before.
     OutOfOrder,
+    /// An event exceeds [`MAX_EVENT_BYTES`].
+    TooLarge,
 }
 
 impl Fault {
@@ -26,6 +31,7 @@
         match self {
             Fault::NotAnEvent => "not_an_event",
             Fault::OutOfOrder => "out_of_order",
+            Fault::TooLarge => "event_too_large",
         }
     }
 }
@@ -73,7 +79,14 @@
         }
         let searched = self.bytes.len().saturating_sub(BLANK_LINE.len() - 1);
         self.bytes.extend_from_slice(bytes);
-        let end = self.bytes[searched..].windows(BLANK_LINE.len()).rposition(is_blank_line)?;
+        let end = self.bytes[searched..].windows(BLANK_LINE.len()).rposition(is_blank_line);
+        let Some(end) = end else {
+            if self.bytes.len() > MAX_EVENT_BYTES {
+                self.bytes = BytesMut::new();
+                self.fault = Some(Fault::TooLarge);
+            }
+            return None;
+        };
         let mut whole = self.bytes.split_to(searched + end + BLANK_LINE.len()).freeze();
         whole.truncate(self.check(&whole));
         (!whole.is_empty()).then_some(whole)
--- a/crates/coord/tests/serving/stream.rs
+++ b/crates/coord/tests/serving/stream.rs
@@ -2,6 +2,7 @@
 
 use corianderyoke_coord::serving::stream::EventBuffer;
 use corianderyoke_coord::serving::stream::Fault;
+use corianderyoke_coord::serving::stream::MAX_EVENT_BYTES;
 use proptest::prelude::*;
 
 fn events(count: u64) -> Vec<u8> {
@@ -98,6 +99,16 @@
     assert_eq!(push(&mut buffer, "data: x\n\n"), (String::new(), Some(Fault::OutOfOrder)));
 }
 
+/// Guards against a response without blank lines that fills the memory.
+#[test]
+fn incomplete_event_is_bounded() {
+    let mut buffer = EventBuffer::default();
+    let text = "a".repeat(MAX_EVENT_BYTES);
+    assert_eq!(push(&mut buffer, &text), (String::new(), None));
+    assert_eq!(push(&mut buffer, "a"), (String::new(), Some(Fault::TooLarge)));
+    assert!(!buffer.is_partial());
+}
+
 proptest! {
     #[test]
     fn faults_are_found_for_any_split(
