--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -102,6 +102,7 @@
             ("store_reads", "Reads and feeds sent to the store", &calls.reads),
             ("store_writes", "Writes sent to the store", &calls.writes),
             ("store_failed", "Calls that the store refused or didn't answer", &calls.failed),
+            ("store_contradicted", "Responses not believed of the store", &calls.contradicted),
         ];
         for (name, help, total) in totals {
             let counter = ConstCounter::new(total.load(Ordering::Relaxed));
--- a/crates/daemon/tests/fleet/store.rs
+++ b/crates/daemon/tests/fleet/store.rs
@@ -266,17 +266,18 @@
             (text("table"), text("key"))
         };
         let list = |field: &str| body[field].as_array().cloned().unwrap_or_default();
-        for row in list("expected") {
-            let row_content = tables.rows.get(&row_key(&row));
-            let version =
-                row_content.filter(|(value, _)| value.is_some()).map_or(0, |(_, ver)| *ver);
-            if row["ver"].as_u64() != Some(version) {
-                return json_response(
-                    412,
-                    tables.era,
-                    &json!({"rows": [], "ver": tables.version, "now_ms": self.now_ms()}),
-                );
-            }
+        let expected = list("expected");
+        let present = |row: &Value| {
+            let content = tables.rows.get_key_value(&row_key(row));
+            content.filter(|(_, (value, _))| value.is_some())
+        };
+        let holds = |expected: &Value| {
+            expected["ver"].as_u64() == Some(present(expected).map_or(0, |(_, (_, ver))| *ver))
+        };
+        if !expected.iter().all(holds) {
+            let rows: Vec<Value> = expected.iter().filter_map(present).map(row).collect();
+            let body = json!({"rows": rows, "ver": tables.version, "now_ms": self.now_ms()});
+            return json_response(412, tables.era, &body);
         }
         tables.version += 1;
         let version = tables.version;
