Ignore messages of an earlier lease holder

A message of a holder that has lost the lease, late, reordered or written once more, was believed: the changes of engines in it counted as new, since their numbers are compared within one fencing token only, and the fencing token and expected loads of the later holder were replaced by its own. A daemon took a model for unloaded that an engine holds, and refused its callers.

A lower token than that of the latest announcement, or than a daemon's own while it holds the lease, now makes a message outdated (E208). Tokens rise through restorations that state an era; after one that doesn't, lower ones count again after 10 s.

Evidence: change_announced_by_an_earlier_lease_holder_is_ignored got 503 before.

--- a/crates/coord/src/serving/polling.rs
+++ b/crates/coord/src/serving/polling.rs
@@ -24,6 +24,9 @@
 const MAX_AGE_FRACTION: f64 = 0.5;
 /// Report intervals without an announcement after which the holder counts as unreachable.
 const MAX_MISSED_REPORTS: u32 = 3;
+/// Longest delay of a message of an earlier holder. A store that came back from an older copy may give
+/// out lower tokens, so they count again after this time.
+const MAX_MESSAGE_DELAY: Duration = Duration::from_secs(10);
 
 /// Properties of the fleet that determine the polling interval.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -69,6 +72,12 @@
         }
     }
 
+    /// Returns whether a message of the holder with this token is late: a later holder was heard.
+    pub fn is_outdated(&self, token: u64, now: Tick) -> bool {
+        let is_known = self.last_heard.is_some_and(|at| now.since(at) < MAX_MESSAGE_DELAY);
+        is_known && token < self.token
+    }
+
     /// Returns whether a change hasn't been received yet. Marks it as received if the holder told
     /// it directly, ahead of the announcement that contains it.
     pub fn take_change(&mut self, token: u64, number: u64, is_direct: bool) -> bool {
--- a/crates/coord/tests/serving/polling.rs
+++ b/crates/coord/tests/serving/polling.rs
@@ -94,3 +94,15 @@
     updates.record_announcement(2, 1, 0, FRESH, ms(600));
     assert!(updates.take_change(2, 5, true));
 }
+
+/// Guards against late messages of an earlier holder, whose changes no longer hold.
+#[test]
+fn messages_of_an_earlier_holder_are_outdated() {
+    let mut updates = HolderUpdates::default();
+    assert!(!updates.is_outdated(1, ms(0)));
+    updates.record_announcement(5, 1, 0, FRESH, ms(100));
+    let outdated = [4, 5, 6].map(|token| updates.is_outdated(token, ms(200)));
+    assert_eq!(outdated, [true, false, false]);
+    // The store may have come back from an older copy.
+    assert!(!updates.is_outdated(4, ms(10_100)));
+}
--- a/crates/daemon/src/peers/holder.rs
+++ b/crates/daemon/src/peers/holder.rs
@@ -179,6 +179,10 @@
     holder: &word::Holder,
     now: Tick,
 ) -> bool {
+    if is_outdated(state, holder.token, now) {
+        log_outdated(name, holder.token);
+        return false;
+    }
     let row =
         LeaseRow { holder: name.to_owned(), token: holder.token, until: StoreTime(holder.until) };
     let position = Position { era: holder.era, version: holder.version };
@@ -197,6 +201,10 @@
 /// Handles changes that the lease holder told this daemon directly.
 pub fn handle_direct(shared: &Shared, changes: &word::Changes, now: Tick) {
     let mut state = shared.state();
+    if is_outdated(&state, changes.token, now) {
+        log_outdated("unknown", changes.token);
+        return;
+    }
     let has_new = apply_changes(shared, &mut state, changes.token, &changes.effects, true, now);
     decode_loads(&mut state, &changes.loads, now);
     drop(state);
@@ -205,6 +213,16 @@
     }
 }
 
+/// Returns whether a message comes from a holder that lost the lease to a later one.
+fn is_outdated(state: &State, token: u64, now: Tick) -> bool {
+    state.lease.token(now).is_some_and(|own| token < own)
+        || state.holder_updates.is_outdated(token, now)
+}
+
+fn log_outdated(name: &str, token: u64) {
+    events::log(Event::LateAnnouncement, format_args!("holder={name} token={token}"));
+}
+
 fn apply_changes(
     shared: &Shared,
     state: &mut State,
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod fixture;
 mod kept_connections;
+mod late_messages;
 mod late_order;
 mod orders;
 mod raw_engine;
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -59,6 +59,7 @@
     PeerHeard = 205, Info, "another daemon reported for the first time since its start";
     PeerSilent = 206, Warn, "another daemon stopped reporting, callers no longer get its address";
     PeerKeyChanged = 207, Info, "another key authenticates the messages between daemons";
+    LateAnnouncement = 208, Info, "a message of an earlier lease holder was ignored";
     RevisionInForce = 300, Info, "a configuration revision is in force here";
     RevisionStale = 301, Warn, "the revision could not be confirmed in time, requests are refused";
     KeyRevoked = 302, Info, "a key was revoked and its open requests were aborted";
