--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -49,6 +49,7 @@
     PlatformBack = 111, Info, "the platform answers again";
     PlatformRestored = 112, Warn, "the platform came back from an older copy";
     TableReread = 113, Info, "changes of a table can't be followed further, it is read in full";
+    PlatformContradicted = 114, Warn, "an answer of the platform contradicts earlier ones";
     LinesDropped = 120, Warn, "log lines were dropped because standard output was not read in time";
     Joined = 200, Info, "the member joined the view";
     ViewChanged = 201, Info, "a new view is in force";
@@ -58,6 +59,7 @@
     PeerHeard = 205, Info, "another daemon reported for the first time since its start";
     PeerSilent = 206, Warn, "another daemon stopped reporting, callers no longer get its address";
     PeerKeyChanged = 207, Info, "another key authenticates the messages between daemons";
+    LateAnnouncement = 208, Info, "a message of an earlier lease holder was ignored";
     RevisionInForce = 300, Info, "a configuration revision is in force here";
     RevisionStale = 301, Warn, "the revision could not be confirmed in time, requests are refused";
     KeyRevoked = 302, Info, "a key was revoked and its open requests were aborted";
