--- a/crates/coord/src/time.rs
+++ b/crates/coord/src/time.rs
@@ -3,6 +3,21 @@
 use std::ops::Add;
 use std::time::Duration;
 
+/// Longest duration that is accepted from outside. Sums and multiples of a few such durations can be
+/// represented, also when they are added to an instant.
+pub const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
+/// Returns a duration of so many seconds, or `None` if they are negative, not a number or more than
+/// [`MAX_DURATION`].
+pub fn seconds(value: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(value).ok().filter(|duration| *duration <= MAX_DURATION)
+}
+
+/// Returns a duration of so many milliseconds, as [`seconds`] does.
+pub fn millis(value: f64) -> Option<Duration> {
+    seconds(value / 1e3)
+}
+
 /// Microseconds since an arbitrary origin on the driver's monotonic clock.
 ///
 /// Ticks of different processes are never compared; processes only exchange durations.
--- /dev/null
+++ b/crates/daemon/tests/fleet/odd_entries.rs
@@ -0,0 +1,115 @@
+//! Tests of entries and rows of another writer that no engine, operator or daemon would write.
+
+use std::time::Duration;
+
+use serde_json::json;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::engine::Engine;
+use crate::fixture::wait_until;
+use crate::fixture::Daemon;
+use crate::fixture::Fixture;
+
+/// Depth of a nested list.
+const DEPTH: usize = 200_000;
+/// Length of a long text, in bytes.
+const LONG: usize = 300_000;
+/// Time within which a daemon reads a row; also longer than the interval of the engines' table.
+const READ_TIME: Duration = Duration::from_millis(700);
+
+/// Returns the entry of an engine of the plain service with one field replaced.
+fn entry_with(engine: &Engine, field: &str, value: Value) -> Vec<u8> {
+    let mut entry = json!({
+        "service": "orders", "address": engine.address.to_string(), "zone": "a", "version": "v1",
+        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 40, "born": 1, "models": [],
+    });
+    entry[field] = value;
+    entry.to_string().into_bytes()
+}
+
+/// Returns a text that consists of `text`, with `field` of the entry replaced by a nested list.
+fn nested_entry(engine: &Engine, field: &str) -> Vec<u8> {
+    let entry = entry_with(engine, field, json!("NESTED"));
+    let entry = String::from_utf8(entry).expect("JSON is text");
+    let list = format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+    entry.replace("\"NESTED\"", &list).into_bytes()
+}
+
+/// Returns entries that name no engine to use.
+fn odd_entries(decoy: &Engine) -> Vec<Vec<u8>> {
+    let address = decoy.address.ip();
+    vec![
+        "[".repeat(DEPTH).into_bytes(),
+        nested_entry(decoy, "models"),
+        entry_with(decoy, "cold_left_ms", json!(1e300)),
+        entry_with(decoy, "cold_left_ms", json!(1e25)),
+        entry_with(decoy, "cold_left_ms", json!("soon")),
+        entry_with(decoy, "slots", json!(1_u64 << 40)),
+        entry_with(decoy, "slots", json!(-1)),
+        entry_with(decoy, "born", json!(1e300)),
+        entry_with(decoy, "born", json!(-1)),
+        entry_with(decoy, "address", json!(format!("{address}:80000"))),
+        entry_with(decoy, "address", json!(format!("{address}:-1"))),
+        entry_with(decoy, "address", json!("x".repeat(LONG))),
+        entry_with(decoy, "state", json!("x".repeat(LONG))),
+        entry_with(decoy, "models", json!([1, 2])),
+        entry_with(decoy, "models", json!(7)),
+        b"\xff\xfe\xc3".to_vec(),
+        Vec::new(),
+    ]
+}
+
+/// Sends requests until a later engine has received one.
+async fn wait_until_used(fixture: &Fixture, daemon: &Daemon, engine: &Engine) {
+    wait_until(|| async {
+        let response = fixture.request(daemon, "/again/", "1").send().await;
+        assert!(response.is_ok_and(|response| response.status() == 200));
+        !engine.received().is_empty()
+    })
+    .await;
+}
+
+/// Guards against daemons that end, or stop following the engines, because of an entry that no engine
+/// wrote.
+#[tokio::test]
+async fn odd_entries_neither_end_a_daemon_nor_keep_it_from_following_the_others() {
+    let fixture = Fixture::start().await;
+    let sound = fixture.plain_engine("i-1").await;
+    let decoy = Engine::start(&fixture.store, "decoy", "orders", &[]).await;
+    fixture.store.remove("servers", "decoy");
+    let mut daemon = fixture.daemon("d1").await;
+    for (number, entry) in odd_entries(&decoy).iter().enumerate() {
+        fixture.store.put("servers", &format!("odd-{number}"), entry);
+        let response = fixture.request(&daemon, "/again/", "1").send().await.expect("a response");
+        assert_eq!(response.status(), 200, "odd entry {number}");
+    }
+    sleep(READ_TIME).await;
+    let added = fixture.plain_engine("i-2").await;
+    wait_until_used(&fixture, &daemon, &added).await;
+    fixture.store.remove("servers", "i-1");
+    sleep(READ_TIME).await;
+    let before = sound.received().len();
+    for _ in 0..20 {
+        let response = fixture.request(&daemon, "/again/", "2").send().await.expect("a response");
+        assert_eq!(response.status(), 200);
+    }
+    assert_eq!(sound.received().len(), before, "the engine whose entry was removed isn't used");
+    assert!(decoy.received().is_empty(), "no odd entry names an engine to use");
+    assert!(!daemon.has_exited());
+}
+
+/// Guards against daemons that read a list with odd entries at their start and don't get ready.
+#[tokio::test]
+async fn daemon_starts_on_a_list_with_odd_entries() {
+    let fixture = Fixture::start().await;
+    let sound = fixture.plain_engine("i-1").await;
+    let decoy = Engine::start(&fixture.store, "decoy", "orders", &[]).await;
+    fixture.store.remove("servers", "decoy");
+    for (number, entry) in odd_entries(&decoy).iter().enumerate() {
+        fixture.store.put("servers", &format!("h-odd-{number}"), entry);
+    }
+    let daemon = fixture.daemon("d1").await;
+    wait_until_used(&fixture, &daemon, &sound).await;
+    assert!(decoy.received().is_empty(), "no odd entry names an engine to use");
+}
