--- a/crates/daemon/tests/fleet/odd_entries.rs
+++ b/crates/daemon/tests/fleet/odd_entries.rs
@@ -7,6 +7,8 @@
 use tokio::time::sleep;
 
 use crate::engine::Engine;
+use crate::fixture::desired_state;
+use crate::fixture::desired_state_with_added_route;
 use crate::fixture::wait_until;
 use crate::fixture::Daemon;
 use crate::fixture::Fixture;
@@ -113,3 +115,54 @@
     wait_until_used(&fixture, &daemon, &sound).await;
     assert!(decoy.received().is_empty(), "no odd entry names an engine to use");
 }
+
+/// Returns desired states of a higher revision with numbers out of range.
+fn odd_desired_states() -> Vec<Value> {
+    let with = |pointer: &str, value: Value| {
+        let mut desired = desired_state(2);
+        *desired.pointer_mut(pointer).expect("the field exists") = value;
+        desired
+    };
+    vec![
+        with("/limits/idle_timeout_ms", json!(1e22)),
+        with("/limits/idle_timeout_ms", json!(-1)),
+        with("/routes/0/timeout_ms", json!(1e300)),
+        with("/routes/1/timeout_ms", json!(-1)),
+        with("/routes/2/target_latency_ms", json!(1e22)),
+        with("/routes/3/gap_aim_ms", json!(1e22)),
+        with("/services/0/cold_per_s", json!(-1)),
+        with("/services/1/engine/loads_per_s", json!(-1e300)),
+        with("/services/1/engine/models/0/load_s", json!(1e19)),
+        with("/tenants/0/burst", json!(-1e300)),
+        with("/tenants/0/priority", json!(300)),
+    ]
+}
+
+/// Guards against daemons that serve nothing, or stop following the operator, because of a desired
+/// state with a number out of range.
+#[tokio::test]
+async fn odd_rows_of_the_operator_leave_the_desired_state_in_force() {
+    let fixture = Fixture::start().await;
+    fixture.plain_engine("i-1").await;
+    fixture.model_engine("i-2", &["m1"]).await;
+    let mut daemon = fixture.daemon("d1").await;
+    for desired in odd_desired_states() {
+        fixture.write_desired_state(&desired);
+        sleep(READ_TIME).await;
+        let response = fixture.request(&daemon, "/once/", "1").send().await.expect("a response");
+        assert_eq!(response.status(), 200, "{desired}");
+        let request = fixture.generation_request(&daemon, "/resume/soak", "2", "m1");
+        let response = request.header("connection", "close").send().await.expect("a response");
+        assert_eq!(response.status(), 200, "{desired}");
+    }
+    for row in ["evacuate/", "evacuate/\u{0}", "config/other", "unknown"] {
+        fixture.store.put("op", row, b"\xff{");
+    }
+    fixture.write_desired_state(&desired_state_with_added_route(3));
+    wait_until(|| async {
+        let response = fixture.request(&daemon, "/added/", "3").send().await;
+        response.is_ok_and(|response| response.status() == 200)
+    })
+    .await;
+    assert!(!daemon.has_exited());
+}
