Bound the token counts of requests and saturate their sums

A request whose token counts don't fit their sum got no response: the daemon added them without a check, which panics in a debug build. In a release build the sum wraps, so the request cost its team next to nothing and an engine's load looked small. A count above i64::MAX was recorded as a refund, and a team that owed that much with a rate below one token a second panicked in Duration::from_secs_f64 where its wait is computed.

Loads, which other daemons report as well, totals of teams and prompt parts saturate in one place each, and waits and expected times are at most MAX_DURATION.

--- a/crates/coord/src/serving/caps.rs
+++ b/crates/coord/src/serving/caps.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::serving::desired::Cap;
+use crate::time;
 use crate::time::Tick;
 
 /// Fraction of the tolerance that a bucket uses, so that a request within the limit isn't refused
@@ -123,18 +124,18 @@
     /// is the fraction of the fleet that this daemon receives reports from, from 0 to 1.
     pub fn admit(&mut self, tokens: u64, live_fraction: f64, now: Tick) -> Result<(), Duration> {
         self.refill(live_fraction, now);
-        let tokens = tokens as f64;
+        let tokens = signed(tokens);
         // A request above the burst could never be covered, so it is admitted when the bucket is
         // full.
-        let needed = tokens.min(self.cap.burst);
+        let needed = (tokens as f64).min(self.cap.burst);
         if self.level >= needed {
-            self.level -= tokens;
-            self.record_admission(tokens as i64, now);
+            self.level -= tokens as f64;
+            self.record_admission(tokens, now);
             return Ok(());
         }
         let rate = (self.cap.rate * live_fraction).max(1.0);
         let wait = ((needed - self.level) / rate).max(MIN_RETRY_AFTER_S);
-        Err(Duration::from_secs_f64(wait))
+        Err(time::saturating_seconds(wait))
     }
 
     /// Returns whether each admission should be reported to the other daemons immediately.
@@ -145,20 +146,21 @@
     /// Gives back the tokens of an admitted request that didn't run.
     pub fn refund(&mut self, tokens: u64, now: Tick) {
         self.level = (self.level + tokens as f64).min(self.cap.burst);
-        self.record_admission(-(tokens as i64), now);
+        self.record_admission(-signed(tokens), now);
     }
 
     fn record_admission(&mut self, tokens: i64, now: Tick) {
-        self.total += tokens;
+        self.total = self.total.saturating_add(tokens);
         self.recent.push_back((now, tokens));
         self.drain_recent(RECENT_TTL, now);
     }
 
     /// Removes own admissions that are at least `span` old, and returns their sum.
     fn drain_recent(&mut self, span: Duration, now: Tick) -> i64 {
-        let mut sum = 0;
+        let mut sum: i64 = 0;
         while self.recent.front().is_some_and(|(at, _)| now.since(*at) >= span) {
-            sum += self.recent.pop_front().map_or(0, |(_, tokens)| tokens);
+            let (_, tokens) = self.recent.pop_front().unwrap_or_default();
+            sum = sum.saturating_add(tokens);
         }
         sum
     }
@@ -174,7 +176,7 @@
         let current = PeerTotal { incarnation, total };
         let before = self.peer_totals.insert(daemon.to_owned(), current);
         let admitted = match before {
-            Some(before) if before.incarnation == incarnation => total - before.total,
+            Some(before) if before.incarnation == incarnation => total.saturating_sub(before.total),
             Some(_) => total,
             None if self.since_start => total,
             // The tokens may have been admitted long before this daemon started, or a relay
@@ -182,7 +184,7 @@
             None => 0,
         };
         self.last_relay_report = None;
-        self.peers_total += admitted;
+        self.peers_total = self.peers_total.saturating_add(admitted);
         self.level = (self.level - admitted as f64).min(self.cap.burst);
         before != Some(current)
     }
@@ -190,7 +192,7 @@
     /// Returns the tokens admitted by this daemon and those it receives reports from, minus
     /// refunds.
     pub fn known_total(&self) -> i64 {
-        self.total + self.peers_total
+        self.total.saturating_add(self.peers_total)
     }
 
     /// Returns the current level in whole tokens; negative if the team is in debt.
@@ -211,7 +213,8 @@
             (&last.relay, last.incarnation) == (&report.relay, report.incarnation)
         };
         if let Some(last) = self.last_relay_report.as_ref().filter(is_same_relay) {
-            self.level += (own_admissions - (report.sum - last.sum)) as f64;
+            let admissions = report.sum.saturating_sub(last.sum);
+            self.level += own_admissions.saturating_sub(admissions) as f64;
         }
         self.level = self.level.min(report.level as f64).min(self.cap.burst);
         self.last_relay_report = Some(report);
@@ -226,3 +229,8 @@
         self.refilled_at = now;
     }
 }
+
+/// Returns a number of tokens as a total, which refunds make smaller.
+fn signed(tokens: u64) -> i64 {
+    i64::try_from(tokens).unwrap_or(i64::MAX)
+}
--- a/crates/coord/src/serving/choice.rs
+++ b/crates/coord/src/serving/choice.rs
@@ -14,6 +14,7 @@
 use crate::keys::AdapterKey;
 use crate::keys::ModelKey;
 use crate::keys::UpstreamKey;
+use crate::time;
 use crate::time::Tick;
 
 /// Time for which a processed prompt part is assumed to stay in the engine's cache.
@@ -84,6 +85,13 @@
     pub parts: Vec<Part>,
 }
 
+impl Need {
+    /// Returns the tokens of the prompt and the answer.
+    pub fn total(&self) -> u64 {
+        self.prompt.saturating_add(self.output)
+    }
+}
+
 /// Load of an engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -95,6 +103,15 @@
     pub tokens: u64,
 }
 
+impl Load {
+    /// Adds the load of further requests.
+    pub fn add(&mut self, other: Load) {
+        self.running = self.running.saturating_add(other.running);
+        self.pending_prefill = self.pending_prefill.saturating_add(other.pending_prefill);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+    }
+}
+
 /// Engine that is considered for a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -132,17 +149,18 @@
 impl Candidate {
     fn has_room(&self, settings: &ChoiceSettings, need: &Need) -> bool {
         let usable = (self.capacity as f64 * settings.memory_fraction) as u64;
-        let fits = self.load.tokens + need.prompt + need.output <= usable;
+        let fits = self.load.tokens.saturating_add(need.total()) <= usable;
         self.load.running < self.slots && (self.capacity == 0 || fits || self.load.running == 0)
     }
 
     /// Returns the expected time to first token.
     pub fn expected(&self, settings: &ChoiceSettings, need: &Need) -> Duration {
-        Duration::from_secs_f64(self.expected_ms(settings, need) / 1e3)
+        time::saturating_seconds(self.expected_ms(settings, need) / 1e3)
     }
 
     fn expected_ms(&self, settings: &ChoiceSettings, need: &Need) -> f64 {
-        let backlog = need.prompt.saturating_sub(self.cached_tokens) + self.load.pending_prefill;
+        let own = need.prompt.saturating_sub(self.cached_tokens);
+        let backlog = own.saturating_add(self.load.pending_prefill);
         let cross_zone = if self.same_zone { 0.0 } else { settings.cross_zone_ms };
         let contention = settings.contention_ms * f64::from(self.load.running);
         backlog as f64 / settings.prefill_rate + contention + cross_zone
@@ -166,8 +184,16 @@
 
 /// Returns the parts of a prompt that other requests may share, which is all but the last.
 pub fn shared_parts(need: &Need) -> impl Iterator<Item = u64> + Clone + '_ {
-    let shared = need.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| part.id)
+    shared(need).iter().map(|part| part.id)
+}
+
+/// Returns the number of prompt tokens that other requests may share.
+pub fn shared_tokens(need: &Need) -> u64 {
+    shared(need).iter().fold(0, |sum, part| part.tokens.saturating_add(sum))
+}
+
+fn shared(need: &Need) -> &[Part] {
+    need.parts.split_last().map_or(&[], |(_, shared)| shared)
 }
 
 /// Returns the number of prompt tokens that no other request shares.
@@ -209,7 +235,9 @@
         let mut tokens = 0;
         for part in &need.parts {
             match self.last_use.get(&(scope, part.id)) {
-                Some(&at) if now.since(at) < PREFIX_TTL => tokens += part.tokens,
+                Some(&at) if now.since(at) < PREFIX_TTL => {
+                    tokens = part.tokens.saturating_add(tokens);
+                }
                 _ => break,
             }
         }
--- a/crates/coord/src/time.rs
+++ b/crates/coord/src/time.rs
@@ -18,6 +18,12 @@
     seconds(value / 1e3)
 }
 
+/// Returns the duration closest to so many seconds among those up to [`MAX_DURATION`]. What isn't a
+/// number counts as zero.
+pub fn saturating_seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value.max(0.0).min(MAX_DURATION.as_secs_f64()))
+}
+
 /// Microseconds since an arbitrary origin on the driver's monotonic clock.
 ///
 /// Ticks of different processes are never compared; processes only exchange durations.
--- a/crates/coord/tests/serving/caps.rs
+++ b/crates/coord/tests/serving/caps.rs
@@ -6,6 +6,7 @@
 use corianderyoke_coord::serving::caps::TeamBucket;
 use corianderyoke_coord::serving::caps::Tolerance;
 use corianderyoke_coord::serving::desired::Cap;
+use corianderyoke_coord::time::MAX_DURATION;
 use proptest::prelude::*;
 
 use crate::fixtures::ms;
@@ -52,6 +53,27 @@
     assert_eq!(bucket.admit(400, 1.0, ms(0)), Ok(()));
 }
 
+/// Guards against sums of reported totals and waits that can't be represented.
+#[test]
+fn totals_out_of_range_saturate() {
+    let cap = Cap { rate: 1e-3, burst: 10.0 };
+    let mut bucket = TeamBucket::new(cap, Tolerance::default(), true, ms(0));
+    assert_eq!(bucket.admit(u64::MAX, 1.0, ms(0)), Ok(()));
+    assert_eq!(bucket.total(), i64::MAX);
+    assert_eq!(bucket.admit(1, 1.0, ms(1)), Err(MAX_DURATION));
+    for total in [i64::MAX, i64::MIN, i64::MAX] {
+        bucket.record_peer_total("d2", 1, total);
+        bucket.record_peer_total("d3", 1, total);
+    }
+    for (sum, level) in [(i64::MAX, i64::MIN), (i64::MIN, i64::MAX), (i64::MAX, 0)] {
+        bucket.apply_relay_report(relay_report(sum, level), 1.0, ms(2));
+    }
+    bucket.refund(u64::MAX, ms(3));
+    bucket.refund(u64::MAX, ms(4));
+    bucket.level(1.0, ms(5));
+    bucket.known_total();
+}
+
 fn relay_report(sum: i64, level: i64) -> RelayReport {
     RelayReport { relay: "r".to_owned(), incarnation: 1, sum, level }
 }
--- a/crates/coord/tests/serving/choice.rs
+++ b/crates/coord/tests/serving/choice.rs
@@ -7,6 +7,7 @@
 use corianderyoke_coord::serving::choice::choose;
 use corianderyoke_coord::serving::choice::first_token_timeout;
 use corianderyoke_coord::serving::choice::preferred_engine;
+use corianderyoke_coord::serving::choice::shared_tokens;
 use corianderyoke_coord::serving::choice::CacheScope;
 use corianderyoke_coord::serving::choice::Candidate;
 use corianderyoke_coord::serving::choice::ChoiceSettings;
@@ -14,6 +15,7 @@
 use corianderyoke_coord::serving::choice::Need;
 use corianderyoke_coord::serving::choice::Part;
 use corianderyoke_coord::serving::choice::PrefixTracker;
+use corianderyoke_coord::time::MAX_DURATION;
 
 use crate::fixtures::ms;
 
@@ -38,6 +40,27 @@
     choose(&ChoiceSettings::default(), &need(), candidates, 0).map(|best| best.key.0)
 }
 
+/// Guards against sums of tokens that can't be represented.
+#[test]
+fn token_counts_out_of_range_saturate() {
+    let part = |id| Part { id, tokens: u64::MAX };
+    let need = Need { prompt: u64::MAX, output: u64::MAX, parts: vec![part(1), part(2), part(3)] };
+    let mut load = Load { running: u32::MAX, pending_prefill: u64::MAX, tokens: u64::MAX };
+    load.add(load);
+    let busy = Candidate { load, ..candidate(1) };
+    let load = Load { running: 0, ..load };
+    let idle = Candidate { load, ..candidate(2) };
+    let settings = ChoiceSettings::default();
+    let best = choose(&settings, &need, &[busy, idle], 0).map(|best| best.key.0);
+    assert_eq!(best, Some(2), "an idle engine takes a request of any size");
+    assert_eq!(idle.expected(&settings, &need), MAX_DURATION);
+    assert_eq!(shared_tokens(&need), u64::MAX);
+    let mut prefixes = PrefixTracker::default();
+    let scope = CacheScope { engine: UpstreamKey(1), model: ModelKey(1), adapter: None };
+    prefixes.record_prompt(scope, &need, ms(0));
+    assert_eq!(prefixes.cached_tokens(scope, &need, ms(1)), u64::MAX);
+}
+
 #[test]
 fn equal_candidates_share_requests() {
     let candidates = [candidate(1), candidate(2), candidate(3)];
--- a/crates/coord/tests/time.rs
+++ b/crates/coord/tests/time.rs
@@ -20,6 +20,14 @@
     }
 }
 
+#[test]
+fn saturating_conversion_returns_the_closest_duration() {
+    let converted = ODD.map(time::saturating_seconds);
+    let max = MAX_DURATION;
+    assert_eq!(converted, [Duration::ZERO; 4].into_iter().chain([max; 3]).collect::<Vec<_>>()[..]);
+    assert_eq!(time::saturating_seconds(1.5), Duration::from_millis(1_500));
+}
+
 #[test]
 fn ticks_saturate() {
     assert_eq!(Tick(1) + Duration::MAX, Tick(u64::MAX));
--- a/crates/daemon/src/forward/selection.rs
+++ b/crates/daemon/src/forward/selection.rs
@@ -149,10 +149,7 @@
         });
         // All daemons send prompts with this prefix to the preferred engine, so the prefix counts
         // as cached there even if this daemon hasn't sent it.
-        let shared = need
-            .parts
-            .split_last()
-            .map_or(0, |(_, shared)| shared.iter().map(|part| part.tokens).sum());
+        let shared = choice::shared_tokens(need);
         let cached_tokens = if preferred == Some(key) { tracked.max(shared) } else { tracked };
         Some(Candidate {
             key,
@@ -254,7 +251,7 @@
         model: call.generation.as_ref().map(|generation| generation.model),
         adapter: call.generation.as_ref().and_then(|generation| generation.adapter),
         pending_prefill: need.prompt.saturating_sub(best.cached_tokens),
-        tokens: need.prompt + need.output,
+        tokens: need.total(),
     };
     let guard = LoadGuard::begin(&Arc::clone(&call.shared), state, best.key, load);
     Selection::Engine(Box::new(target), guard)
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -8,6 +8,7 @@
 use corianderyoke_adapter::headers;
 use corianderyoke_adapter::headers::RequestHeaders;
 use corianderyoke_coord::serving::choice;
+use corianderyoke_coord::serving::choice::Need;
 use corianderyoke_coord::serving::desired::CallerLimits;
 use corianderyoke_coord::serving::desired::Desired;
 use corianderyoke_coord::serving::desired::Route;
@@ -205,7 +206,7 @@
     if team.cap.is_none() {
         return Ok(0);
     }
-    let tokens = facts.need.as_ref().map_or(team.plain_tokens, |need| need.prompt + need.output);
+    let tokens = facts.need.as_ref().map_or(team.plain_tokens, Need::total);
     let mut state = shared.state();
     let share = state.roster.live_fraction(now);
     let Some(bucket) = state.team_buckets.get_mut(name) else { return Ok(0) };
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -435,9 +435,7 @@
         let mut sum = self.own_loads.get(&engine).map_or_else(Load::default, |own| own.load);
         for report in self.reports.values().filter(|report| report.is_fresh(now)) {
             if let Some(load) = report.loads.get(&engine) {
-                sum.running += load.running;
-                sum.pending_prefill += load.pending_prefill;
-                sum.tokens += load.tokens;
+                sum.add(*load);
             }
         }
         sum
@@ -493,9 +491,8 @@
         load: RequestLoad,
     ) -> Self {
         let own = state.own_loads.entry(engine).or_default();
-        own.load.running += 1;
-        own.load.pending_prefill += load.pending_prefill;
-        own.load.tokens += load.tokens;
+        let RequestLoad { pending_prefill, tokens, .. } = load;
+        own.load.add(Load { running: 1, pending_prefill, tokens });
         if let Some(model) = load.model {
             *own.models.entry(model).or_default() += 1;
         }
--- a/crates/daemon/tests/fleet/odd_entries.rs
+++ b/crates/daemon/tests/fleet/odd_entries.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
 use serde_json::json;
 use serde_json::Value;
 use tokio::time::sleep;
@@ -166,3 +169,44 @@
     .await;
     assert!(!daemon.has_exited());
 }
+
+/// Guards against requests that end without a response, or cost their team nothing, because of numbers
+/// in their headers.
+#[tokio::test]
+async fn odd_numbers_in_headers_of_requests_are_bounded() {
+    const MOST: &str = "18446744073709551615";
+    let fixture = Fixture::start().await;
+    let mut unlimited = desired_state(2);
+    unlimited["tenants"][0]["rate_per_s"] = json!(0);
+    fixture.write_desired_state(&unlimited);
+    fixture.plain_engine("i-1").await;
+    fixture.model_engine("i-2", &["m1"]).await;
+    let mut daemon = fixture.daemon("d1").await;
+    let counts = [format!("{MOST},1"), format!("1,{MOST}"), format!("{MOST},{MOST}")];
+    let request = |daemon: &Daemon, tokens: &str, path: &str| {
+        let request = fixture.request(daemon, path, "1");
+        request
+            .header("corianderyoke-model", "m1")
+            .header("corianderyoke-token-count", tokens)
+            .header("corianderyoke-prompt-prefix", format!("a:{MOST},b:{MOST},c:{MOST}"))
+    };
+    for tokens in &counts {
+        // The second request finds the parts of the first one in the engine's cache.
+        for _ in 0..2 {
+            let sent = request(&daemon, tokens, "/resume/soak").send();
+            assert_eq!(sent.await.expect("a response").status(), 200, "{tokens}");
+        }
+    }
+    for value in [MOST, "9223372036854775808", "0", "-1", "1e300"] {
+        let names = ["corianderyoke-deadline-ms", "last-event-id"].map(HeaderName::from_static);
+        let odd: HeaderMap =
+            names.into_iter().map(|name| (name, HeaderValue::from_static(value))).collect();
+        let sent = fixture.request(&daemon, "/again/", "2").headers(odd).send().await;
+        assert!(sent.is_ok(), "{value}");
+    }
+    fixture.write_desired_state(&desired_state(3));
+    // A bucket that is full admits any request, which the team then owes.
+    let sent = || async { request(&daemon, &counts[0], "/resume/soak").send().await };
+    wait_until(|| async { sent().await.is_ok_and(|response| response.status() == 429) }).await;
+    assert!(!daemon.has_exited());
+}
