Limit the term that a lease row of another writer can claim

A lease row whose term ends near the largest number panicked the lease task of every daemon that read it in a debug build, and nobody ordered loads any more. In a release build the sum wrapped, and the same wrap of the store's clock would have made a daemon take a term that had ended for its own. A row with a term of many years kept the lease from all daemons for that long.

Times of the store's clock saturate. A term that ends more than 30 s after the clock of the row's first read wasn't written by a daemon, whose terms last 4 s plus the latency of two calls, and ends then. The limit is kept while the row's version is the same, since the row is read again and again. A row that can't be read counted as none without a line in the log; now there is one.

Before this change lease::row_with_a_term_out_of_range_blocks_the_lease_for_a_limited_time and lease::clock_and_version_out_of_range_grant_no_lease panicked with "attempt to add with overflow".

--- a/crates/coord/src/serving/lease.rs
+++ b/crates/coord/src/serving/lease.rs
@@ -19,6 +19,10 @@
 use crate::serving::position::Position;
 use crate::time::Tick;
 
+/// Longest time from a reading of the store's clock to the end of a term: the term, the latency of the
+/// holder's own reading and a margin. A row that names a later end wasn't written by a daemon.
+const MAX_TIME_LEFT: Duration = Duration::from_secs(30);
+
 /// Timing parameters of the lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LeaseSettings {
@@ -67,7 +71,8 @@
 
 impl StoreTime {
     fn after(self, span: Duration) -> Self {
-        StoreTime(self.0 + span.as_millis() as u64)
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        StoreTime(self.0.saturating_add(millis))
     }
 }
 
@@ -242,6 +247,7 @@
         if !self.record_era(position.era, clock.received) {
             return;
         }
+        let row = row.map(|row| self.limit_term(row, position, clock));
         self.clock = Some(clock);
         self.first_read.get_or_insert(clock.sent);
         self.must_read = false;
@@ -257,6 +263,14 @@
             self.held_token.filter(|token| own.is_some_and(|row| row.token == *token));
     }
 
+    /// Limits the term of a row that was read at `position`. The limit is that of the row's first
+    /// read, so that the term ends however often the row is read.
+    fn limit_term(&self, row: LeaseRow, position: Position, clock: ClockReading) -> LeaseRow {
+        let known = self.snapshot.row.as_ref().filter(|_| position == self.snapshot.position);
+        let limit = known.map_or(clock.time.after(MAX_TIME_LEFT), |known| known.until);
+        LeaseRow { until: row.until.min(limit), ..row }
+    }
+
     /// Processes a renewal that the holder announced to the other daemons.
     pub fn record_announcement(&mut self, row: LeaseRow, position: Position, now: Tick) {
         if !self.record_era(position.era, now) {
@@ -352,7 +366,7 @@
 
     /// Returns the token of the holder that replaces a row of this version in the current era.
     fn token_after(&self, version: u64) -> u64 {
-        Position { era: self.era.unwrap_or(0), version: version + 1 }.to_number()
+        Position { era: self.era.unwrap_or(0), version: version.saturating_add(1) }.to_number()
     }
 
     /// Returns the token of the next holder.
--- a/crates/coord/tests/serving/lease.rs
+++ b/crates/coord/tests/serving/lease.rs
@@ -65,6 +65,36 @@
     })
 }
 
+/// Guards against a row of another writer that keeps the lease from all daemons, or ends the process.
+#[test]
+fn row_with_a_term_out_of_range_blocks_the_lease_for_a_limited_time() {
+    for until in [u64::MAX, u64::MAX - 1_000, 1 << 53, 0] {
+        let content = LeaseRow { holder: "odd".into(), token: u64::MAX, until: StoreTime(until) };
+        let mut row = Row { content: Some(content), version: 1 };
+        let mut lease = lease("d1");
+        let taken = (0..60_000).step_by(20).find(|&at| {
+            drive(&mut lease, &mut row, ms(at));
+            assert!(lease.vacant_until(Duration::MAX, ms(at)).is_none());
+            lease.token(ms(at)).is_some()
+        });
+        assert!(taken.is_some_and(|at| at < 40_000), "until {until}: taken at {taken:?} ms");
+    }
+}
+
+/// Guards against a wrap of the store's clock or version, by which a daemon would take a term that
+/// ended for its own.
+#[test]
+fn clock_and_version_out_of_range_grant_no_lease() {
+    let mut lease = lease("d1");
+    let clock = ClockReading { time: StoreTime(u64::MAX), sent: ms(0), received: ms(10) };
+    let row = LeaseRow { holder: "d2".into(), token: 7, until: StoreTime(1_000) };
+    lease.record_read(Some(row), at(u64::MAX), clock);
+    assert!(lease.token(ms(20)).is_none());
+    let Step::Write(write) = lease.step(ms(20)) else { panic!("the term of the row ended") };
+    lease.record_write(&write, at(u64::MAX), clock);
+    assert!(lease.token(ms(30)).is_none(), "no time is before the end of this term");
+}
+
 #[test]
 fn first_daemon_acquires_lease_immediately_and_renews_it() {
     let (mut row, mut first) = (Row::default(), lease("d1"));
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -153,7 +153,7 @@
         Ok(SingleRow { row, now_ms, era }) => {
             let version = row.as_ref().map_or(0, |row| row.version);
             let stored = row.and_then(|row| row.value);
-            let stored = stored.and_then(|v| serde_json::from_slice::<StoredLease>(&v).ok());
+            let stored = stored.and_then(|value| decode_lease(&value));
             let row = stored.map(|stored| LeaseRow {
                 holder: stored.holder,
                 token: stored.token,
@@ -167,6 +167,15 @@
     }
 }
 
+/// Decodes the lease row. One that can't be read counts as a row that doesn't exist.
+fn decode_lease(value: &[u8]) -> Option<StoredLease> {
+    serde_json::from_slice(value)
+        .inspect_err(|error| {
+            events::log(Event::EntrySkipped, format_args!("table={LEASE_TABLE} {error}"));
+        })
+        .ok()
+}
+
 /// Returns a reading of the store's clock from a call sent at `sent` whose response arrived now.
 fn clock_reading(now_ms: u64, sent: Tick) -> ClockReading {
     ClockReading { time: StoreTime(now_ms), sent, received: clock::now() }
