Skip rows of daemons that no daemon wrote

A row with a high incarnation in the table of daemons made every daemon that read it ignore the daemon of that name for good: its reports and its own row had a lower one. So did a row under another key that named the daemon. Rows that can't be read were skipped without a line in the log.

A row counts only if its key is the daemon's name and its incarnation, which a daemon takes from the store's version before it writes, isn't above the version of the row. Others are skipped with a line, and a daemon replaces such a row of its own name.

Before this change fleet::odd_rows_of_daemons_shut_out_no_daemon failed: the first daemon's directory didn't list the second one within 20 s.

--- a/crates/daemon/src/joining.rs
+++ b/crates/daemon/src/joining.rs
@@ -11,7 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderyoke_adapter::store::SingleRow;
 use corianderyoke_adapter::store::StoreRow;
+use corianderyoke_coord::serving::position::Position;
 use corianderyoke_coord::serving::roster::Daemon;
 use corianderyoke_platform::Condition;
 use corianderyoke_platform::Error;
@@ -122,16 +124,32 @@
 }
 
 async fn write_row_if_lost(shared: &Shared) -> Result<(), Error> {
-    let row = shared.store.row(DAEMON_TABLE, &shared.settings.name).await?.row;
-    let written: Option<Daemon> = row.as_ref().and_then(decode);
+    let SingleRow { row, era, .. } = shared.store.row(DAEMON_TABLE, &shared.settings.name).await?;
+    let written = row.as_ref().and_then(|row| decode(row, era));
     if written.is_some_and(|written| written.incarnation >= shared.incarnation()) {
         return Ok(());
     }
     write_row(shared).await
 }
 
-fn decode(row: &StoreRow) -> Option<Daemon> {
-    serde_json::from_slice(row.value.as_deref()?).ok()
+/// Decodes the row of a daemon that was read in an era of the store. Returns `None` for one that no
+/// daemon wrote.
+fn decode(row: &StoreRow, era: u64) -> Option<Daemon> {
+    let key = &row.key;
+    let daemon: Daemon = serde_json::from_slice(row.value.as_deref()?)
+        .inspect_err(|error| events::log(Event::EntrySkipped, format_args!("daemon={key} {error}")))
+        .ok()?;
+    let Daemon { name, incarnation, .. } = &daemon;
+    // A daemon takes its incarnation from the store's version before it writes its row.
+    let limit = Position { era, version: row.version }.to_number();
+    if name == key && *incarnation <= limit {
+        return Some(daemon);
+    }
+    events::log(
+        Event::EntrySkipped,
+        format_args!("daemon={key} name={name} incarnation={incarnation} limit={limit}"),
+    );
+    None
 }
 
 /// Sets the incarnation of this process from the store's era and version.
@@ -183,7 +201,7 @@
 async fn read_rows(shared: &Shared) -> Result<(), Error> {
     let rows = shared.store.rows(DAEMON_TABLE).await?;
     let now = clock::now();
-    let daemons = rows.rows.iter().filter_map(decode);
+    let daemons = rows.rows.iter().filter_map(|row| decode(row, rows.position.era));
     let (own, daemons): (Vec<Daemon>, Vec<Daemon>) =
         daemons.partition(|daemon: &Daemon| daemon.name == shared.settings.name);
     let removable: Vec<(String, u64)> = {
--- a/crates/daemon/tests/fleet/odd_entries.rs
+++ b/crates/daemon/tests/fleet/odd_entries.rs
@@ -210,3 +210,50 @@
     wait_until(|| async { sent().await.is_ok_and(|response| response.status() == 429) }).await;
     assert!(!daemon.has_exited());
 }
+
+/// Guards against daemons that don't hear a daemon, or order no loads, because of rows that no daemon
+/// wrote.
+#[tokio::test]
+async fn odd_rows_of_daemons_shut_out_no_daemon() {
+    let fixture = Fixture::start().await;
+    let row = |name: &str, incarnation: Value, capacity: Value| {
+        json!({"name": name, "incarnation": incarnation, "peers": "127.0.0.1:9",
+               "callers": "127.0.0.1:9", "zone": "a", "capacity": capacity})
+        .to_string()
+        .into_bytes()
+    };
+    let daemons = [
+        ("d1", row("d1", json!(u64::MAX), json!(1))),
+        ("d2", row("d2", json!(u64::MAX), json!(u32::MAX))),
+        ("other", row("d2", json!(u64::MAX - 1), json!(1))),
+        ("large", row("large", json!(1e300), json!(1))),
+        ("wide", row("wide", json!(1), json!(1_u64 << 40))),
+        ("long", row(&"x".repeat(LONG), json!(1), json!(1))),
+        ("deep", "[".repeat(DEPTH).into_bytes()),
+        ("bytes", b"\xff\xfe".to_vec()),
+        ("", Vec::new()),
+    ];
+    for (key, value) in &daemons {
+        fixture.store.put("daemons", key, value);
+    }
+    fixture.store.put("fleet", "quarantine", br#"[["ffffffffffffffffffff"], ["request-"], [7]]"#);
+    fixture.store.put("fleet", "odd", b"\xff");
+    let odd_lease = json!({"holder": "odd", "token": u64::MAX, "until_ms": 1e300});
+    fixture.store.put("leases", "orders", odd_lease.to_string().as_bytes());
+    let engine = fixture.model_engine("i-1", &[]).await;
+    let mut fleet = [fixture.daemon("d1").await, fixture.daemon("d2").await];
+    wait_until(|| async {
+        fixture.addresses(&fleet[0]).await.len() == 2
+            && fixture.addresses(&fleet[1]).await.len() == 2
+    })
+    .await;
+    wait_until(|| async {
+        let request = fixture.generation_request(&fleet[0], "/resume/soak", "1", "m1").send().await;
+        request.is_ok_and(|response| response.status() == 200)
+    })
+    .await;
+    assert!(!engine.orders().is_empty());
+    for daemon in &mut fleet {
+        assert!(!daemon.has_exited());
+    }
+}
