Saturate the sums of numbers from datagrams and reports

The count of an announcement, the trials of a verdict, waiting and running requests and the number of orders in an engine's report were added without a check. At the end of their range they panic in a debug build, where a daemon then no longer hears the others; in a release build they wrap, which loses waiting requests or makes an engine look idle. A rate that is infinite stayed in the sum of a model's demand for good, and a limit that isn't a number counted as changed with each datagram. A list of many rivals, from a datagram or the quarantine's row, made each report of a daemon too large to be sent.

These sums saturate, the demand takes only finite rates, the limits of other daemons are checked like those of engines, and a subject has no more rivals than a request has subjects.

Before this change fleet::odd_numbers_in_datagrams_leave_a_daemon_serving_and_hearing_others failed: the daemon panicked at holder.rs:189 ("attempt to add with overflow") and didn't list a second daemon within 20 s. In coord the tests of engines, polling and residency panicked the same way, that of the quarantine found 9,990 rivals, and that of limits a limit that isn't a number.

--- a/crates/coord/src/serving/demand.rs
+++ b/crates/coord/src/serving/demand.rs
@@ -71,7 +71,9 @@
 impl DemandRate {
     /// Creates the demand from its rates at `now`.
     pub fn from_rates(rates: Rates, now: Tick) -> Self {
-        let rate = |value: f64| DecayingRate { value, at: now };
+        // The sum with a rate that isn't finite would never decay.
+        let finite = |value: f64| if value.is_finite() { value.max(0.0) } else { 0.0 };
+        let rate = |value: f64| DecayingRate { value: finite(value), at: now };
         DemandRate {
             requests: rate(rates.requests),
             tokens: rate(rates.tokens),
@@ -170,7 +172,7 @@
     /// Returns the number of waiting requests, according to recent reports.
     pub fn waiting(&self, now: Tick) -> u32 {
         let fresh = self.waiting.values().filter(|(_, at)| now.since(*at) < WAITING_TTL);
-        fresh.map(|(count, _)| count).sum()
+        fresh.fold(0, |sum, (count, _)| count.saturating_add(sum))
     }
 
     /// Returns the number of replicas that keeps prefill within its share of the engines' time.
--- a/crates/coord/src/serving/engine_limits.rs
+++ b/crates/coord/src/serving/engine_limits.rs
@@ -87,6 +87,8 @@
     /// Applies what another daemon knows, unless a newer response is known here. Returns whether the
     /// limit changed.
     pub fn apply(&mut self, key: UpstreamKey, statement: Statement) -> bool {
+        let is_rate = |limit: &f64| limit.is_finite() && *limit >= 0.0;
+        let statement = Statement { limit: statement.limit.filter(is_rate), ..statement };
         let known = self.limits.get(&key).map(|known| known.statement);
         if known.is_some_and(|known| statement.at <= known.at + MIN_TIME_DIFFERENCE) {
             return false;
--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -429,7 +429,7 @@
     /// Increments the number of orders that an engine has accepted.
     pub fn record_accepted_order(&mut self, key: UpstreamKey) {
         if let Some(engine) = self.listed.get_mut(&key) {
-            engine.order_count = engine.order_count.map(|count| count + 1);
+            engine.order_count = engine.order_count.map(|count| count.saturating_add(1));
         }
     }
 
--- a/crates/coord/src/serving/polling.rs
+++ b/crates/coord/src/serving/polling.rs
@@ -93,7 +93,7 @@
         now: Tick,
     ) {
         // The earlier changes announced by a new holder are unknown.
-        self.missed |= self.token != token || first > self.count + 1;
+        self.missed |= self.token != token || first > self.count.saturating_add(1);
         // Announcements may arrive out of order.
         let count = count.max(self.last_change(token));
         self.told.retain(|number| self.token == token && *number > count);
@@ -125,7 +125,7 @@
         }
         let since = self.last_heard.map(|at| now.since(at));
         let informed = since.is_some_and(|since| {
-            let fresh = since + self.age < fleet.drain.mul_f64(MAX_AGE_FRACTION);
+            let fresh = since.saturating_add(self.age) < fleet.drain.mul_f64(MAX_AGE_FRACTION);
             fresh && since < fleet.report_interval * MAX_MISSED_REPORTS
         });
         if informed && !self.missed {
--- a/crates/coord/src/serving/quarantine.rs
+++ b/crates/coord/src/serving/quarantine.rs
@@ -315,7 +315,7 @@
             let Some(held) = self.held.get_mut(subject) else { continue };
             held.hold.since = held.hold.since.max(casualty.ended);
             if held.trial.take().is_some() {
-                held.hold.failed_trials += 1;
+                held.hold.failed_trials = held.hold.failed_trials.saturating_add(1);
                 held.hold.rivals.clear();
             }
         }
@@ -379,6 +379,8 @@
     fn hold(&mut self, subject: Subject, mut hold: Hold) {
         let trials = self.held.get(&subject).map_or(0, |held| held.hold.failed_trials);
         hold.failed_trials = hold.failed_trials.max(trials);
+        // The rivals are subjects of one request.
+        hold.rivals.truncate(MAX_SUBJECTS);
         if self.held.insert(subject, Held { hold, trial: None }).is_none() {
             self.changes.push((subject, true));
         }
--- a/crates/coord/tests/serving/engine_limits.rs
+++ b/crates/coord/tests/serving/engine_limits.rs
@@ -21,6 +21,27 @@
     limits
 }
 
+#[test]
+fn numbers_of_other_daemons_that_are_no_rate_name_no_limit() {
+    let (mut limits, mut at) = (EngineLimits::default(), 0);
+    for limit in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0] {
+        at += 1_000;
+        assert!(!limits.apply(ENGINE, Statement { limit: Some(limit), at: ms(at) }));
+        assert!(!limits.is_limited(ENGINE), "{limit}");
+    }
+    for limit in [0.0, 1e-300, 1e300, f64::MAX] {
+        at += 1_000;
+        assert!(limits.apply(ENGINE, Statement { limit: Some(limit), at: ms(at) }), "{limit}");
+        for others in [None, Some(0), Some(u32::MAX as usize)] {
+            for (size, rank) in [(1, 0), (2, 1), (510, 509)] {
+                let share = Share { size, rank, others };
+                let wait = limits.try_acquire(ENGINE, share, ms(at)).err().unwrap_or_default();
+                assert!(wait == Duration::MAX || wait <= Duration::from_secs(10), "{wait:?}");
+            }
+        }
+    }
+}
+
 /// Guards against fleets whose daemons each keep to the limit of an engine alone. Each daemon has
 /// more requests than it may send, for 20 s.
 #[test]
--- a/crates/coord/tests/serving/engines.rs
+++ b/crates/coord/tests/serving/engines.rs
@@ -13,6 +13,7 @@
 use crate::fixtures::entry;
 use crate::fixtures::model;
 use crate::fixtures::ms;
+use crate::fixtures::report;
 use crate::fixtures::SERVICE;
 
 #[test]
@@ -23,6 +24,17 @@
     assert_eq!(engines.usable(SERVICE, ms(20)), [engine(&engines, "e2")]);
 }
 
+/// Guards against a process that ends because of the number of orders in a report.
+#[test]
+fn number_of_accepted_orders_saturates() {
+    let listed = entry("e1", &[], &[]);
+    let mut engines = engines(&[listed.clone()]);
+    let key = engine(&engines, "e1");
+    engines.apply_report(key, &report(&listed, u64::MAX));
+    engines.record_accepted_order(key);
+    assert_eq!(engines.get(key).and_then(|engine| engine.order_count), Some(u64::MAX));
+}
+
 #[test]
 fn engines_of_drained_zone_are_not_usable_until_drain_ends() {
     let far = Entry { zone: "b".to_owned(), ..entry("e2", &[], &[]) };
--- a/crates/coord/tests/serving/polling.rs
+++ b/crates/coord/tests/serving/polling.rs
@@ -50,6 +50,17 @@
     assert_eq!(updates.last_change(2), 0);
 }
 
+/// Guards against a process that ends because of the numbers in an announcement.
+#[test]
+fn announcement_with_numbers_out_of_range_is_processed() {
+    let mut updates = informed();
+    updates.record_announcement(1, u64::MAX, u64::MAX, Duration::MAX, ms(100));
+    assert!(interval(&updates, 100) < DRAIN, "the changes before were missed");
+    assert!(!updates.take_change(1, u64::MAX, true));
+    updates.record_announcement(1, u64::MAX, 3, FRESH, ms(200));
+    assert_eq!(updates.last_change(1), u64::MAX);
+}
+
 #[test]
 fn failed_poll_recovers_no_missed_changes() {
     let mut updates = informed();
--- a/crates/coord/tests/serving/quarantine.rs
+++ b/crates/coord/tests/serving/quarantine.rs
@@ -7,9 +7,11 @@
 use corianderyoke_coord::serving::quarantine::Admission;
 use corianderyoke_coord::serving::quarantine::Casualty;
 use corianderyoke_coord::serving::quarantine::Crash;
+use corianderyoke_coord::serving::quarantine::Hold;
 use corianderyoke_coord::serving::quarantine::Quarantine;
 use corianderyoke_coord::serving::quarantine::QuarantineSettings;
 use corianderyoke_coord::serving::quarantine::Subject;
+use corianderyoke_coord::serving::quarantine::Verdict;
 use corianderyoke_coord::time::Tick;
 use rand::Rng;
 use rand::SeedableRng;
@@ -69,6 +71,22 @@
     assert_eq!(quarantine.admit(&[FIRST], |_| true, ms(2_000)), Admission::Free);
 }
 
+/// Guards against reports that end the process or no longer fit a datagram, because of a verdict of
+/// another daemon or a row of the store.
+#[test]
+fn failed_trials_and_rivals_of_a_verdict_are_bounded() {
+    let mut quarantine = quarantine();
+    let rivals: Vec<Subject> = (10..10_000).map(Subject::Part).collect();
+    let hold = Hold { since: ms(0), failed_trials: u32::MAX, rivals: rivals.clone() };
+    quarantine.apply(Verdict { subject: BAD, held: Some(hold), served: None });
+    quarantine.restore(RARE, rivals, ms(0));
+    assert!(quarantine.held_subjects().all(|(_, rivals)| rivals.len() < 10));
+    assert_eq!(quarantine.admit(&[BAD], |_| true, ms(700_000)), Admission::Trial);
+    crash_under(&mut quarantine, 1, 1, &[BAD], 700_100);
+    let held = quarantine.admit(&[BAD], |_| true, ms(700_100));
+    assert_eq!(held, Admission::Held(Duration::from_secs(600)));
+}
+
 /// Guards against blaming a part for engines that fail at the same time, for example with a rack.
 #[test]
 fn simultaneous_crashes_are_no_chain() {
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -4,6 +4,7 @@
 
 use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::serving::demand::DemandRate;
+use corianderyoke_coord::serving::demand::Rates;
 use corianderyoke_coord::serving::desired::EngineSpec;
 use corianderyoke_coord::serving::engines::Engines;
 use corianderyoke_coord::serving::engines::Report;
@@ -67,6 +68,24 @@
     assert_eq!(ops(&plan(&mut planner, &spec, &engines, 100)), []);
 }
 
+/// Guards against numbers in a report that end the process, or keep the demand for a model high for
+/// good.
+#[test]
+fn demand_out_of_range_saturates_and_decays() {
+    let mut engines = engines(&[entry("e1", &[], &["m"])]);
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let mut planner = Planner::default();
+    for daemon in ["daemon-1", "daemon-2"] {
+        planner.record_waiting(daemon, wanted, u32::MAX, ms(0));
+    }
+    assert_eq!(ops(&plan(&mut planner, &spec, &engines, 0)), [Op::Load(wanted)]);
+    for value in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0] {
+        let rates = Rates { requests: value, tokens: value, urgent: value };
+        assert_eq!(DemandRate::from_rates(rates, ms(0)).rates(ms(1)), Rates::default(), "{value}");
+    }
+}
+
 #[test]
 fn overdue_load_is_inspected_and_not_repeated_elsewhere() {
     let mut engines = engines(&[entry("e1", &[], &[]), entry("e2", &[], &[])]);
--- a/crates/daemon/src/peers/holder.rs
+++ b/crates/daemon/src/peers/holder.rs
@@ -186,7 +186,8 @@
     let has_changes = apply_changes(shared, state, holder.token, &holder.effects, false, now);
     state.expected_loads.clear();
     decode_loads(state, &holder.loads, now);
-    let first = holder.effects.first().map_or(holder.count + 1, |effect| effect.number);
+    let first = holder.effects.first();
+    let first = first.map_or(holder.count.saturating_add(1), |effect| effect.number);
     let age = Duration::from_millis(u64::from(holder.age));
     state.holder_updates.record_announcement(holder.token, first, holder.count, age, now);
     // The polling interval depends on the announcement.
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -460,7 +460,8 @@
         }
         for report in self.reports.values().filter(|report| report.is_fresh(now)) {
             for (&key, &count) in &report.running_requests {
-                *sums.entry(key).or_default() += count;
+                let sum = sums.entry(key).or_default();
+                *sum = sum.saturating_add(count);
             }
         }
         sums
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod kept_connections;
 mod late_order;
+mod odd_datagrams;
 mod odd_entries;
 mod orders;
 mod raw_engine;
