Check that numbers in a daemon's settings are in range

A daemon started with any number in its bounds. A cache time that no Duration can hold panicked in each response of its directory, so callers got no address; a ratio that isn't a number or a negative slack granted no retries or shrank limits, and an infinite one granted everything.

The check of the settings now names each amount that is negative or not finite, and durations above MAX_DURATION, before the process starts. A daemon doesn't reload its settings, so a file that changes later has no effect.

--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -74,7 +74,8 @@
     if addresses.is_empty() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let limit = Duration::from_secs_f64(shared.settings.bounds.max_cache_s);
+    // The settings were checked at the start.
+    let limit = shared.settings.bounds.max_cache().unwrap_or_default();
     let bytes = directory::encode_response(&addresses, CACHE_TIME.min(limit));
     content_response(bytes, "application/json")
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use corianderyoke_coord::register::Problem;
+use corianderyoke_coord::time;
+use corianderyoke_coord::time::MAX_DURATION;
 use log::LevelFilter;
 use serde::Deserialize;
 use serde::Serialize;
@@ -106,6 +108,33 @@
 }
 
 impl Bounds {
+    /// Returns the numbers that are out of range.
+    fn problems(&self) -> Vec<Problem> {
+        let amounts = [
+            ("bounds.retry_ratio", self.retry_ratio),
+            ("bounds.retry_extra", self.retry_extra),
+            ("bounds.cap_overage", self.cap_overage),
+            ("bounds.cap_slack", self.cap_slack),
+            ("bounds.cold_factor", self.cold_factor),
+            ("bounds.cold_extra", self.cold_extra),
+        ];
+        let is_amount = |value: f64| value >= 0.0 && value.is_finite();
+        let odd = amounts.into_iter().filter(|(_, value)| !is_amount(*value));
+        let mut problems: Vec<Problem> =
+            odd.map(|(key, value)| Problem::new(key, value, "0 or more")).collect();
+        if self.max_cache().is_none_or(|duration| duration.is_zero()) {
+            let allowed = format!("more than 0, up to {}", MAX_DURATION.as_secs());
+            problems.push(Problem::new("bounds.keep_s", self.max_cache_s, allowed));
+        }
+        problems
+    }
+
+    /// Returns the longest time for which callers may cache a response of the directory, or `None` if
+    /// the setting is out of range.
+    pub fn max_cache(&self) -> Option<Duration> {
+        time::seconds(self.max_cache_s)
+    }
+
     /// Returns the time after which a draining engine must not receive new requests.
     pub fn drain(&self) -> Duration {
         Duration::from_millis(self.drain_ms)
@@ -126,8 +155,16 @@
         if self.stop_ms < 1_000 {
             problems.push(Problem::new("stop_ms", self.stop_ms, "1000 or more"));
         }
-        if !(self.bounds.max_cache_s > 0.0 && self.bounds.max_cache_s.is_finite()) {
-            problems.push(Problem::new("bounds.keep_s", self.bounds.max_cache_s, "more than 0"));
+        problems.extend(self.bounds.problems());
+        for (key, millis) in [
+            ("stop_ms", self.stop_ms),
+            ("bounds.handover_ms", self.bounds.handover_ms),
+            ("bounds.drain_ms", self.bounds.drain_ms),
+        ] {
+            if Duration::from_millis(millis) > MAX_DURATION {
+                let allowed = format!("up to {}", MAX_DURATION.as_millis());
+                problems.push(Problem::new(key, millis, allowed));
+            }
         }
         problems
     }
