Saturate the sums of placement

An engine's state, rows of the table of intents and the demand of routers contain numbers that the planner added without a check. In a debug build a sum beyond the range ends the controller's loop; in a release build it wraps, so a full engine looks empty or waiting requests are lost.

Sums of bytes and of requests saturate. The memory that intents reserve is kept in 128 bits, so that it is exact again once an odd row is removed.

guards::sums_of_numbers_out_of_range_saturate failed before with "attempt to add with overflow".

--- a/crates/coord/src/placement/commands.rs
+++ b/crates/coord/src/placement/commands.rs
@@ -282,7 +282,7 @@
         let models: Vec<ModelKey> =
             self.ledger.on_upstream(upstream).map(|(model, _)| model).collect();
         let untracked = reply.models.iter().filter(|(model, _)| !models.contains(*model));
-        let untracked = untracked.map(|(_, (_, bytes))| bytes).sum();
+        let untracked = untracked.fold(0, |sum: u64, (_, (_, bytes))| sum.saturating_add(*bytes));
         self.ledger.set_untracked(upstream, untracked);
         for model in models {
             self.record_state(now, (model, upstream), reply);
--- a/crates/coord/src/placement/demand.rs
+++ b/crates/coord/src/placement/demand.rs
@@ -19,6 +19,13 @@
     pub received_at: Tick,
 }
 
+impl Report {
+    /// Number of requests that wait or run.
+    fn requests(&self) -> u32 {
+        self.waiting.saturating_add(self.running)
+    }
+}
+
 /// Requests that arrive within this time after the end of a gap count as callers of that gap.
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(2);
 
@@ -59,10 +66,11 @@
         running: u32,
         ttl: Duration,
     ) {
-        if waiting + running > 0 {
+        let report = Report { waiting, running, received_at: now };
+        if report.requests() > 0 {
             self.record_use(now);
         }
-        self.reports.insert(router.to_owned(), Report { waiting, running, received_at: now });
+        self.reports.insert(router.to_owned(), report);
         self.expire_reports(now, ttl);
         self.count_callers(now);
     }
@@ -81,7 +89,7 @@
 
     /// Adds the callers that arrived since the newest gap ended.
     fn count_callers(&mut self, now: Tick) {
-        let current = self.waiting() + self.running();
+        let current = self.requests();
         let Some(burst) = self.burst.as_mut() else {
             return;
         };
@@ -105,16 +113,21 @@
 
     /// Number of requests that wait at all routers.
     pub fn waiting(&self) -> u32 {
-        self.reports.values().map(|report| report.waiting).sum()
+        self.reports.values().fold(0, |sum, report| sum.saturating_add(report.waiting))
     }
 
     /// Number of requests that run through all routers.
     pub fn running(&self) -> u32 {
-        self.reports.values().map(|report| report.running).sum()
+        self.reports.values().fold(0, |sum, report| sum.saturating_add(report.running))
+    }
+
+    /// Number of requests that wait or run.
+    pub fn requests(&self) -> u32 {
+        self.waiting().saturating_add(self.running())
     }
 
     /// Whether any request waits or runs.
     pub fn is_busy(&self) -> bool {
-        self.reports.values().any(|report| report.waiting + report.running > 0)
+        self.reports.values().any(|report| report.requests() > 0)
     }
 }
--- a/crates/coord/src/placement/ledger.rs
+++ b/crates/coord/src/placement/ledger.rs
@@ -51,7 +51,7 @@
     /// Bytes in use by models without an intent.
     untracked: IndexMap<UpstreamKey, u64>,
     /// Bytes reserved by intents.
-    reserved: IndexMap<UpstreamKey, u64>,
+    reserved: IndexMap<UpstreamKey, u128>,
     /// Registered upstreams by free bytes.
     free: BTreeSet<(u64, UpstreamKey)>,
     permits: usize,
@@ -87,7 +87,7 @@
     pub fn put(&mut self, replica: ReplicaKey, intent: Intent) {
         let registered = self.free.remove(&(self.free(replica.1), replica.1));
         self.permits += usize::from(intent.permit);
-        *self.reserved.entry(replica.1).or_default() += intent.bytes;
+        *self.reserved.entry(replica.1).or_default() += u128::from(intent.bytes);
         if let Some(old) = self.intents.insert(replica, intent) {
             self.subtract(replica.1, &old);
         }
@@ -121,7 +121,7 @@
     fn subtract(&mut self, upstream: UpstreamKey, old: &Intent) {
         self.permits -= usize::from(old.permit);
         if let Some(reserved) = self.reserved.get_mut(&upstream) {
-            *reserved -= old.bytes;
+            *reserved -= u128::from(old.bytes);
         }
     }
 
@@ -149,7 +149,8 @@
 
     /// Bytes reserved by all intents on an upstream.
     pub fn reserved(&self, upstream: UpstreamKey) -> u64 {
-        self.reserved.get(&upstream).copied().unwrap_or(0)
+        let reserved = self.reserved.get(&upstream).copied().unwrap_or(0);
+        u64::try_from(reserved).unwrap_or(u64::MAX)
     }
 
     /// Memory of an upstream, in bytes; zero if it isn't in the register.
--- a/crates/coord/src/placement/place.rs
+++ b/crates/coord/src/placement/place.rs
@@ -51,7 +51,8 @@
         let valid = reservations.into_iter().filter(|(_, reservation)| {
             let unloading = self.ledger.on_upstream(reservation.upstream);
             let unloading = unloading.filter(|(_, intent)| intent.phase == Phase::Unloading);
-            let unloading: u64 = unloading.map(|(_, intent)| intent.bytes).sum();
+            let unloading =
+                unloading.fold(0, |sum: u64, (_, intent)| sum.saturating_add(intent.bytes));
             let available = self.ledger.free(reservation.upstream).saturating_add(unloading);
             reservation.expires_at > now && available >= reservation.bytes
         });
@@ -75,9 +76,8 @@
         }
         // Another replica pays off if the work beyond the present slots takes longer than its load.
         let slots = (self.settings.replica_slots * replicas).max(1);
-        let running = self.demand.get(&model).map_or(0, |demand| demand.running());
-        let backlog =
-            self.settings.service_time * (waiting + running).saturating_sub(slots) / slots;
+        let requests = self.demand.get(&model).map_or(0, |demand| demand.requests());
+        let backlog = self.settings.service_time * requests.saturating_sub(slots) / slots;
         if backlog.is_zero() {
             return false;
         }
@@ -185,7 +185,7 @@
         let upstream_name = self.upstream_names.name(replica.1);
         let new_rows = change.puts.iter().filter(|row| row.upstream == upstream_name);
         let new_rows = new_rows.filter(|row| self.intent_of(row).is_none());
-        let new_bytes: u64 = new_rows.map(|row| row.bytes).sum();
+        let new_bytes = new_rows.fold(0, |sum: u64, row| sum.saturating_add(row.bytes));
         let bytes = self.models.get(&replica.0).map_or(0, |model| model.footprint());
         self.ledger.free(replica.1) < bytes.saturating_add(new_bytes)
     }
--- a/crates/coord/src/placement/queries.rs
+++ b/crates/coord/src/placement/queries.rs
@@ -172,8 +172,7 @@
     /// Whether a model's requests would fit on one loaded replica fewer.
     pub(super) fn has_surplus(&self, model: ModelKey) -> bool {
         let loaded = self.loaded_upstreams(model).len() as u32;
-        let requests =
-            self.demand.get(&model).map_or(0, |demand| demand.waiting() + demand.running());
+        let requests = self.demand.get(&model).map_or(0, |demand| demand.requests());
         loaded > 1 && requests <= self.settings.replica_slots * (loaded - 1)
     }
 
--- a/crates/coord/tests/placement/guards.rs
+++ b/crates/coord/tests/placement/guards.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use corianderyoke_coord::keys::ModelKey;
 use corianderyoke_coord::placement::Catalog;
 use corianderyoke_coord::placement::ChangeSet;
 use corianderyoke_coord::placement::CommitOutcome;
@@ -96,6 +97,34 @@
     assert_eq!(orders(&planner.poll(ms(5_000)))[0].op, Op::Load);
 }
 
+/// Guards against a controller that ends, or takes memory for free, because of numbers in the state of
+/// an engine, in the table or in the demand of routers.
+#[test]
+fn sums_of_numbers_out_of_range_saturate() {
+    let mut planner = planner(ms(0), Phase::Decided, &[OWN_NAME]);
+    let row = planner.intents()[0].0.clone();
+    let rows = ["m", "n"].map(|model| IntentRow {
+        model: model.to_owned(),
+        bytes: u64::MAX,
+        senders: Default::default(),
+        ..row.clone()
+    });
+    let sequence = Sequence { fence: 1, controller: "c0#1".to_owned() };
+    planner.adopt(ms(1), &TableSnapshot { sequence, version: Some(2), rows: rows.to_vec() });
+    let mut reply = ProbeReply { sent_at: ms(2), fence: u64::MAX, ..ProbeReply::default() };
+    for number in 10..13 {
+        reply.models.insert(ModelKey(number), (ModelState::Loaded, u64::MAX));
+    }
+    let upstream = planner.upstream_key("e").expect("configured");
+    planner.probe_replied(ms(3), upstream, &reply);
+    let model = planner.model_key("m").expect("configured");
+    for router in ["r1", "r2"] {
+        planner.report_demand(ms(4), "m", router, u32::MAX, u32::MAX);
+    }
+    assert_eq!(planner.waiting_requests(model), u32::MAX);
+    planner.poll(ms(5));
+}
+
 #[test]
 fn a_commit_with_an_unknown_outcome_causes_another_scan() {
     let mut planner = planner(ms(0), Phase::Decided, &[OWN_NAME]);
--- a/src/controller/catalog.rs
+++ b/src/controller/catalog.rs
@@ -69,7 +69,7 @@
         .map(|adapter| adapter.bytes)
         .collect();
     sizes.sort_unstable_by(|a, b| b.cmp(a));
-    sizes.into_iter().take(RESERVED_ADAPTERS as usize).sum()
+    sizes.into_iter().take(RESERVED_ADAPTERS as usize).fold(0, u64::saturating_add)
 }
 
 /// The fastest tier in which any upstream has reported each model's checkpoint so far.
