Saturate the accounts of a team's home

Counters that routers report and limits of the register were added without a check. At the end of their range a debug build ended the home of a team's limit; in a release build the sums wrapped, and a home could grant more than its burst.

The sum of the holdings is kept in 128 bits and stays exact, and the sums with the level, the queue and the history of refunds saturate. What a grant adds to the holdings is what it adds to the account.

limits::numbers_out_of_range_grant_no_more_than_the_burst failed before with "attempt to add with overflow".

--- a/crates/coord/src/pools/bucket/commands.rs
+++ b/crates/coord/src/pools/bucket/commands.rs
@@ -86,7 +86,7 @@
             None => snapshot,
         };
         self.accounts.insert(router, Account { counters: baseline, refund: 0 });
-        self.holdings += baseline.held();
+        self.holdings += u128::from(baseline.held());
         self.merge_counters(router, snapshot);
         self.missing.swap_remove(&router);
         self.complete_inventory(now);
@@ -98,7 +98,7 @@
         self.expired.insert(router);
         self.waiters.retain(|waiter| waiter.router != router);
         if let Some(account) = self.accounts.swap_remove(&router) {
-            self.holdings -= account.counters.held();
+            self.holdings -= u128::from(account.counters.held());
         }
         if self.missing.swap_remove(&router) {
             self.complete_inventory(now);
@@ -111,7 +111,8 @@
         let increase = limits.burst.saturating_sub(self.limits.burst);
         self.sum_history.raise_all(increase.saturating_mul(MICRO_PER_TOKEN));
         self.limits = limits;
-        let max_level = limits.burst.saturating_sub(self.holdings).saturating_mul(MICRO_PER_TOKEN);
+        let max_level =
+            limits.burst.saturating_sub(self.holdings()).saturating_mul(MICRO_PER_TOKEN);
         self.level = self.level.min(max_level);
         self.record_sum(now);
     }
@@ -190,8 +191,10 @@
             self.grant(router, need + (want - need).min(spare));
             return Verdict::Granted;
         }
-        let shortfall =
-            (queued_ahead + need).saturating_mul(MICRO_PER_TOKEN).saturating_sub(self.level);
+        let shortfall = queued_ahead
+            .saturating_add(need)
+            .saturating_mul(MICRO_PER_TOKEN)
+            .saturating_sub(self.level);
         let wait = self.limits.refill_time(shortfall);
         self.enqueue(Waiter { router, need, expires: now + wait + QUEUE_PLACE_TIME });
         Verdict::Wait(wait)
@@ -202,8 +205,9 @@
         let Some(account) = self.accounts.get_mut(&router) else {
             return;
         };
-        account.counters.granted += tokens;
-        self.holdings += tokens;
+        let before = account.counters.held();
+        account.counters.granted = account.counters.granted.saturating_add(tokens);
+        self.holdings += u128::from(account.counters.held() - before);
         self.level -= tokens * MICRO_PER_TOKEN;
     }
 
@@ -232,7 +236,7 @@
             returned: before.returned.max(reported.returned),
         };
         account.counters = after;
-        self.holdings = self.holdings - before.held() + after.held();
+        self.holdings = self.holdings - u128::from(before.held()) + u128::from(after.held());
         self.credit((after.returned - before.returned).saturating_mul(MICRO_PER_TOKEN));
     }
 
@@ -264,7 +268,8 @@
 
     /// Records `level + Σ holdings`, which caps later refunds.
     fn record_sum(&mut self, now: Tick) {
-        let sum = self.level + self.holdings.saturating_mul(MICRO_PER_TOKEN);
+        let held = self.holdings().saturating_mul(MICRO_PER_TOKEN);
+        let sum = self.level.saturating_add(held);
         self.sum_history.record(sum, self.limits.rate, now);
     }
 
--- a/crates/coord/src/pools/bucket/mod.rs
+++ b/crates/coord/src/pools/bucket/mod.rs
@@ -63,7 +63,7 @@
     accrued: Tick,
     accounts: IndexMap<MemberKey, Account>,
     /// Sum of the accounts' holdings in tokens.
-    holdings: u64,
+    holdings: u128,
     /// Past maxima of `level + Σ holdings`, which cap later refunds.
     sum_history: SumHistory,
     /// Routers in the order in which they are served.
--- a/crates/coord/src/pools/bucket/queries.rs
+++ b/crates/coord/src/pools/bucket/queries.rs
@@ -24,7 +24,7 @@
 
     /// Sum of the routers' holdings in tokens, by their last reports.
     pub fn holdings(&self) -> u64 {
-        self.holdings
+        u64::try_from(self.holdings).unwrap_or(u64::MAX)
     }
 
     /// Whether the inventory is complete and the bucket grants.
@@ -50,13 +50,13 @@
     /// Microtokens by which the invariant lets the level rise.
     pub(super) fn headroom(&self) -> u64 {
         let max_level =
-            self.limits.burst.saturating_sub(self.holdings).saturating_mul(MICRO_PER_TOKEN);
+            self.limits.burst.saturating_sub(self.holdings()).saturating_mul(MICRO_PER_TOKEN);
         max_level.saturating_sub(self.level)
     }
 
     /// Tokens needed by the routers queued before `router`, or by all if it isn't queued.
     pub(super) fn queued_ahead(&self, router: MemberKey) -> u64 {
         let before = self.waiters.iter().take_while(|waiter| waiter.router != router);
-        before.map(|waiter| waiter.need).sum()
+        before.fold(0, |sum, waiter| sum.saturating_add(waiter.need))
     }
 }
--- a/crates/coord/src/pools/bucket/sum_history.rs
+++ b/crates/coord/src/pools/bucket/sum_history.rs
@@ -76,13 +76,13 @@
     pub(super) fn add_since(&mut self, time: Tick, microtokens: u64) {
         let start = (time.0 / INTERVAL_US).saturating_sub(self.first_interval) as usize;
         let start = start.min(self.maxima.len());
-        self.maxima.range_mut(start..).for_each(|max| *max += microtokens);
-        self.sum += microtokens;
+        self.maxima.range_mut(start..).for_each(|max| *max = max.saturating_add(microtokens));
+        self.sum = self.sum.saturating_add(microtokens);
     }
 
     /// Offsets an increase of the burst by `microtokens`, which must not make room for refunds of
     /// earlier reservations.
     pub(super) fn raise_all(&mut self, microtokens: u64) {
-        self.maxima.iter_mut().for_each(|max| *max += microtokens);
+        self.maxima.iter_mut().for_each(|max| *max = max.saturating_add(microtokens));
     }
 }
--- a/crates/coord/tests/pools/limits.rs
+++ b/crates/coord/tests/pools/limits.rs
@@ -198,6 +198,35 @@
     assert_eq!(slice.held(), 0);
 }
 
+/// Guards against a home that ends, or grants more than its burst, because of counters and limits at
+/// the end of their range.
+#[test]
+fn numbers_out_of_range_grant_no_more_than_the_burst() {
+    let (_, request) = slice_with_request(100);
+    let members = [ROUTER, MemberKey(71), MemberKey(72)];
+    let mut home = Bucket::new_successor(1, LIMITS, &members, Tick(0));
+    let most = Counters { granted: u64::MAX, spent: 0, returned: 0 };
+    for member in members {
+        home.add_snapshot(member, most, Tick(0));
+    }
+    assert_eq!(home.holdings(), u64::MAX);
+    let refund = Refund { number: u64::MAX, since: Tick(u64::MAX), tokens: u64::MAX };
+    for (need, want) in [(u64::MAX, u64::MAX), (1, u64::MAX), (LIMITS.burst, 0)] {
+        let refunds = vec![refund];
+        let odd = GrantRequest { counters: most, refunds, want, need, ..request.clone() };
+        home.handle_request(ROUTER, &odd, Tick(1_000_000)).expect("the router has an account");
+        assert_eq!(home.level(), 0);
+    }
+    home.set_limits(Limits { rate: u64::MAX, burst: u64::MAX }, Tick(2_000_000));
+    home.set_limits(LIMITS, Tick(3_000_000));
+    for member in members {
+        home.remove_router(member, Tick(4_000_000));
+    }
+    assert_eq!(home.holdings(), 0);
+    home.set_limits(LIMITS, Tick(5_000_000));
+    assert_eq!(home.level(), LIMITS.burst);
+}
+
 #[test]
 fn a_lost_grant_is_repeated_and_a_duplicate_request_is_granted_once() {
     let (mut slice, request) = slice_with_request(400);
