Subtract durations from ticks without a wrap

The age of a peer's confirmation of the configuration was converted to microseconds with a cast that drops the upper bits, so an age that needs more than 64 bits counted as a recent confirmation, by which a router would have served callers with a register that may be out of date. Tick now subtracts durations as it adds them, and the other places that did so by hand use it.

configuration::age_out_of_range_is_no_recent_confirmation failed before with an age of 18,446,744,073,709,552 ms.

--- a/crates/coord/src/time.rs
+++ b/crates/coord/src/time.rs
@@ -1,6 +1,7 @@
 //! Monotonic time as the driver passes it in; the crate uses no other clock.
 
 use std::ops::Add;
+use std::ops::Sub;
 use std::time::Duration;
 
 /// Longest duration that is accepted from outside. Sums and multiples of a few such durations can be
@@ -41,7 +42,19 @@
     type Output = Tick;
 
     fn add(self, duration: Duration) -> Tick {
-        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
-        Tick(self.0.saturating_add(micros))
+        Tick(self.0.saturating_add(micros(duration)))
     }
 }
+
+impl Sub<Duration> for Tick {
+    type Output = Tick;
+
+    fn sub(self, duration: Duration) -> Tick {
+        Tick(self.0.saturating_sub(micros(duration)))
+    }
+}
+
+/// Returns a duration in microseconds, or the most that a tick can hold.
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/coord/tests/time.rs
+++ b/crates/coord/tests/time.rs
@@ -32,5 +32,8 @@
 fn ticks_saturate() {
     assert_eq!(Tick(1) + Duration::MAX, Tick(u64::MAX));
     assert_eq!(Tick(u64::MAX) + Duration::from_secs(1), Tick(u64::MAX));
+    assert_eq!(Tick(7) - Duration::from_micros(5), Tick(2));
+    assert_eq!(Tick(7) - Duration::from_secs(1), Tick(0));
+    assert_eq!(Tick(u64::MAX) - Duration::MAX, Tick(0));
     assert_eq!(Tick(1).since(Tick(u64::MAX)), Duration::ZERO);
 }
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -229,8 +229,7 @@
         record.route.clone_from(&route.name);
         let arrived = record.arrived;
         let caller_deadline = arrived + facts.timeout.unwrap_or(route.timeout);
-        let deadline = Tick(caller_deadline.0.saturating_sub(RESPONSE_MARGIN.as_micros() as u64));
-        let deadline = deadline.min(arrived + route.timeout);
+        let deadline = (caller_deadline - RESPONSE_MARGIN).min(arrived + route.timeout);
         let start_deadline = route
             .first_event_timeout()
             .map_or(deadline, |span| arrived + span.saturating_sub(START_MARGIN));
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -220,7 +220,7 @@
 
 /// Returns the moment that a message received now gives by its age in milliseconds.
 fn time_of(age_ms: u32, now: Tick) -> Tick {
-    Tick(now.0.saturating_sub(u64::from(age_ms) * 1_000))
+    now - Duration::from_millis(u64::from(age_ms))
 }
 
 /// Decodes a datagram. Returns `None` if the MAC or the encoding is invalid.
--- a/src/agent/config.rs
+++ b/src/agent/config.rs
@@ -150,8 +150,7 @@
         }
         if revision == state.reader.revision() && report.confirmed {
             let age = Duration::from_millis(report.age_ms);
-            let at = Tick(sent_at.0.saturating_sub(age.as_micros() as u64));
-            state.confirmed_at = state.confirmed_at.max(Some(at));
+            state.confirmed_at = state.confirmed_at.max(Some(sent_at - age));
         }
         false
     }
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -3,13 +3,17 @@
 
 use std::time::Duration;
 
+use corianderyoke::agent::config::Config;
 use corianderyoke::ops::bench::cell::Cell;
 use corianderyoke::ops::bench::cell::Plan;
 use corianderyoke::ops::router;
 use corianderyoke::router::settings::Settings;
+use corianderyoke_coord::membership::MemberId;
+use corianderyoke_coord::time::Tick;
 use corianderyoke_platform::faults::Fault;
 use corianderyoke_platform::faults::Order;
 use corianderyoke_support::Builder;
+use corianderyoke_wire::peer;
 use serde_json::json;
 use serde_json::Value;
 use tokio::time::sleep;
@@ -41,6 +45,20 @@
     panic!("timed out waiting for {what}");
 }
 
+/// Guards against an old confirmation that counts as new because its age is out of range.
+#[test]
+fn age_out_of_range_is_no_recent_confirmation() {
+    let now = Tick(60_000_000);
+    let peer = MemberId { name: "router-2".to_owned(), incarnation: 1 };
+    // The second is the first number of milliseconds whose microseconds need more than 64 bits.
+    for age_ms in [60_000, 18_446_744_073_709_552, u64::MAX] {
+        let config = Config::default();
+        let report = peer::Config { confirmed: true, age_ms, ..peer::Config::default() };
+        config.record_peer(&peer, now, &report);
+        assert!(config.report(now).age_ms >= 60_000, "{age_ms} ms");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn router_started_during_an_outage_serves_only_after_it() {
     let register = REGISTER.to_owned();
