--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -435,9 +435,7 @@
         let mut sum = self.own_loads.get(&engine).map_or_else(Load::default, |own| own.load);
         for report in self.reports.values().filter(|report| report.is_fresh(now)) {
             if let Some(load) = report.loads.get(&engine) {
-                sum.running += load.running;
-                sum.pending_prefill += load.pending_prefill;
-                sum.tokens += load.tokens;
+                sum.add(*load);
             }
         }
         sum
@@ -462,7 +460,8 @@
         }
         for report in self.reports.values().filter(|report| report.is_fresh(now)) {
             for (&key, &count) in &report.running_requests {
-                *sums.entry(key).or_default() += count;
+                let sum = sums.entry(key).or_default();
+                *sum = sum.saturating_add(count);
             }
         }
         sums
@@ -493,9 +492,8 @@
         load: RequestLoad,
     ) -> Self {
         let own = state.own_loads.entry(engine).or_default();
-        own.load.running += 1;
-        own.load.pending_prefill += load.pending_prefill;
-        own.load.tokens += load.tokens;
+        let RequestLoad { pending_prefill, tokens, .. } = load;
+        own.load.add(Load { running: 1, pending_prefill, tokens });
         if let Some(model) = load.model {
             *own.models.entry(model).or_default() += 1;
         }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,6 +10,8 @@
 mod kept_connections;
 mod late_messages;
 mod late_order;
+mod odd_datagrams;
+mod odd_entries;
 mod orders;
 mod raw_engine;
 mod restored;
