Let the stand-ins write a response once more on a kept connection

On order it writes that response once more before the response to the next request on the connection, or at once where the connection is idle. The new faults are `repeat` and `repeat_idle`.

--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -49,6 +49,14 @@
         /// Number of requests affected.
         requests: u32,
     },
+    /// The previous response of a connection is written once more before the responses to the next
+    /// requests on it.
+    Repeat {
+        /// Number of requests affected.
+        requests: u32,
+    },
+    /// The latest response is written once more on each idle connection.
+    RepeatIdle,
     /// Every request is rejected with status 503.
     Refuse {
         /// Duration in milliseconds.
@@ -119,7 +127,12 @@
             }
             Fault::Slow { factor } => self.token_slowdown = factor.max(1),
             Fault::Clear => *self = Faults::default(),
-            Fault::Die | Fault::LoseModels | Fault::TurnCold | Fault::Silent => {}
+            Fault::Die
+            | Fault::LoseModels
+            | Fault::Repeat { .. }
+            | Fault::RepeatIdle
+            | Fault::Silent
+            | Fault::TurnCold => {}
         }
     }
 
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -159,6 +159,17 @@
     }
 }
 
+/// Applies a fault of the engine's connections.
+fn relay_fault(relay: &tcp::Relay, fault: &Fault, exempt: Option<SocketAddr>) {
+    match fault {
+        Fault::Silent => relay.set_except(Flow::Silent, exempt),
+        Fault::Repeat { requests } => relay.repeat_before_next(*requests),
+        Fault::RepeatIdle => relay.repeat_on_idle(exempt),
+        Fault::Clear => relay.repeat_before_next(0),
+        _ => {}
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         self.sampler.abort();
@@ -198,13 +209,11 @@
                 self.batch.lock().clear_prefix_cache();
                 *self.warmup_start.lock() = Instant::now();
             }
-            Fault::Silent => {
-                if let Some(relay) = self.relay.get() {
-                    relay.set_except(Flow::Silent, exempt);
-                }
-            }
             _ => {}
         }
+        if let Some(relay) = self.relay.get() {
+            relay_fault(relay, fault, exempt);
+        }
     }
 
     /// Simulates a crash: closes the listener and all connections, and cancels all requests.
--- a/crates/standin/src/relay/mod.rs
+++ b/crates/standin/src/relay/mod.rs
@@ -3,6 +3,7 @@
 //! [`tcp`] relays byte streams and [`udp`] relays datagrams. The flow of existing connections is
 //! set separately from that of new ones, so that a connection can stay silent while new ones work.
 
+mod response;
 pub mod tcp;
 pub mod udp;
 
--- a/crates/standin/src/relay/tcp.rs
+++ b/crates/standin/src/relay/tcp.rs
@@ -1,7 +1,8 @@
 //! A relay for TCP connections.
 //!
 //! One task accepts connections. Each connection has a task that copies both directions and watches
-//! its [`Flow`], which can be changed for existing connections and for new ones.
+//! its [`Flow`], which can be changed for existing connections and for new ones. The relay keeps the
+//! latest HTTP response of each connection, which it can write to the client once more.
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,7 +20,9 @@
 use rocket::tokio::net::TcpStream;
 use rocket::tokio::sync::mpsc::UnboundedSender;
 use rocket::tokio::sync::watch;
+use rocket::tokio::sync::Mutex as AsyncMutex;
 
+use super::response::Latest;
 use super::Flow;
 use super::Limits;
 
@@ -72,6 +75,8 @@
     connections: IndexMap<u64, Connection>,
     /// Initial flow of new connections.
     new_flow: Flow,
+    /// Number of requests before whose response the previous one is written once more.
+    repeats: u32,
 }
 
 #[derive(Debug)]
@@ -79,6 +84,22 @@
     /// The relay's local address of the connection to the target.
     local: SocketAddr,
     flow: watch::Sender<Flow>,
+    exchange: Arc<Exchange>,
+}
+
+/// The writing halves of one connection, and the latest response on it.
+#[derive(Debug)]
+struct Exchange {
+    to_client: AsyncMutex<OwnedWriteHalf>,
+    to_target: AsyncMutex<OwnedWriteHalf>,
+    latest: Mutex<Latest>,
+}
+
+/// Direction in which data is copied.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Direction {
+    ToClient,
+    ToTarget,
 }
 
 impl Relay {
@@ -131,6 +152,25 @@
         self.shared.table.lock().new_flow = flow;
     }
 
+    /// Writes the latest response of a connection once more before the response to the next
+    /// request on it, for this number of requests.
+    pub fn repeat_before_next(&self, requests: u32) {
+        self.shared.table.lock().repeats = requests;
+    }
+
+    /// Writes the latest response once more on each idle connection, except the one whose local
+    /// address towards the target is `exempt`.
+    pub fn repeat_on_idle(&self, exempt: Option<SocketAddr>) {
+        let table = self.shared.table.lock();
+        for connection in table.connections.values() {
+            let exchange = Arc::clone(&connection.exchange);
+            let response = exchange.latest.lock().idle_response();
+            if let Some(response) = response.filter(|_| Some(connection.local) != exempt) {
+                tokio::spawn(async move { exchange.write_to_client(&response).await });
+            }
+        }
+    }
+
     /// Waits until the listener and all connections are closed, after [`Relay::stop`].
     pub async fn stopped(&self) {
         while !self.accept_task.is_finished() || self.connections() > 0 {
@@ -184,76 +224,136 @@
     };
     let _ = client.set_nodelay(true);
     let _ = target.set_nodelay(true);
-    let (id, flow) = shared.add_connection(local);
     let (client_read, client_write) = client.into_split();
     let (target_read, target_write) = target.into_split();
-    let buffer_bytes = shared.settings.limits.buffer_bytes;
+    let exchange = Arc::new(Exchange {
+        to_client: AsyncMutex::new(client_write),
+        to_target: AsyncMutex::new(target_write),
+        latest: Mutex::default(),
+    });
+    let (id, flow) = shared.add_connection(local, Arc::clone(&exchange));
     let to_target = async {
-        copy(client_read, target_write, flow.clone(), buffer_bytes).await;
+        shared.copy(Direction::ToTarget, client_read, &exchange, flow.clone()).await;
         if let Some(closed_sender) = &shared.settings.client_closed {
             let _ = closed_sender.send(local);
         }
     };
-    let to_client = copy(target_read, client_write, flow.clone(), buffer_bytes);
+    let to_client = shared.copy(Direction::ToClient, target_read, &exchange, flow.clone());
     tokio::join!(to_target, to_client);
     shared.table.lock().connections.shift_remove(&id);
 }
 
 impl Shared {
     /// Adds a connection and returns its id and its flow.
-    fn add_connection(&self, local: SocketAddr) -> (u64, watch::Receiver<Flow>) {
+    fn add_connection(
+        &self,
+        local: SocketAddr,
+        exchange: Arc<Exchange>,
+    ) -> (u64, watch::Receiver<Flow>) {
         let mut table = self.table.lock();
         let id = table.next_id;
         table.next_id += 1;
         let (sender, receiver) = watch::channel(table.new_flow);
-        table.connections.insert(id, Connection { local, flow: sender });
+        table.connections.insert(id, Connection { local, flow: sender, exchange });
         (id, receiver)
     }
-}
 
-/// Copies until `from` ends, an error occurs or the flow becomes [`Flow::Cut`].
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    mut flow: watch::Receiver<Flow>,
-    buffer_bytes: usize,
-) {
-    let mut buffer = vec![0; buffer_bytes];
-    loop {
-        let current = *flow.borrow_and_update();
-        let read = match current {
-            Flow::Cut => return,
-            Flow::Silent => {
-                if flow.changed().await.is_err() {
-                    return;
+    /// Copies one direction of a connection and closes it at the end.
+    async fn copy(
+        &self,
+        direction: Direction,
+        from: OwnedReadHalf,
+        exchange: &Exchange,
+        flow: watch::Receiver<Flow>,
+    ) {
+        self.copy_until_end(direction, from, exchange, flow).await;
+        // The other side may have closed the connection already.
+        let _ = exchange.writer(direction).lock().await.shutdown().await;
+    }
+
+    /// Copies until `from` ends, an error occurs or the flow becomes [`Flow::Cut`].
+    async fn copy_until_end(
+        &self,
+        direction: Direction,
+        mut from: OwnedReadHalf,
+        exchange: &Exchange,
+        mut flow: watch::Receiver<Flow>,
+    ) {
+        let mut buffer = vec![0; self.settings.limits.buffer_bytes];
+        loop {
+            let current = *flow.borrow_and_update();
+            let read = match current {
+                Flow::Cut => return,
+                Flow::Silent => {
+                    if flow.changed().await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                Flow::Pass => {
+                    tokio::select! {
+                        biased;
+                        changed = flow.changed() => match changed {
+                            Ok(()) => continue,
+                            Err(_) => return,
+                        },
+                        read = from.read(&mut buffer) => read,
+                    }
                 }
-                continue;
+            };
+            let Ok(size @ 1..) = read else {
+                return;
+            };
+            let mut cut_watch = flow.clone();
+            let written = tokio::select! {
+                _ = cut_watch.wait_for(|flow| *flow == Flow::Cut) => return,
+                written = self.forward(direction, &buffer[..size], exchange) => written,
+            };
+            if written.is_err() {
+                return;
             }
-            Flow::Pass => {
-                tokio::select! {
-                    biased;
-                    changed = flow.changed() => match changed {
-                        Ok(()) => continue,
-                        Err(_) => return,
-                    },
-                    read = from.read(&mut buffer) => read,
+        }
+    }
+
+    /// Writes data to its destination. Data to the target begins or continues a request; before a
+    /// request that begins, the previous response may be written once more.
+    async fn forward(
+        &self,
+        direction: Direction,
+        data: &[u8],
+        exchange: &Exchange,
+    ) -> io::Result<()> {
+        match direction {
+            Direction::ToClient => exchange.latest.lock().add_response(data),
+            Direction::ToTarget => {
+                let previous = exchange.latest.lock().begin_request();
+                if let Some(response) = previous.filter(|_| self.takes_repeat()) {
+                    exchange.write_to_client(&response).await;
                 }
             }
-        };
-        let Ok(size) = read else {
-            return;
-        };
-        if size == 0 {
-            let _ = to.shutdown().await;
-            return;
         }
-        let mut cut_watch = flow.clone();
-        let written = tokio::select! {
-            _ = cut_watch.wait_for(|flow| *flow == Flow::Cut) => return,
-            written = to.write_all(&buffer[..size]) => written,
-        };
-        if written.is_err() {
-            return;
+        exchange.writer(direction).lock().await.write_all(data).await
+    }
+
+    /// Whether the response before the next one is written once more; counts down.
+    fn takes_repeat(&self) -> bool {
+        let mut table = self.table.lock();
+        let repeats = table.repeats > 0;
+        table.repeats = table.repeats.saturating_sub(1);
+        repeats
+    }
+}
+
+impl Exchange {
+    fn writer(&self, direction: Direction) -> &AsyncMutex<OwnedWriteHalf> {
+        match direction {
+            Direction::ToClient => &self.to_client,
+            Direction::ToTarget => &self.to_target,
         }
     }
+
+    async fn write_to_client(&self, response: &[u8]) {
+        // A client that has closed the connection doesn't get the response.
+        let _ = self.to_client.lock().await.write_all(response).await;
+    }
 }
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -96,6 +96,12 @@
         /// Number of calls affected.
         calls: u32,
     },
+    /// The previous response of a connection is written once more before the responses to the next
+    /// calls on it.
+    Repeat {
+        /// Number of calls affected.
+        calls: u32,
+    },
     /// The next calls take longer.
     Slow {
         /// Additional time in milliseconds.
@@ -227,14 +233,21 @@
             Fault::ErrorAfter { calls } => (CallFault::ErrorAfter, calls),
             Fault::CutAfter { calls } => (CallFault::CutAfter, calls),
             Fault::Slow { ms, calls } => (CallFault::Slow(Duration::from_millis(ms)), calls),
+            Fault::Repeat { calls } => return self.repeat_responses(calls),
             Fault::Clear => {
                 self.call_faults.lock().clear();
-                return;
+                return self.repeat_responses(0);
             }
         };
         self.call_faults.lock().extend((0..calls).map(|_| call_fault));
     }
 
+    fn repeat_responses(&self, calls: u32) {
+        if let Some(relay) = self.relay.get() {
+            relay.repeat_before_next(calls);
+        }
+    }
+
     fn next_call_fault(&self) -> Option<CallFault> {
         let mut call_faults = self.call_faults.lock();
         (!call_faults.is_empty()).then(|| call_faults.remove(0))
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -17,6 +17,11 @@
 use reqwest::Response;
 use serde_json::json;
 use serde_json::Value;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -82,6 +87,54 @@
     assert_eq!(ledger.changes[0].done_us, None);
 }
 
+/// Reads one response with a body of known length.
+async fn read_response(stream: &mut BufReader<TcpStream>) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert!(
+            stream.read_line(&mut head).await.expect("a line") > 0,
+            "the connection was closed"
+        );
+    }
+    let length = head.to_lowercase().lines().find_map(|line| {
+        let length = line.strip_prefix("content-length:")?.trim();
+        length.parse().ok()
+    });
+    let mut body = vec![0; length.expect("a content length")];
+    stream.read_exact(&mut body).await.expect("a body");
+    head + &String::from_utf8(body).expect("text")
+}
+
+#[tokio::test]
+async fn writes_responses_once_more_before_the_next_and_on_idle_connections() {
+    let engine = engine::serve(settings(&new_store(4))).await.expect("engine");
+    let stream = TcpStream::connect(engine.address()).await.expect("a connection");
+    let mut stream = BufReader::new(stream);
+    let cancel = |id: &str| {
+        let body = format!("{{\"request_id\":\"{id}\"}}");
+        let length = body.len();
+        format!(
+            "POST /cancel HTTP/1.1\r\nhost: h\r\nx-request-id: {id}\r\ncontent-length: \
+             {length}\r\n\r\n{body}"
+        )
+    };
+    let exchanges = async {
+        stream.write_all(cancel("r1").as_bytes()).await.expect("sent");
+        let first = read_response(&mut stream).await;
+        assert!(first.contains("x-request-id: r1\r\n"), "{first}");
+        engine.fault(&Fault::Repeat { requests: 1 });
+        stream.write_all(cancel("r2").as_bytes()).await.expect("sent");
+        assert_eq!(read_response(&mut stream).await, first);
+        let second = read_response(&mut stream).await;
+        assert!(second.contains("x-request-id: r2\r\n"), "{second}");
+        engine.fault(&Fault::RepeatIdle);
+        assert_eq!(read_response(&mut stream).await, second);
+        stream.write_all(cancel("r3").as_bytes()).await.expect("sent");
+        assert!(read_response(&mut stream).await.contains("x-request-id: r3\r\n"));
+    };
+    timeout(TIMEOUT, exchanges).await.expect("timed out waiting for a response");
+}
+
 #[tokio::test]
 async fn losing_models_truncates_running_streams() {
     let engine = engine::serve(settings(&new_store(4))).await.expect("engine");
