Send orders and read reports on connections that carried nothing before

Orders, cancellations and reads of an engine's state and load went over the pool of kept connections, though their responses name no request. An engine that wrote a response once more on such a connection had it read in place of the next one: a controller took a stale order for accepted, and an old state for the current one.

Each of these calls now uses a new connection, on which no response to an earlier call can arrive.

--- a/crates/upstream/src/control.rs
+++ b/crates/upstream/src/control.rs
@@ -1,4 +1,7 @@
 //! Control calls to engines: load and unload orders, cancellation, state and load reports.
+//!
+//! Their responses name no request, so each call uses a new connection, on which no response to an
+//! earlier call can arrive.
 
 use std::net::SocketAddr;
 
@@ -156,7 +159,7 @@
     /// again.
     pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<Reply> {
         let url = format!("http://{address}/orders");
-        let request = self.pool(address)?.post(url).json(order);
+        let request = self.unpooled.post(url).json(order);
         let response = self.send_control(address, request).await?;
         if response.status == 202 {
             return Ok(Reply::Accepted);
@@ -183,13 +186,13 @@
     /// Cancels a request at an engine; succeeds if the engine doesn't know the request.
     pub async fn cancel(&self, address: SocketAddr, request_id: &str) -> Result<()> {
         let url = format!("http://{address}/cancel");
-        let request = self.pool(address)?.post(url).json(&Cancel { request_id });
+        let request = self.unpooled.post(url).json(&Cancel { request_id });
         let response = self.send_control(address, request).await?;
         check_status(&response)
     }
 
     async fn get_json<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Result<T> {
-        let request = self.pool(address)?.get(format!("http://{address}{path}"));
+        let request = self.unpooled.get(format!("http://{address}{path}"));
         let response = self.send_control(address, request).await?;
         check_status(&response)?;
         serde_json::from_slice(&response.body)
