Send an id at most once on the kept connections to an engine

A refusal that an engine writes once more is read under the next request on the connection. A refusal of another request is told apart by its id, but one of the first sending of the same request isn't: the client reported "not run" for a request that ran. The tokens of an earlier sending were taken in the same way.

The pool of an engine remembers the ids that its connections carried and sends an id that it has carried on a new connection. After 1,024 requests a new pool replaces it, and the old connections close, so the state is bounded and a forgotten id can't meet a connection that carried it. A response with the request's id on a connection that carried it once belongs to this sending.

Before, refusal_of_the_first_sending_is_not_believed_under_the_second got outcome NotRun for a request that ran, and completion_of_the_first_sending_is_not_believed_under_the_second the text of the first sending. id_that_was_forgotten_is_sent_on_a_new_connection failed on a pool that forgets its ids but keeps its connections. The routers' own ids differ for each attempt; this holds for every user of the client.

--- a/crates/upstream/src/generate/response.rs
+++ b/crates/upstream/src/generate/response.rs
@@ -145,7 +145,7 @@
             return Err(Error::not_run(Kind::Invalid(text)));
         }
         let url = format!("http://{}{path}", self.address);
-        let mut builder = self.client.pool(self.address)?.post(url);
+        let mut builder = self.client.connections(self.address, &request.id)?.post(url);
         for (name, value) in forwarded {
             builder = builder.header(name, value);
         }
@@ -166,7 +166,8 @@
         let body = body.await.unwrap_or(Ok(Vec::new())).unwrap_or_default();
         let code = serde_json::from_slice::<ErrorBody>(&body).unwrap_or_default().error.code;
         // Engines reject with these statuses before any work. Other statuses may stem from failed
-        // work, and a response without the request id may belong to another request.
+        // work, and a response without the request id may belong to another request. One with the
+        // id belongs to this sending, since its connection hasn't carried the id before.
         let outcome = match status {
             400 | 404 | 409 | 413 | 422 | 429 | 503 if has_id => Outcome::NotRun,
             _ => Outcome::Unknown,
--- a/crates/upstream/src/settings.rs
+++ b/crates/upstream/src/settings.rs
@@ -15,6 +15,8 @@
     pub idle_connections: usize,
     /// Maximum number of upstreams with a connection pool; the oldest pool is dropped first.
     pub max_pools: usize,
+    /// Maximum number of requests on the connections of one pool; a new pool then replaces it.
+    pub pool_requests: usize,
     /// Maximum line length of an event stream in bytes.
     pub line_bytes: usize,
     /// Maximum body size of a response that isn't streamed, in bytes.
@@ -29,6 +31,7 @@
             idle_timeout: Duration::from_secs(20),
             idle_connections: 32,
             max_pools: 1024,
+            pool_requests: 1024,
             line_bytes: 256 * 1024,
             body_bytes: 8 * 1024 * 1024,
         }
--- a/crates/upstream/tests/kept_connections.rs
+++ b/crates/upstream/tests/kept_connections.rs
@@ -82,6 +82,45 @@
     }
 }
 
+// Guards against taking the refusal of a request's first sending for one of the second.
+#[tokio::test]
+async fn refusal_of_the_first_sending_is_not_believed_under_the_second() {
+    for repeat in REPEATS {
+        let (engine, client) = (engine().await, client());
+        refuse(&engine, &client, "r1").await;
+        engine.fault(&repeat);
+        let text = complete(&client, engine.address(), request("r1", "bins")).await;
+        assert_eq!(text, Ok(engine::answer(MODEL, None, "bins", 4)), "{repeat:?}");
+        assert_eq!(engine.ledger().requests.len(), 1);
+    }
+}
+
+// Guards against taking the tokens of a request's first sending for those of the second.
+#[tokio::test]
+async fn completion_of_the_first_sending_is_not_believed_under_the_second() {
+    for repeat in REPEATS {
+        let (engine, client) = (engine().await, client());
+        complete(&client, engine.address(), request("r1", "bins")).await.expect("a completion");
+        engine.fault(&repeat);
+        let text = complete(&client, engine.address(), request("r1", "salt")).await;
+        assert_eq!(text, Ok(engine::answer(MODEL, None, "salt", 4)), "{repeat:?}");
+    }
+}
+
+// Guards against keeping connections whose ids the client has forgotten.
+#[tokio::test]
+async fn id_that_was_forgotten_is_sent_on_a_new_connection() {
+    let engine = engine().await;
+    let settings = Settings { pool_requests: 1, ..Settings::default() };
+    let client = Arc::new(Client::new(settings).expect("client"));
+    for id in ["r1", "r2"] {
+        complete(&client, engine.address(), request(id, "bins")).await.expect("a completion");
+    }
+    engine.fault(&Fault::Repeat { requests: 1 });
+    let text = complete(&client, engine.address(), request("r1", "salt")).await;
+    assert_eq!(text, Ok(engine::answer(MODEL, None, "salt", 4)));
+}
+
 // Guards against taking the refusal of another request for one of this request.
 #[tokio::test]
 async fn refusal_of_another_request_leaves_the_outcome_unknown() {
