Use a new connection for each request to the platform

Responses of the platform name no request. One that was written once more on a kept connection was taken for the response to the next request: a transaction counted as done that was refused, and an old row as the current contents of its key, or of another key. Claims of idempotency keys, views, member rows and the configuration rest on these.

Versions and keys can't tell such a response apart: the version of a write isn't known beforehand, and a read of the same key has the right key. Each request therefore uses a new connection. Replacing the pool after a timeout is no longer needed.

Before, result_of_an_earlier_transaction_is_not_believed got `Done` for an insert of a row that existed, and earlier_read_is_not_believed the value "one" of a row that held "two".

client_replaces_silent_connections expected the request after the fault to fail. No request meets a silenced connection any more, so its successor connection_that_went_silent_delays_no_later_request expects that request and the next to succeed.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,15 +1,14 @@
 //! HTTP client of the platform.
 //!
 //! Each request has one timeout and is sent once. Retries are left to the caller, since only the
-//! caller knows whether the request is idempotent. After a timeout the client replaces its
-//! connection pool, because each unresponsive connection would cost another timeout.
+//! caller knows whether the request is idempotent. Responses name no request, so each request uses a
+//! new connection, on which no response to an earlier one can arrive.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use parking_lot::RwLock;
 use reqwest::Body;
 use reqwest::Client;
 use reqwest::Request;
@@ -94,14 +93,14 @@
 #[derive(Debug)]
 pub struct HttpPlatform {
     settings: Settings,
-    client: RwLock<Client>,
+    client: Client,
     counters: Counters,
 }
 
 impl HttpPlatform {
     /// Creates a client, which connects at the first request.
     pub fn new(settings: Settings) -> Result<Self> {
-        let client = RwLock::new(build_client(&settings)?);
+        let client = build_client(&settings)?;
         Ok(HttpPlatform { settings, client, counters: Counters::default() })
     }
 
@@ -130,7 +129,7 @@
 
     /// Reads the body of a response and counts its bytes.
     async fn read_body(&self, access: Access, response: Response) -> Result<Vec<u8>> {
-        let body = response.bytes().await.map_err(|error| self.transport_error(access, &error))?;
+        let body = response.bytes().await.map_err(|error| transport_error(access, &error))?;
         self.counters.received.fetch_add(body.len() as u64, Ordering::Relaxed);
         Ok(body.to_vec())
     }
@@ -139,18 +138,13 @@
         format!("http://{}{path}", self.settings.address)
     }
 
-    fn client(&self) -> Client {
-        self.client.read().clone()
-    }
-
     /// Sends a request once and returns a response with status 2xx.
     async fn send(&self, access: Access, request: RequestBuilder) -> Result<Response> {
-        let client = self.client();
         let request = request.build().map_err(|error| Error::Invalid(error_text(&error)))?;
         self.record_request(access, &request);
-        let response = match client.execute(request).await {
+        let response = match self.client.execute(request).await {
             Ok(response) => response,
-            Err(error) => return Err(self.transport_error(access, &error)),
+            Err(error) => return Err(transport_error(access, &error)),
         };
         let status = response.status();
         if status.is_success() {
@@ -176,32 +170,20 @@
         let body = self.read_body(access, response).await?;
         serde_json::from_slice(&body).map_err(|error| access.no_response(error.to_string()))
     }
-
-    fn transport_error(&self, access: Access, error: &reqwest::Error) -> Error {
-        if error.is_connect() {
-            return Error::Unavailable(error_text(error));
-        }
-        if error.is_timeout() {
-            if let Ok(replacement) = build_client(&self.settings) {
-                *self.client.write() = replacement;
-            }
-        }
-        access.no_response(error_text(error))
-    }
 }
 
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn get(&self, table: &str, key: &str) -> Result<Option<Row>> {
         let query = [("table", table), ("key", key)];
-        let request = self.client().get(self.url(protocol::ROW)).query(&query);
+        let request = self.client.get(self.url(protocol::ROW)).query(&query);
         let answer: RowAnswer = self.send_json(Access::Read, request).await?;
         Ok(answer.row)
     }
 
     async fn scan(&self, table: &str, from: &str, to: &str) -> Result<Vec<Row>> {
         let query = [("table", table), ("from", from), ("to", to)];
-        let request = self.client().get(self.url(protocol::ROWS)).query(&query);
+        let request = self.client.get(self.url(protocol::ROWS)).query(&query);
         let answer: RowsAnswer = self.send_json(Access::Read, request).await?;
         if answer.rows.len() != answer.count {
             return Err(Error::Unavailable("the response to a scan is incomplete".into()));
@@ -210,12 +192,12 @@
     }
 
     async fn transact(&self, transaction: &Transaction) -> Result<Commit> {
-        let request = self.client().post(self.url(protocol::TRANSACT)).json(transaction);
+        let request = self.client.post(self.url(protocol::TRANSACT)).json(transaction);
         self.send_json(Access::Write, request).await
     }
 
     async fn object(&self, name: &str) -> Result<Option<Vec<u8>>> {
-        let request = self.client().get(self.url(protocol::OBJECT)).query(&[("name", name)]);
+        let request = self.client.get(self.url(protocol::OBJECT)).query(&[("name", name)]);
         let response = self.send(Access::Read, request).await?;
         if response.status() == StatusCode::NO_CONTENT {
             return Ok(None);
@@ -224,13 +206,13 @@
     }
 
     async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<()> {
-        let request = self.client().put(self.url(protocol::OBJECT)).query(&[("name", name)]);
+        let request = self.client.put(self.url(protocol::OBJECT)).query(&[("name", name)]);
         self.send(Access::Write, request.body(body)).await?;
         Ok(())
     }
 
     async fn instances(&self) -> Result<Vec<Instance>> {
-        let request = self.client().get(self.url(protocol::INSTANCES));
+        let request = self.client.get(self.url(protocol::INSTANCES));
         let answer: InstanceList = self.send_json(Access::Read, request).await?;
         Ok(answer.instances)
     }
@@ -239,6 +221,7 @@
 fn build_client(settings: &Settings) -> Result<Client> {
     Client::builder()
         .no_proxy()
+        .pool_max_idle_per_host(0)
         .retry(reqwest::retry::never())
         .redirect(reqwest::redirect::Policy::none())
         .timeout(settings.timeout)
@@ -247,6 +230,14 @@
         .map_err(|error| Error::Invalid(error_text(&error)))
 }
 
+/// The error for a request whose response is missing or incomplete.
+fn transport_error(access: Access, error: &reqwest::Error) -> Error {
+    if error.is_connect() {
+        return Error::Unavailable(error_text(error));
+    }
+    access.no_response(error_text(error))
+}
+
 /// Formats an error and its chain of causes on one line.
 pub fn error_text(error: &reqwest::Error) -> String {
     let mut text = error.to_string();
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -17,6 +17,7 @@
 use corianderyoke_platform::Write;
 use corianderyoke_standin::platform;
 use corianderyoke_standin::platform::Server;
+use corianderyoke_standin::relay::tcp;
 
 async fn start_with_client(store: StoreSettings) -> (Server, HttpPlatform) {
     let settings = platform::Settings { store, ..platform::Settings::default() };
@@ -139,13 +140,62 @@
 }
 
 #[tokio::test]
-async fn client_replaces_silent_connections() {
+async fn connection_that_went_silent_delays_no_later_request() {
     let (server, client) = start_with_client(StoreSettings::default()).await;
     client.get("t", "a").await.unwrap();
     server.store.faults().order(permanent_fault(Fault::Silent));
-    let error = client.transact(&put("a", "one")).await.unwrap_err();
-    assert!(matches!(error, Error::Unknown(_)), "{error}");
-    assert_eq!(client.get("t", "a").await.unwrap(), None);
+    assert!(matches!(client.transact(&put("a", "one")).await.unwrap(), Commit::Done { .. }));
+    assert_eq!(client.get("t", "a").await.unwrap().unwrap().value, "one");
+}
+
+/// Starts a stand-in behind a relay, with a client that connects through the relay.
+async fn start_with_relay() -> (Server, tcp::Relay, HttpPlatform) {
+    let server = platform::serve(platform::Settings::default()).await.unwrap();
+    let target = server.running.address;
+    let relay = tcp::Relay::start(tcp::Settings { target, ..<_>::default() }).await.unwrap();
+    let address = relay.address().to_string();
+    let client = HttpPlatform::new(ClientSettings { address, ..<_>::default() }).unwrap();
+    (server, relay, client)
+}
+
+/// Has the latest response on each connection written once more.
+fn repeat_response(relay: &tcp::Relay, is_idle: bool) {
+    match is_idle {
+        true => relay.repeat_on_idle(None),
+        false => relay.repeat_before_next(1),
+    }
+}
+
+// Guards against taking the result of an earlier transaction for that of this one.
+#[tokio::test]
+async fn result_of_an_earlier_transaction_is_not_believed() {
+    for is_idle in [false, true] {
+        let (_server, relay, client) = start_with_relay().await;
+        let mut insert = put("a", "one");
+        insert.conditions = vec![Condition::Absent { table: "t".into(), key: "a".into() }];
+        assert!(matches!(client.transact(&insert).await.unwrap(), Commit::Done { .. }));
+        repeat_response(&relay, is_idle);
+        let refused = client.transact(&insert).await.unwrap();
+        assert!(matches!(refused, Commit::Refused { condition: 0, .. }), "{refused:?}");
+    }
+}
+
+// Guards against taking an earlier read for the current contents, or another key's row for this one's.
+#[tokio::test]
+async fn earlier_read_is_not_believed() {
+    for is_idle in [false, true] {
+        let (server, relay, client) = start_with_relay().await;
+        client.transact(&put("a", "one")).await.unwrap();
+        client.get("t", "a").await.unwrap();
+        // A write over another client leaves the earlier read the latest response.
+        let address = server.running.address.to_string();
+        let other = HttpPlatform::new(ClientSettings { address, ..<_>::default() }).unwrap();
+        other.transact(&put("a", "two")).await.unwrap();
+        repeat_response(&relay, is_idle);
+        assert_eq!(client.get("t", "a").await.unwrap().unwrap().value, "two");
+        repeat_response(&relay, is_idle);
+        assert_eq!(client.get("t", "b").await.unwrap(), None);
+    }
 }
 
 #[tokio::test]
