Report a request whose handler failed as possibly run

Rocket turns a panic of a handler, and a response that can't be built, into status 500, for which the routers' catcher told the caller that the request wasn't valid HTTP and hadn't run. By then it may have been sent to an upstream. Such requests now end with upstream_failed and outcome "unknown", as those whose task was lost do; both use one constructor.

Before, request_whose_handler_failed_may_have_run got BadRequest and NotRun for status 500.

--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -27,8 +27,6 @@
 use crate::router::http::Answer;
 use crate::router::http::Parts;
 use crate::router::open::Grant;
-use crate::router::refusal::Code;
-use crate::router::refusal::Outcome;
 use crate::router::refusal::Refusal;
 use crate::router::refusal::Result;
 use crate::router::request;
@@ -87,7 +85,7 @@
     };
     let (sender, mut receiver) = mpsc::channel(PIECE_BUFFER);
     tokio::spawn(job.run(sender));
-    let first = receiver.recv().await.unwrap_or_else(|| Piece::Failed(task_lost()));
+    let first = receiver.recv().await.unwrap_or_else(|| Piece::Failed(Refusal::lost()));
     if let Piece::Failed(refusal) = first {
         return Err(refusal);
     }
@@ -101,9 +99,3 @@
     drop(watch_guard);
     answer
 }
-
-/// The refusal for a generation whose task ended without sending the last piece.
-fn task_lost() -> Refusal {
-    Refusal::not_run(Code::UpstreamFailed, "the answer was lost inside the router")
-        .with_outcome(Outcome::Unknown)
-}
--- a/src/router/generate/stream.rs
+++ b/src/router/generate/stream.rs
@@ -8,10 +8,10 @@
 use tokio::time::timeout;
 
 use crate::router::format::Format;
-use crate::router::generate::task_lost;
 use crate::router::generate::Piece;
 use crate::router::generate::READ_TIMEOUT;
 use crate::router::http::Answer;
+use crate::router::refusal::Refusal;
 use crate::router::refusal::Result;
 use crate::router::Router;
 
@@ -31,7 +31,7 @@
             }
             Piece::Failed(refusal) => return Err(refusal),
         }
-        piece = pieces.recv().await.unwrap_or_else(|| Piece::Failed(task_lost()));
+        piece = pieces.recv().await.unwrap_or_else(|| Piece::Failed(Refusal::lost()));
     }
 }
 
@@ -71,7 +71,7 @@
                 return recorder.record_end(complete);
             }
             piece = tokio::select! {
-                piece = pieces.recv() => piece.unwrap_or_else(|| Piece::Failed(task_lost())),
+                piece = pieces.recv() => piece.unwrap_or_else(|| Piece::Failed(Refusal::lost())),
                 // The caller disconnected: dropping `pieces` cancels the generation.
                 () = sender.closed() => return recorder.record_disconnect(),
             };
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -137,9 +137,15 @@
 
 #[catch(default)]
 fn refuse_unhandled(status: Status, _: &Request<'_>) -> Refusal {
-    match status.code {
+    unhandled_refusal(status.code)
+}
+
+/// The refusal of a request that the HTTP library ended with this status.
+pub fn unhandled_refusal(status: u16) -> Refusal {
+    match status {
         404 => Refusal::not_run(Code::NotFound, "no such path"),
         413 => Refusal::not_run(Code::TooLarge, "the request is too large"),
+        500.. => Refusal::lost(),
         _ => Refusal::not_run(Code::BadRequest, "the request isn't valid HTTP"),
     }
 }
--- a/src/router/refusal.rs
+++ b/src/router/refusal.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
-    /// No byte of the request was sent to an upstream.
+    /// The request didn't run: nothing was sent, or upstreams rejected it before any work.
     NotRun,
     /// The request may have run.
     Unknown,
@@ -133,7 +133,7 @@
 pub type Result<T> = std::result::Result<T, Refusal>;
 
 impl Refusal {
-    /// Creates a refusal of a request of which nothing was sent to an upstream.
+    /// Creates a refusal of a request that didn't run.
     pub fn not_run(code: Code, message: impl Into<String>) -> Self {
         Refusal {
             code,
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Creates a refusal of a request whose handling failed inside the router.
+    pub fn lost() -> Self {
+        let refusal = Refusal::not_run(Code::UpstreamFailed, "the answer was lost in the router");
+        refusal.with_outcome(Outcome::Unknown)
+    }
+
     /// Sets the outcome.
     pub fn with_outcome(self, outcome: Outcome) -> Self {
         Refusal { outcome, ..self }
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -11,6 +11,9 @@
 
 use corianderyoke::ops::bench::cell::Cell;
 use corianderyoke::ops::bench::cell::Plan;
+use corianderyoke::router::http::unhandled_refusal;
+use corianderyoke::router::refusal::Code;
+use corianderyoke::router::refusal::Outcome;
 use corianderyoke_standin::engine;
 use corianderyoke_standin::engine::settings::Tier;
 
@@ -181,6 +184,19 @@
     cell.stop().await;
 }
 
+// Guards against "not run" for a request that was sent to an upstream before its handler failed.
+#[test]
+fn request_whose_handler_failed_may_have_run() {
+    for status in [500, 503] {
+        let refusal = unhandled_refusal(status);
+        assert_eq!((refusal.code, refusal.outcome), (Code::UpstreamFailed, Outcome::Unknown));
+    }
+    for (status, code) in [(400, Code::BadRequest), (404, Code::NotFound), (413, Code::TooLarge)] {
+        let refusal = unhandled_refusal(status);
+        assert_eq!((refusal.code, refusal.outcome), (code, Outcome::NotRun));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_body_is_refused() {
     let (cell, key) = cell().await;
