Test routers whose upstreams write responses once more

Two engines refuse requests and write the refusals once more, before other responses and on idle connections: a refusal that says "not run" belongs to a request that no engine ran, and each answer to its own request. Orders to a service get their own responses and run once.

--- a/src/ops/bench/faults.rs
+++ b/src/ops/bench/faults.rs
@@ -77,12 +77,20 @@
     EngineCrossed,
     /// An engine crashes during its next model load.
     EngineDiesInLoad,
+    /// An engine writes the previous response once more before its next responses.
+    EngineRepeat,
+    /// An engine writes the latest response once more on its idle connections.
+    EngineRepeatIdle,
+    /// An engine refuses its next requests.
+    EngineRefuse,
     /// A service executes a call and never responds.
     ServiceSilent,
     /// A service executes a call and closes the connection without a response.
     ServiceCut,
     /// A service executes a call and responds with an error.
     ServiceError,
+    /// A service writes the previous response once more before its next responses.
+    ServiceRepeat,
 }
 
 /// Generates the steps of faults at random; the same seed gives the same steps.
@@ -304,9 +312,19 @@
                 let name = self.random_engine();
                 self.push(at, Action::DieInLoad(name));
             }
+            F::EngineRepeat => {
+                let requests = self.rng.random_range(1..20);
+                self.push_engine_fault(at, json!({"fault": "repeat", "requests": requests}));
+            }
+            F::EngineRepeatIdle => self.push_engine_fault(at, json!({"fault": "repeat_idle"})),
+            F::EngineRefuse => {
+                let ms = self.rng.random_range(200..1000);
+                self.push_engine_fault(at, json!({"fault": "refuse", "ms": ms}));
+            }
             F::ServiceSilent => self.push_service_fault(at, "silent_after"),
             F::ServiceCut => self.push_service_fault(at, "cut_after"),
             F::ServiceError => self.push_service_fault(at, "error_after"),
+            F::ServiceRepeat => self.push_service_fault(at, "repeat"),
         }
     }
 }
--- a/src/ops/bench/scenario.rs
+++ b/src/ops/bench/scenario.rs
@@ -28,7 +28,7 @@
 /// Time between the beginnings of two faults, in milliseconds.
 const GAP_MS: std::ops::Range<u64> = 1500..4000;
 /// All scenarios.
-pub const SCENARIOS: [Scenario; 11] = [
+pub const SCENARIOS: [Scenario; 12] = [
     Scenario {
         name: "steady",
         about: "nothing fails; operators change rates, keys and zones, and an upstream leaves",
@@ -93,6 +93,12 @@
         ],
         concurrent: 1,
     },
+    Scenario {
+        name: "repeats",
+        about: "engines refuse, and upstreams write a response once more on a kept connection",
+        faults: &[F::EngineRefuse, F::EngineRepeat, F::EngineRepeatIdle, F::ServiceRepeat],
+        concurrent: 2,
+    },
     Scenario {
         name: "orders",
         about: "answers to orders are lost while routers die and the store fails",
--- a/tests/testsuite/broken_streams.rs
+++ b/tests/testsuite/broken_streams.rs
@@ -1,24 +1,26 @@
 //! Tests of streams that break off at one engine while the next one answers with something else than
 //! the rest.
 
+use std::time::Duration;
+
 use corianderyoke::ops::bench::cell::Cell;
-use corianderyoke::ops::bench::cell::Plan;
 use corianderyoke_standin::engine;
-use corianderyoke_standin::engine::settings::Tier;
 use corianderyoke_standin::engine::Fault;
 use corianderyoke_standin::engine::Reply;
 use futures::future::join_all;
 use serde_json::json;
 
+use crate::callers::cell;
 use crate::callers::send_completion;
 use crate::callers::stream_text;
 use crate::callers::wait_until;
-use crate::callers::REGISTER;
 
 /// Text that only engines' error responses contain.
 const FOREIGN: &str = "foreign-text";
 /// Number of tokens before the stream breaks off.
 const SENT_TOKENS: u32 = 3;
+/// Time that an engine takes for a token.
+const TOKEN_TIME: Duration = Duration::from_millis(2);
 /// Number of tokens of the whole answer.
 const TOKENS: u32 = 12;
 /// Number of replies that exceeds the attempts for all requests.
@@ -77,21 +79,6 @@
     ]
 }
 
-async fn cell() -> (Cell, String) {
-    let mut engine = engine::Settings::default();
-    engine.checkpoints.insert("summary".to_owned(), Tier::Memory);
-    let plan = Plan {
-        routers: 1,
-        controllers: 1,
-        engines: vec![engine; 2],
-        register: REGISTER.to_owned(),
-        ..Plan::default()
-    };
-    let cell = Cell::start(plan).await.expect("the cell starts");
-    let key = cell.issue_key("depots").await.expect("a key is issued");
-    (cell, key)
-}
-
 fn body(tokens: u32) -> String {
     json!({"model": "summary", "prompt": "p", "max_tokens": tokens, "stream": true}).to_string()
 }
@@ -152,7 +139,7 @@
 // Guards against ending a broken stream with the text, or the end, of another engine's response.
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_stream_is_resumed_after_another_response() {
-    let (cell, key) = cell().await;
+    let (cell, key) = cell(2, TOKEN_TIME).await;
     let whole = engine::answer("summary", None, "p", TOKENS);
     for end in [Break::Cut, Break::Truncate] {
         for reply in replies() {
@@ -167,7 +154,7 @@
 // Guards against a broken stream that contains an engine's error or looks complete.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_no_engine_resumes_ends_with_an_error_of_the_router() {
-    let (cell, key) = cell().await;
+    let (cell, key) = cell(2, TOKEN_TIME).await;
     let start = engine::answer("summary", None, "p", SENT_TOKENS);
     for end in [Break::Cut, Break::Truncate] {
         for reply in replies() {
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -21,7 +21,7 @@
 use serde_json::Value;
 use tokio::time::sleep;
 
-pub const REGISTER: &str = r#"
+const REGISTER: &str = r#"
 [models.summary]
 bytes = 16_000_000_000
 bytes_per_token = 2.0
@@ -47,7 +47,7 @@
 /// Number of polls after which a wait fails.
 const MAX_POLLS: usize = 1_000;
 
-async fn cell(engines: usize, token_time: Duration) -> (Cell, String) {
+pub async fn cell(engines: usize, token_time: Duration) -> (Cell, String) {
     cell_with(engines, token_time, REGISTER).await
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,4 +13,5 @@
 mod operators;
 mod parsing;
 mod placement;
+mod repeated_responses;
 mod samples;
