Test that calls to services share no connection

With a pool in place of the unpooled client, as a trial, the second call of response_to_an_earlier_call_is_not_believed got the response to the first.

--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -68,6 +68,19 @@
     assert!(!ledger.headers.contains("authorization") && !ledger.headers.contains("x-api-key"));
 }
 
+// Guards against calls that share a connection, on which the response to an earlier one may arrive.
+#[tokio::test]
+async fn response_to_an_earlier_call_is_not_believed() {
+    let service = service::serve(service::Settings::default()).await.expect("service");
+    let client = client();
+    for number in 1..=3 {
+        let long_call = Call { timeout: Duration::from_secs(20), ..call("k1") };
+        let answer = client.call_once(service.address(), long_call).await.expect("an answer");
+        assert_eq!(answer.body, format!("{{\"effect\":{number}}}").into_bytes());
+        service.fault(Fault::Repeat { calls: 1 });
+    }
+}
+
 #[tokio::test]
 async fn refused_connection_did_not_run() {
     let service = service::serve(service::Settings::default()).await.expect("service");
