Tell apart requests to which a caller gave the same identifier

A caller that used an identifier for two requests got the response of the first for the second, also where the engine answered them differently.

Cause: a connection remembered only the identifiers of requests that weren't served, because only these are sent again. Each attempt of a caller should have an identifier of its own, but that is the caller's word. A connection now also remembers the latest 16 that were served. A request with one of them goes on another connection, as one that was refused does.

Evidence: response_to_a_request_is_not_believed_for_another_one_of_the_same_ identifier failed before (it read "first" in place of "own") and passes, as does a test of the history alone.

--- a/crates/coord/src/serving/responses.rs
+++ b/crates/coord/src/serving/responses.rs
@@ -3,13 +3,18 @@
 //!
 //! A faulty upstream may write a response once more, or late, so that it is read in place of the
 //! response to a later request. The identifier that responses echo tells them apart, unless the same
-//! request was sent on that connection before. Requests without an identifier need a connection of
-//! their own.
+//! request, or another one to which its caller gave the same identifier, was sent on that connection
+//! before. Requests without an identifier need a connection of their own.
+
+use std::collections::VecDeque;
 
 use crate::hash::hash;
 
 /// Most requests without success that a connection may have carried to be kept.
 const MAX_UNSERVED: usize = 16;
+/// Number of latest requests with success that a connection remembers. Those aren't sent again, and
+/// only a faulty caller gives out their identifiers again.
+const MAX_SERVED: usize = 16;
 
 /// Request that a response answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,13 +35,20 @@
     current: String,
     /// Hashes of the identifiers of requests that weren't served and may be sent again.
     unserved: Vec<u64>,
+    /// Hashes of the identifiers of the latest requests that were served.
+    served: VecDeque<u64>,
 }
 
 impl ConnectionHistory {
     /// Returns whether the response to a request could be told from those to earlier ones. `id` is
     /// empty if the request has no identifier.
     pub fn may_carry(&self, id: &str) -> bool {
-        self.count == 0 || (!id.is_empty() && !self.unserved.contains(&fingerprint(id)))
+        self.count == 0 || (!id.is_empty() && !self.has_carried(id))
+    }
+
+    fn has_carried(&self, id: &str) -> bool {
+        let id = fingerprint(id);
+        self.unserved.contains(&id) || self.served.contains(&id)
     }
 
     /// Records that a request is sent.
@@ -62,7 +74,7 @@
         match (echoed.is_empty(), echoed == id) {
             (true, _) => Origin::Ambiguous,
             (false, false) => Origin::Other,
-            (false, true) if self.unserved.contains(&fingerprint(id)) => Origin::Ambiguous,
+            (false, true) if self.has_carried(id) => Origin::Ambiguous,
             (false, true) => Origin::Own,
         }
     }
@@ -70,8 +82,15 @@
     /// Records that the response to the request that was sent last was read to its end. One that
     /// wasn't served may be sent again. Returns whether the connection may be kept.
     pub fn end(&mut self, is_served: bool) -> bool {
-        if !is_served && !self.current.is_empty() {
-            self.unserved.push(fingerprint(&self.current));
+        let id = fingerprint(&self.current);
+        match (self.current.is_empty(), is_served) {
+            (true, _) => {}
+            (false, false) => self.unserved.push(id),
+            (false, true) => {
+                self.served.push_back(id);
+                let excess = self.served.len().saturating_sub(MAX_SERVED);
+                self.served.drain(..excess);
+            }
         }
         self.unserved.len() <= MAX_UNSERVED
     }
--- a/crates/coord/tests/serving/responses.rs
+++ b/crates/coord/tests/serving/responses.rs
@@ -38,6 +38,19 @@
     assert_eq!(history.origin("a"), Origin::Ambiguous);
 }
 
+/// Guards against a response that passes for one to a later request of the same identifier.
+#[test]
+fn identifier_of_a_served_request_is_not_sent_on_the_same_connection_again() {
+    let mut history = ConnectionHistory::default();
+    for id in ["a", "b", "c"] {
+        history.begin(id);
+        assert!(history.end(true));
+    }
+    assert_eq!(["a", "b", "c", "d"].map(|id| history.may_carry(id)), [false, false, false, true]);
+    history.begin("a");
+    assert_eq!(history.origin("a"), Origin::Ambiguous);
+}
+
 /// Guards against orders and reports whose responses can't be told from others.
 #[test]
 fn request_without_an_identifier_needs_a_new_connection() {
--- a/crates/daemon/tests/fleet/review.rs
+++ b/crates/daemon/tests/fleet/review.rs
@@ -150,3 +150,24 @@
     let sent = received.iter().filter(|request| request.id == "1").count();
     assert_eq!(sent, 0, "the engine doesn't hold the model");
 }
+
+/// Guards against a response that an engine writes once more and that is believed for a later request
+/// to which the caller gave the same identifier.
+#[tokio::test]
+async fn response_to_a_request_is_not_believed_for_another_one_of_the_same_identifier() {
+    let fixture = Fixture::start().await;
+    RawEngine::start(&fixture, "i-1", "orders", &[], move |request| {
+        let [first, own] = ["first", "own"].map(|body| Step::Send(answer(&request.id, body)));
+        match (request.connection, request.nth) {
+            (0, 0) => vec![first],
+            (0, _) => vec![first, own],
+            _ => vec![own],
+        }
+    })
+    .await;
+    let daemon = fixture.daemon("d1").await;
+    for body in ["first", "own"] {
+        let response = fixture.request(&daemon, "/once/", "1").send().await.expect("a response");
+        assert_eq!(response.text().await.expect("a body"), body);
+    }
+}
