Number the digests of relays and take each once, in order

Reports are numbered within an incarnation; digests weren't. One that came late or twice was believed as present: a daemon that had ended counted as alive, so that the directory named it; older loads, limits and expected loads replaced newer ones; and a team's sum that went back gave tokens back until the next digest. Digests now have a number, kept beside the relay in the roster and dropped with it. Those of relays without numbers are taken as before.

--- a/crates/coord/src/serving/roster.rs
+++ b/crates/coord/src/serving/roster.rs
@@ -84,6 +84,8 @@
     changed: Tick,
     /// Time at which this daemon, as a relay, last described the daemon to all others.
     described: Option<Tick>,
+    /// Number of the latest digest of the daemon as a relay.
+    digest: u64,
     /// Whether a report arrived since the daemon was last returned as timed out.
     responsive: bool,
 }
@@ -127,6 +129,19 @@
         new
     }
 
+    /// Returns whether a digest of a relay is later than those taken before. One without a number
+    /// or of a process that isn't known yet may be.
+    pub fn take_digest(&mut self, relay: &str, incarnation: u64, number: u64) -> bool {
+        let Some(peer) = self.others.get_mut(relay) else { return true };
+        let known = peer.daemon.incarnation;
+        if incarnation != known || number == 0 {
+            return incarnation >= known;
+        }
+        let is_later = number > peer.digest;
+        peer.digest = peer.digest.max(number);
+        is_later
+    }
+
     /// Iterates over live daemons that accept requests.
     pub fn ready(&self, now: Tick) -> impl Iterator<Item = &Daemon> {
         let is_ready = move |peer: &&Peer| peer.fitness == Fitness::Ready && peer.is_live(now);
@@ -261,6 +276,7 @@
             recorded_at: now,
             changed: now,
             described: None,
+            digest: 0,
             responsive: false,
         }
     }
--- a/crates/coord/tests/serving/roster.rs
+++ b/crates/coord/tests/serving/roster.rs
@@ -202,3 +202,18 @@
     roster.record_report(large, Fitness::Leaving, ms(2_700));
     assert_eq!(rank(&roster, 2_800), 0);
 }
+
+/// Guards against digests that arrive late or twice and are believed.
+#[test]
+fn digest_is_taken_once_and_in_order() {
+    let mut roster = Roster::default();
+    assert!(roster.take_digest("b", 2, 7), "the relay isn't known yet");
+    roster.record_report(daemon("b", 2), Fitness::Ready, ms(0));
+    let taken = [3, 3, 2, 4].map(|number| roster.take_digest("b", 2, number));
+    assert_eq!(taken, [true, false, false, true]);
+    assert!(roster.take_digest("b", 2, 0), "digests of an earlier version have no number");
+    assert!(!roster.take_digest("b", 1, 9), "the process has ended");
+    assert!(roster.take_digest("b", 3, 1), "the relay has restarted");
+    roster.record_report(daemon("b", 3), Fitness::Ready, ms(0));
+    assert_eq!([1, 1].map(|number| roster.take_digest("b", 3, number)), [true, false]);
+}
--- a/crates/daemon/src/peers/digest.rs
+++ b/crates/daemon/src/peers/digest.rs
@@ -33,7 +33,13 @@
 
 /// Composes a digest. A full one covers all teams, daemons, engines and the lease holder; any other
 /// covers only crashes, limits of engines and teams whose tokens run low.
-pub fn compose(shared: &Shared, state: &mut State, is_full: bool, now: Tick) -> Digest {
+pub fn compose(
+    shared: &Shared,
+    state: &mut State,
+    number: u64,
+    is_full: bool,
+    now: Tick,
+) -> Digest {
     let mut digest = Digest {
         relay: shared.settings.name.clone(),
         incarnation: shared.incarnation(),
@@ -41,6 +47,7 @@
         era: state.operator.known.era,
         operator: state.operator.known.version,
         revision: state.revision_in_force(),
+        number,
         casualties: quarantine::casualties(state, true, now),
         parts: quarantine::verdicts(state, now),
         limits: limits::compose(state, now),
@@ -112,6 +119,10 @@
     let mut guard = shared.state();
     let state = &mut *guard;
     let own = &shared.settings.name;
+    let is_new = state.roster.take_digest(&digest.relay, digest.incarnation, digest.number);
+    if digest.relay == *own || !is_new {
+        return;
+    }
     let others = digest.members.iter().filter(|member| member.name != *own);
     for (daemon, fitness) in others.filter_map(member::decode) {
         state.roster.record_report(daemon, fitness, now);
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -66,6 +66,8 @@
     number: u64,
     /// Time of the latest report.
     report: Tick,
+    /// Sequence number of the latest digest.
+    digest_number: u64,
     /// Time of the latest digest of either kind, as a relay.
     digest: Tick,
     /// Time of the latest full digest, which covers daemons, engines and the lease holder.
@@ -171,11 +173,13 @@
     let is_full = now.since(sent.full_digest) >= interval;
     if is_full || (state.relay_pending && now.since(sent.digest) >= MIN_DIGEST_GAP) {
         sent.digest = now;
+        sent.digest_number += 1;
         if is_full {
             sent.full_digest = now;
         }
         state.relay_pending = false;
-        let digest = digest::compose(shared, state, is_full, now);
+        let number = sent.digest_number;
+        let digest = digest::compose(shared, state, number, is_full, now);
         outgoing.push((Body::Digest(digest), all_addresses(state)));
     }
     due = due.min(sent.full_digest + interval);
