Refuse prompts whose bound can't be represented

With few bytes a token, the bound of a prompt's tokens is the largest number, and the sum with the answer's tokens panicked in a debug build: the caller was told that its request isn't valid HTTP. In a release build the sum wrapped, so any prompt fitted. A model with a context beyond 32 bits passed the check of the register, and the router cut its counts to 32 bits.

The sum saturates, so the request is refused with the tokens that it may take, and the check of the register limits the context to what the router counts.

Before this change bad_input::prompt_whose_bound_is_out_of_range_is_refused saw the panic at cost.rs:35 and the wrong refusal, and register::numbers_out_of_range_are_reported found a context of 2^32 tokens accepted.

--- a/crates/coord/src/register/check.rs
+++ b/crates/coord/src/register/check.rs
@@ -25,6 +25,9 @@
 use super::Upstream;
 use super::UpstreamKind;
 
+/// Most tokens of a prompt and its answer.
+const MAX_CONTEXT_TOKENS: u64 = u32::MAX as u64;
+
 /// Maximum length of a name in bytes.
 const MAX_NAME_BYTES: usize = 64;
 
@@ -134,8 +137,9 @@
             }
             None => {}
         }
-        if model.context_tokens == 0 {
-            self.report("context_tokens", 0, "more than 0");
+        if !(1..=MAX_CONTEXT_TOKENS).contains(&model.context_tokens) {
+            let allowed = format!("1 to {MAX_CONTEXT_TOKENS}");
+            self.report("context_tokens", model.context_tokens, allowed);
         }
         if model.output_tokens == 0 || model.output_tokens > model.context_tokens {
             let allowed = format!("1 to context_tokens ({})", model.context_tokens);
--- a/crates/coord/tests/register.rs
+++ b/crates/coord/tests/register.rs
@@ -177,6 +177,32 @@
     insta::assert_snapshot!(lines(&read(text).check()));
 }
 
+#[test]
+fn numbers_out_of_range_are_reported() {
+    let cases = [
+        ("[models.m]\ncontext_tokens = 4_294_967_296", "context_tokens"),
+        ("[models.m]\ncontext_tokens = 0", "context_tokens"),
+        ("[models.m]\nbytes_per_token = nan", "bytes_per_token"),
+        ("[models.m]\nbytes_per_token = -1.0", "bytes_per_token"),
+        ("[teams.t]\nrate = -1.0", "rate"),
+        ("[rules]\nidle_worth = -1.0", "idle_worth"),
+        ("[rules]\nload_rate = 0.0", "load_rate"),
+    ];
+    for (text, field) in cases {
+        let found = lines(&read(text).check());
+        assert!(found.contains(&format!(".{field}:")), "{text}: {found}");
+    }
+    for field in [
+        "[models.m]\nbytes = -1",
+        "[models.m]\nbytes = 1e300",
+        "[teams.t]\nrate = inf",
+        "[rules]\ndeadline_ms = 1e300",
+    ] {
+        let mut document = Document::default();
+        assert_ne!(document.read("register.toml", field), [], "{field}");
+    }
+}
+
 #[test]
 fn a_written_document_reads_back() {
     let entries = read(VALID).entries;
--- a/crates/coord/tests/serving/engines.rs
+++ b/crates/coord/tests/serving/engines.rs
@@ -28,7 +28,7 @@
 #[test]
 fn number_of_accepted_orders_saturates() {
     let listed = entry("e1", &[], &[]);
-    let mut engines = engines(&[listed.clone()]);
+    let mut engines = engines(std::slice::from_ref(&listed));
     let key = engine(&engines, "e1");
     engines.apply_report(key, &report(&listed, u64::MAX));
     engines.record_accepted_order(key);
--- a/src/router/generate/cost.rs
+++ b/src/router/generate/cost.rs
@@ -32,7 +32,7 @@
         return Err(Refusal::not_run(Code::BadRequest, message));
     }
     let prompt = model.prompt_bound(generation.prompt_bytes());
-    let (total, limit) = (prompt + output, model.context_tokens);
+    let (total, limit) = (prompt.saturating_add(output), model.context_tokens);
     if total > limit {
         let message = format!("prompt and output may take {total} tokens, the model takes {limit}");
         return Err(Refusal::not_run(Code::BadRequest, message));
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -41,9 +41,12 @@
 "#;
 
 async fn cell() -> (Cell, String) {
+    cell_with(REGISTER.to_owned()).await
+}
+
+async fn cell_with(register: String) -> (Cell, String) {
     let mut engine = engine::Settings::default();
     engine.checkpoints.insert("summary".to_owned(), Tier::Memory);
-    let register = REGISTER.to_owned();
     let plan =
         Plan { routers: 2, controllers: 1, engines: vec![engine], register, ..Plan::default() };
     let cell = Cell::start(plan).await.expect("the cell starts");
@@ -228,3 +231,18 @@
     std::thread::sleep(FORWARD_TIME);
     String::from_utf8(response).unwrap()
 }
+
+/// Guards against a prompt whose bound wraps to a few tokens, or ends the request without a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompt_whose_bound_is_out_of_range_is_refused() {
+    let register = REGISTER.replace("bytes_per_token = 2.0", "bytes_per_token = 1e-300");
+    let (cell, key) = cell_with(register).await;
+    let headers = format!("authorization: Bearer {key}\r\n");
+    let body = r#"{"model":"summary","messages":[{"role":"user","content":"x"}]}"#;
+    let text = post("/v1/chat/completions", &headers, body);
+    let address = cell.callers(0);
+    let response = tokio::task::spawn_blocking(move || exchange(address, &text)).await.unwrap();
+    assert!(response.contains("prompt and output may take"), "{response}");
+    assert!(cell.engines[0].ledger().requests.is_empty());
+    cell.stop().await;
+}
