--- a/crates/coord/src/serving/responses.rs
+++ b/crates/coord/src/serving/responses.rs
@@ -115,10 +115,11 @@
     pub fn of(status: u16, not_executed: bool) -> Self {
         match (status, not_executed) {
             (421, _) => Execution::Misplaced,
-            (200..=299, true) => Execution::Unclear,
-            (_, true) => Execution::Refused,
+            (400 | 408 | 429 | 503, true) => Execution::Refused,
             // To the caller these mean that the request wasn't executed.
             (408 | 429 | 503, false) => Execution::Unclear,
+            // Switches to another protocol.
+            (100..=199, _) | (_, true) => Execution::Unclear,
             (_, false) => Execution::Done,
         }
     }
--- a/crates/coord/tests/serving/responses.rs
+++ b/crates/coord/tests/serving/responses.rs
@@ -78,7 +78,7 @@
 /// Guards against statuses and headers that promise the caller more than the engine stated.
 #[test]
 fn only_a_stated_refusal_counts_as_not_executed() {
-    for status in [400, 429, 500, 503] {
+    for status in [400, 408, 429, 503] {
         assert_eq!(Execution::of(status, true), Execution::Refused);
     }
     assert_eq!(Execution::of(421, false), Execution::Misplaced);
@@ -88,7 +88,10 @@
     for status in [408, 429, 503] {
         assert_eq!(Execution::of(status, false), Execution::Unclear);
     }
-    assert_eq!(Execution::of(200, true), Execution::Unclear);
+    for status in [101, 200, 404, 500, 502, 504] {
+        assert_eq!(Execution::of(status, true), Execution::Unclear);
+    }
+    assert_eq!(Execution::of(101, false), Execution::Unclear);
 }
 
 /// Share of sendings that engines refuse.
