Count requests whose caller gets the answer as served

A connection that had carried 17 requests with 404 or another final answer was given up, although none of them is sent again (8 new connections for 80 requests in the reviewer's trial). Only refusals and server errors, after which a request may go on elsewhere, count as not served.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use corianderyoke_adapter::headers;
 use corianderyoke_coord::serving::responses::ConnectionHistory;
+use corianderyoke_coord::serving::responses::Execution;
 use corianderyoke_coord::serving::responses::Origin;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_util::clock;
@@ -230,10 +231,14 @@
     /// Returns a connection to the pool after its response was read to the end. The response's `head`
     /// states whether and for how long the engine keeps the connection alive.
     pub fn release(&self, engine: &str, mut connection: Connection, head: &Parts) {
-        if !connection.history.end(head.status.is_success()) {
+        let facts = headers::decode_response(&head.headers);
+        let execution = Execution::of(head.status.as_u16(), facts.not_executed);
+        // The caller gets any other response, so that the request isn't sent again.
+        let is_served = execution == Execution::Done && !head.status.is_server_error();
+        if !connection.history.end(is_served) {
             return;
         }
-        let keep_alive = headers::decode_response(&head.headers).keep_alive;
+        let keep_alive = facts.keep_alive;
         let keep_alive =
             keep_alive.map_or(DEFAULT_KEEP_ALIVE, |value| value.saturating_sub(KEEP_ALIVE_MARGIN));
         if keep_alive.is_zero() || is_close(&head.headers) {
