Send a refused request to the same engine at growing intervals

Since a request that was refused isn't sent on the same connection again, one that an engine refused again and again took 46 new connections in four seconds, until the retry budget of its service was gone (found in review). The delay of 40 ms now doubles up to 640 ms, and a request whose time ends before the next sending is refused at once.

Evidence: request_that_is_refused_is_sent_at_growing_intervals; in the reviewer's trial the same engine got the request 46 times.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -56,8 +56,11 @@
 const MISPLACED_BACKOFF: Duration = Duration::from_millis(700);
 /// Time limit for reading the body of a refusal so that the connection can be reused.
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(250);
-/// Delay before a request is sent again to an engine that it failed on.
+/// Delay before a request is sent again to an engine that it failed on once; doubles with each further
+/// failure there.
 const SAME_ENGINE_BACKOFF: Duration = Duration::from_millis(40);
+/// Number of failures from which on the delay no longer doubles.
+const MAX_BACKOFF_STEPS: u32 = 5;
 /// `Retry-After` of a refusal because the desired state doesn't list the model. A newer one may.
 const UNKNOWN_MODEL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Number of report intervals after which an announcement of the lease holder is overdue.
@@ -172,9 +175,11 @@
             if self.send_count > 0 && !self.take_retry() {
                 return Err(self.end_with(Refusal::NoEngine(NO_ENGINE_RETRY_AFTER)));
             }
-            if self.failed.contains(&target.key) {
-                sleep(SAME_ENGINE_BACKOFF).await;
+            let backoff = self.backoff(&target);
+            if backoff > self.call.time_to_start() {
+                return Err(self.end_with(Refusal::NotStarted));
             }
+            sleep(backoff).await;
             match self.send(&target, guard).await {
                 Ok(response) => return Ok(response),
                 Err(failure) => self.record_failure(&target, failure),
@@ -182,6 +187,16 @@
         }
     }
 
+    /// Returns how long to wait before the request is sent to an engine, on which it may have failed.
+    fn backoff(&self, target: &Target) -> Duration {
+        let failures = self.failed.iter().filter(|key| **key == target.key).count();
+        match u32::try_from(failures) {
+            Ok(0) => Duration::ZERO,
+            Ok(count @ 1..MAX_BACKOFF_STEPS) => SAME_ENGINE_BACKOFF * (1 << (count - 1)),
+            _ => SAME_ENGINE_BACKOFF * (1 << (MAX_BACKOFF_STEPS - 1)),
+        }
+    }
+
     /// Finds out whether the engine of the last attempt crashed, if its connection ended.
     pub async fn check_crash(&mut self) {
         if let Some((address, crash)) = self.unchecked.take() {
--- a/crates/daemon/tests/fleet/kept_connections.rs
+++ b/crates/daemon/tests/fleet/kept_connections.rs
@@ -250,3 +250,17 @@
         }
     }
 }
+
+/// Guards against a request that an engine refuses again and again, each time on a new connection.
+#[tokio::test]
+async fn request_that_is_refused_is_sent_at_growing_intervals() {
+    let fixture = Fixture::start().await;
+    let engine = RawEngine::start(&fixture, "i-1", "orders", &[], |request| {
+        vec![Step::Send(refusal(&request.id))]
+    })
+    .await;
+    let daemon = fixture.daemon("d1").await;
+    assert_eq!(send(&fixture, &daemon, "/once/", "1").await, Some(503));
+    let count = engine.received().len();
+    assert!((2..=16).contains(&count), "the request was sent {count} times in 4 s");
+}
