Send nothing more to an engine that says in an answer that it leaves

Until now only the engine's entry counted. An engine whose entry stays ready, comes late or is never updated got requests, loads and evictions until it was gone.

What a process of an engine said is kept beside the engine's entry, with the process (address and start time) that said it. It holds for the rest of that process's life: newer rows, an answer without the header, an entry that expires and is written again, or a copy of the store that lists an earlier process take nothing back; another process of the engine isn't concerned. An engine that reports no start time can't be told from its successor at the same address until its entry is removed. Requests, orders and resumed loads check it again after their connection came up. The lease holder announces it as it does entries that drain; nothing depends on that.

Not covered: an answer of the next process that arrives before its first row is attributed to the process before, so its first answer after that row counts.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -14,6 +14,8 @@
 use crate::keys::ModelKey;
 use crate::keys::UpstreamKey;
 use crate::keys::ZoneKey;
+use crate::serving::notice::Notice;
+use crate::serving::notice::Process;
 use crate::serving::position::Position;
 use crate::time::Tick;
 
@@ -24,8 +26,7 @@
 const FAILURE_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest time for which an engine is avoided after a failure.
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(5);
-/// Number of removed engines whose positions are kept, so that outdated entries don't add them
-/// again.
+/// Number of removed engines that are remembered, so that outdated entries don't add them again.
 const MAX_TOMBSTONES: usize = 512;
 /// Smallest increase of the cold period that counts as turning cold again. Delays of entries stay
 /// below it.
@@ -128,9 +129,20 @@
     /// Adapters that occupy a slot but are missing from the entry: they are being loaded, or were
     /// ordered after the entry was written.
     pending_adapters: IndexSet<(ModelKey, AdapterKey)>,
+    /// What a process of the engine said in its responses; perhaps not the current one.
+    notice: Option<Notice>,
     backoff: FailureBackoff,
 }
 
+/// What is remembered of a removed engine.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    /// Position of the removal.
+    position: Position,
+    /// What its process said, in case the entry expired and the process writes it again.
+    notice: Option<Notice>,
+}
+
 /// Consecutive failures, and the time until which the engine is avoided.
 #[derive(Clone, Copy, Debug, Default)]
 struct FailureBackoff {
@@ -174,8 +186,8 @@
     /// Interned names.
     pub names: Names,
     listed: IndexMap<UpstreamKey, Engine>,
-    /// Positions at which the most recently removed engines were removed.
-    tombstones: IndexMap<UpstreamKey, Position>,
+    /// The most recently removed engines.
+    tombstones: IndexMap<UpstreamKey, Tombstone>,
     drained_zones: IndexSet<ZoneKey>,
     /// Zones whose drain a restored store may have lost.
     lapsed_zones: IndexSet<ZoneKey>,
@@ -207,9 +219,7 @@
         let cached = match self.listed.get(&key) {
             Some(old) if old.position >= entry.position => return Change::Same,
             Some(old) => (old.in_memory.clone(), old.on_disk.clone()),
-            None if self.tombstones.get(&key).is_some_and(|at| *at >= entry.position) => {
-                return Change::Same;
-            }
+            None if self.is_removed(key, entry.position) => return Change::Same,
             None => Default::default(),
         };
         let change = self.upsert(entry, now);
@@ -223,23 +233,20 @@
     /// removed.
     pub fn upsert(&mut self, entry: Entry, now: Tick) -> Change {
         let key = self.names.engines.intern(&entry.id);
-        let is_removed = self.tombstones.get(&key).is_some_and(|at| *at >= entry.position);
-        if is_removed && !self.listed.contains_key(&key) {
+        if !self.listed.contains_key(&key) && self.is_removed(key, entry.position) {
             return Change::Same;
         }
         let mut engine = self.build_engine(entry, now);
         let Some(old) = self.listed.get(&key) else {
+            engine.notice = self.tombstones.get(&key).and_then(|tombstone| tombstone.notice);
             self.listed.insert(key, engine);
             return Change::Added;
         };
         if engine.position < old.position {
             return Change::Same;
         }
-        let restarted = engine.address != old.address
-            || (engine.started_ms.is_some()
-                && old.started_ms.is_some()
-                && engine.started_ms != old.started_ms);
-        if restarted {
+        engine.notice = old.notice;
+        if !engine.process().may_be(&old.process()) {
             self.listed.insert(key, engine);
             return Change::Restarted;
         }
@@ -283,25 +290,35 @@
             }
             return Change::Same;
         }
-        self.record_removal(key, position);
-        match self.listed.shift_remove(&key) {
+        self.unlist(key, position)
+    }
+
+    fn unlist(&mut self, key: UpstreamKey, position: Position) -> Change {
+        let known = self.tombstones.shift_remove(&key).and_then(|tombstone| tombstone.notice);
+        let engine = self.listed.shift_remove(&key);
+        let notice = engine.as_ref().map_or(known, |engine| engine.notice);
+        // Without its start time, a process can't be told from the next one at its address.
+        let notice = notice.filter(|notice| notice.process.started_ms.is_some());
+        self.tombstones.insert(key, Tombstone { position, notice });
+        let excess = self.tombstones.len().saturating_sub(MAX_TOMBSTONES);
+        self.tombstones.drain(..excess);
+        match engine {
             Some(_) => Change::Left,
             None => Change::Same,
         }
     }
 
-    fn record_removal(&mut self, key: UpstreamKey, position: Position) {
-        self.tombstones.shift_remove(&key);
-        self.tombstones.insert(key, position);
-        let excess = self.tombstones.len().saturating_sub(MAX_TOMBSTONES);
-        self.tombstones.drain(..excess);
+    /// Returns whether an engine was removed at this position or later.
+    fn is_removed(&self, key: UpstreamKey, position: Position) -> bool {
+        self.tombstones.get(&key).is_some_and(|tombstone| tombstone.position >= position)
     }
 
     /// Returns the position at which an engine was last updated or removed; the lowest if it is
     /// unknown.
     pub fn position(&self, key: UpstreamKey) -> Position {
         let listed = self.listed.get(&key).map(|engine| engine.position);
-        listed.or_else(|| self.tombstones.get(&key).copied()).unwrap_or_default()
+        let removed = self.tombstones.get(&key).map(|tombstone| tombstone.position);
+        listed.or(removed).unwrap_or_default()
     }
 
     /// Marks an engine as draining because of a row at this position that another daemon read.
@@ -328,9 +345,7 @@
         let expired = self.listed.iter().filter(|(_, engine)| engine.lapsed_at.is_some());
         let expired: Vec<UpstreamKey> = expired.map(|(&key, _)| key).collect();
         for &key in &expired {
-            if let Some(engine) = self.listed.shift_remove(&key) {
-                self.record_removal(key, engine.position);
-            }
+            self.unlist(key, self.position(key));
         }
         expired
     }
@@ -377,6 +392,24 @@
         }
     }
 
+    /// Records a response in which a process of an engine said that it leaves. The process gets no
+    /// further requests, whatever its entry states. Returns whether that is new.
+    pub fn record_leaving(&mut self, key: UpstreamKey, process: Process) -> bool {
+        let Some(notice) = self.notice_mut(key, process) else { return false };
+        !std::mem::replace(&mut notice.is_leaving, true)
+    }
+
+    /// Returns the notice of a process, unless another process of the engine is known.
+    fn notice_mut(&mut self, key: UpstreamKey, process: Process) -> Option<&mut Notice> {
+        let notice = match self.listed.get_mut(&key) {
+            Some(engine) if engine.process().may_be(&process) => &mut engine.notice,
+            Some(_) => return None,
+            None => &mut self.tombstones.get_mut(&key)?.notice,
+        };
+        let known = notice.filter(|notice| notice.process.may_be(&process));
+        Some(notice.insert(known.unwrap_or(Notice::new(process))))
+    }
+
     /// Records that an adapter was loaded or unloaded.
     pub fn set_adapter(
         &mut self,
@@ -478,19 +511,33 @@
         self.listed.len()
     }
 
+    /// Returns the number of engines that are listed or remembered after their removal.
+    pub fn entry_count(&self) -> usize {
+        let removed = self.tombstones.keys().filter(|key| !self.listed.contains_key(*key));
+        self.listed.len() + removed.count()
+    }
+
     /// Returns whether there are no engines.
     pub fn is_empty(&self) -> bool {
         self.listed.is_empty()
     }
 
+    /// Returns whether a process of an engine may receive new requests.
+    pub fn accepts(&self, key: UpstreamKey, process: Process) -> bool {
+        let engine = self.listed.get(&key).filter(|engine| engine.process().may_be(&process));
+        engine.is_some_and(|engine| self.is_accepting(engine))
+    }
+
+    fn is_accepting(&self, engine: &Engine) -> bool {
+        !engine.is_leaving() && !self.is_drained(engine.zone)
+    }
+
     /// Returns the engines of a service that may receive new requests. Engines that failed recently
     /// are included only if there are no others.
     pub fn usable(&self, service: &str, now: Tick) -> Vec<UpstreamKey> {
-        let accepting = self.listed.iter().filter(|(_, engine)| {
-            engine.service == service
-                && engine.stage == Stage::Ready
-                && !self.is_drained(engine.zone)
-        });
+        let accepting = self.listed.iter();
+        let accepting =
+            accepting.filter(|(_, engine)| engine.service == service && self.is_accepting(engine));
         let (healthy, backing_off): (Vec<_>, Vec<_>) =
             accepting.partition(|(_, engine)| engine.backoff.until <= now);
         let chosen = if healthy.is_empty() { backing_off } else { healthy };
@@ -527,12 +574,29 @@
             lapsed_at: None,
             adapter_updates: IndexMap::new(),
             pending_adapters: IndexSet::new(),
+            notice: None,
             backoff: FailureBackoff::default(),
         }
     }
 }
 
 impl Engine {
+    /// Returns the engine's process.
+    pub fn process(&self) -> Process {
+        Process { address: self.address, started_ms: self.started_ms }
+    }
+
+    /// Returns what the engine's current process said in its responses.
+    fn notice(&self) -> Option<Notice> {
+        self.notice.filter(|notice| notice.process.may_be(&self.process()))
+    }
+
+    /// Returns whether the engine accepts no new requests because its entry or one of its responses
+    /// says that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.stage == Stage::Draining || self.notice().is_some_and(|notice| notice.is_leaving)
+    }
+
     /// Returns whether the engine can serve a model, and the adapter if one is given.
     pub fn holds(&self, model: ModelKey, adapter: Option<AdapterKey>) -> bool {
         let missed = |adapter| self.misses.contains(&(model, adapter));
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -479,7 +479,8 @@
             .collect();
         for (key, DeferredLoad { model, .. }) in free {
             self.deferred.shift_remove(&key);
-            let Some(engine) = engines.get(key) else { continue };
+            let engine = engines.get(key).filter(|engine| !engine.is_leaving());
+            let Some(engine) = engine else { continue };
             let Some(candidate) = self.load_candidate(spec, engines, key, engine, model, now)
             else {
                 continue;
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod engines;
 mod fixtures;
 mod lease;
+mod notices;
 mod polling;
 mod position;
 mod quarantine;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -38,6 +38,8 @@
 use crate::forward::wait::Missing;
 use crate::forward::wait::WaitGuard;
 use crate::forward::CallEnd;
+use crate::notices;
+use crate::notices::Receiver;
 use crate::peers;
 use crate::pool::Connection;
 use crate::pool::Error;
@@ -427,6 +429,10 @@
             shared.state().engines.record_failure(target.key, clock::now());
             Failure::Unsent
         })?;
+        // The engine may have left while the connection was established.
+        if !shared.state().engines.accepts(target.key, target.process) {
+            return Err(Failure::Unsent);
+        }
         let Some(request) = self.build_request(target) else { return Err(Failure::Misplaced) };
         let count = self.call.record_send(&target.id);
         self.sent = Some((clock::now(), quarantine::process(&shared.state(), target)));
@@ -502,6 +508,8 @@
         let (head, body) = response.into_parts();
         let facts = headers::decode_response(&head.headers);
         self.record_limit(target, facts.limit);
+        let receiver = Receiver { key: target.key, id: &target.id, process: target.process };
+        notices::record(&self.call.shared, &receiver, &self.call.id, &facts);
         let execution = Execution::of(head.status.as_u16(), facts.not_executed);
         match execution {
             Execution::Done => {}
--- a/crates/daemon/src/forward/selection.rs
+++ b/crates/daemon/src/forward/selection.rs
@@ -10,6 +10,7 @@
 use corianderyoke_coord::serving::choice::Candidate;
 use corianderyoke_coord::serving::choice::Need;
 use corianderyoke_coord::serving::engine_limits::Share;
+use corianderyoke_coord::serving::notice::Process;
 use corianderyoke_coord::time::Tick;
 
 use crate::call::Call;
@@ -28,6 +29,8 @@
     pub id: String,
     /// Address for requests.
     pub address: SocketAddr,
+    /// Process of the engine as of the selection.
+    pub process: Process,
     /// Estimated number of requests in flight there, without this one.
     pub running: u32,
     /// Prompt tokens that are probably in the engine's prefix cache.
@@ -236,6 +239,7 @@
         key: best.key,
         id: engine.id.clone(),
         address: engine.address,
+        process: engine.process(),
         running: best.load.running,
         cached_tokens: best.cached_tokens,
         candidate_count,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod front;
 mod joining;
 mod metrics;
+mod notices;
 mod orders;
 mod peers;
 mod pool;
--- /dev/null
+++ b/crates/daemon/src/notices.rs
@@ -0,0 +1,35 @@
+//! Applies what engines say in their responses about further requests.
+
+use corianderyoke_adapter::headers::ResponseHeaders;
+use corianderyoke_coord::keys::UpstreamKey;
+use corianderyoke_coord::serving::engines::Change;
+use corianderyoke_coord::serving::notice::Process;
+
+use crate::state::Shared;
+use crate::watch;
+
+/// Process of an engine that received a request, an order or an inspection.
+#[derive(Clone, Copy, Debug)]
+pub struct Receiver<'a> {
+    /// Engine.
+    pub key: UpstreamKey,
+    /// Identity of the engine.
+    pub id: &'a str,
+    /// Its process when the request was sent.
+    pub process: Process,
+}
+
+/// Records what a response says. `request` is the identifier of the request that it answers, or the
+/// kind of request if it has none.
+pub fn record(shared: &Shared, receiver: &Receiver<'_>, request: &str, facts: &ResponseHeaders) {
+    let Receiver { key, id, process } = *receiver;
+    if !facts.leaving || facts.engine.as_deref().is_some_and(|responder| responder != id) {
+        return;
+    }
+    let mut state = shared.state();
+    if state.engines.record_leaving(key, process) {
+        let started_ms = process.started_ms;
+        let detail = format!("id={request} started_ms={started_ms:?} said in its response");
+        watch::handle_change(shared, &mut state, id, Change::Left, &detail);
+    }
+}
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -19,6 +19,7 @@
 use corianderyoke_coord::serving::lease::LeaseWrite;
 use corianderyoke_coord::serving::lease::Step;
 use corianderyoke_coord::serving::lease::StoreTime;
+use corianderyoke_coord::serving::notice::Process;
 use corianderyoke_coord::serving::position::Position;
 use corianderyoke_coord::serving::residency::Action;
 use corianderyoke_coord::serving::residency::Answer;
@@ -47,6 +48,8 @@
 use tokio::time::timeout;
 
 use crate::metrics::OrderLabels;
+use crate::notices;
+use crate::notices::Receiver;
 use crate::peers;
 use crate::pool::Connection;
 use crate::state::Shared;
@@ -335,18 +338,24 @@
             .token(clock::now())
             .and_then(|token| compose_order(shared, &state, order, token))
     };
-    let Some((id, address, body)) = prepared else { return Answer::Busy };
-    let Ok(connection) = shared.pool.connection(&id, address, NO_ID, true).await else {
+    let Some((id, process, body)) = prepared else { return Answer::Busy };
+    let Ok(connection) = shared.pool.connection(&id, process.address, NO_ID, true).await else {
         return Answer::Busy;
     };
-    // The lease may have expired while the connection was being established.
-    if shared.state().lease.token(clock::now()).is_none() {
+    // The lease may have expired, or the engine left, while the connection was being established.
+    let may_send = {
+        let state = shared.state();
+        let holds_lease = state.lease.token(clock::now()).is_some();
+        holds_lease && state.engines.accepts(order.engine, process)
+    };
+    if !may_send {
         return Answer::Busy;
     }
     let Some(request) = build_request(Method::POST, orders::ORDER_PATH, &id, body) else {
         return Answer::Rejected;
     };
-    let response = exchange(shared, &id, connection, request).await;
+    let receiver = Receiver { key: order.engine, id: &id, process };
+    let response = exchange(shared, &receiver, connection, request).await;
     let Some((head, _)) = response else { return Answer::Unanswered };
     orders::decode_status(head.status.as_u16())
 }
@@ -356,7 +365,7 @@
     state: &State,
     order: Order,
     token: u64,
-) -> Option<(String, std::net::SocketAddr, Bytes)> {
+) -> Option<(String, Process, Bytes)> {
     let engine = state.engines.get(order.engine)?;
     let names = &state.engines.names;
     let adapter = |key| names.adapters.name(key).rsplit('/').next();
@@ -368,7 +377,7 @@
     };
     let holder = Holder { name: &shared.settings.name, token };
     let body = orders::encode_order(change, order.expected, holder);
-    Some((engine.id.clone(), engine.address, body.into()))
+    Some((engine.id.clone(), engine.process(), body.into()))
 }
 
 fn build_request(
@@ -392,10 +401,11 @@
 /// link works again.
 async fn exchange(
     shared: &Shared,
-    id: &str,
+    receiver: &Receiver<'_>,
     mut connection: Connection,
     request: Request<Full<Bytes>>,
 ) -> Option<(Parts, Bytes)> {
+    let path = request.uri().path().trim_start_matches('/').to_owned();
     let response = timeout(ORDER_TIMEOUT, async {
         let (head, body) = connection.send(request, NO_ID).await.ok()?.into_parts();
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?;
@@ -405,7 +415,8 @@
         connection.reset();
         return None;
     };
-    shared.pool.release(id, connection, &head);
+    notices::record(shared, receiver, &path, &headers::decode_response(&head.headers));
+    shared.pool.release(receiver.id, connection, &head);
     Some((head, body))
 }
 
@@ -426,15 +437,16 @@
     shared.replan.notify_one();
 }
 
-async fn fetch_report(shared: &Shared, engine: UpstreamKey) -> Option<Report> {
-    let (id, address) = {
+async fn fetch_report(shared: &Shared, key: UpstreamKey) -> Option<Report> {
+    let (id, process) = {
         let state = shared.state();
-        let engine = state.engines.get(engine)?;
-        (engine.id.clone(), engine.address)
+        let engine = state.engines.get(key)?;
+        (engine.id.clone(), engine.process())
     };
-    let connection = shared.pool.connection(&id, address, NO_ID, false).await.ok()?;
+    let connection = shared.pool.connection(&id, process.address, NO_ID, false).await.ok()?;
     let request = build_request(Method::GET, orders::REPORT_PATH, &id, Bytes::new())?;
-    let (head, body) = exchange(shared, &id, connection, request).await?;
+    let receiver = Receiver { key, id: &id, process };
+    let (head, body) = exchange(shared, &receiver, connection, request).await?;
     if !head.status.is_success() {
         return None;
     }
--- a/crates/daemon/src/peers/holder.rs
+++ b/crates/daemon/src/peers/holder.rs
@@ -156,13 +156,13 @@
             .map(|(_, name)| name.to_owned())
             .collect(),
     });
-    let Engine { service, address, zone, slots, stage, warm_at, started_ms, position, .. } = engine;
+    let Engine { service, address, zone, slots, warm_at, started_ms, position, .. } = engine;
     Some(word::Entry {
         service: service.clone(),
         address: address.to_string(),
         zone: names.zones.name(*zone).to_owned(),
         slots: *slots,
-        draining: *stage == Stage::Draining,
+        draining: engine.is_leaving(),
         cold: u32::try_from(warm_at.since(now).as_millis()).unwrap_or(u32::MAX),
         born: *started_ms,
         models: models.collect(),
--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -116,6 +116,8 @@
     /// Number of responses that are written once more, each before the next response on its
     /// connection.
     repetitions: usize,
+    /// Whether all responses say that the engine leaves.
+    leaving: bool,
 }
 
 impl State {
@@ -125,6 +127,7 @@
         self.adapters.clear();
         self.orders.clear();
         self.busy = false;
+        self.leaving = false;
     }
 
     /// Loaded models and adapters, in the form used by the entry and the report.
@@ -227,6 +230,16 @@
         self.state.lock().limit = limit;
     }
 
+    /// Makes the engine say in all responses that it leaves, or no longer. Its entry stays as it is.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.lock().leaving = leaving;
+    }
+
+    /// Ends the engine's process. It is back soon under the same identity, and empty.
+    pub fn restart(&self) {
+        self.crash.notify_one();
+    }
+
     /// Returns the times at which the engine crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state.lock().crashes.clone()
@@ -274,6 +287,14 @@
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        let mut response = self.handle(request).await?;
+        if self.state.lock().leaving {
+            response.headers_mut().insert("server-leaving", header_value_one());
+        }
+        Ok(response)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
         let path = request.uri().to_string();
         let headers = request.headers().clone();
         let body = request.into_body().collect().await;
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod kept_connections;
 mod late_messages;
 mod late_order;
+mod leaving;
 mod odd_datagrams;
 mod odd_entries;
 mod orders;
