Ignore a removal that is older than the listed entry

A daemon whose own reads lag behind can hear from the lease holder of an engine's next process first. The removal of the entry before then unlisted that process, and an outdated row listed the process before it, with what was known of it. Callers' requests went to an engine that had said that it leaves, or that had lost its models, until this daemon read the latest row.

The new test failed before. An entry that is ready at a later position than the removal is kept now. One that another daemon says is draining isn't: its position need not be that of a row.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -278,11 +278,15 @@
         change
     }
 
-    /// Processes the removal of an engine's entry. Right after a platform outage the engine may
-    /// still be alive, so it is kept until it has had time to renew its entry. `position` is that
-    /// of the removal.
+    /// Processes the removal of an engine's entry, unless a later row shows that the engine is back.
+    /// Right after a platform outage the engine may still be alive, so it is kept until it has had
+    /// time to renew its entry. `position` is that of the removal.
     pub fn remove(&mut self, id: &str, position: Position, now: Tick) -> Change {
         let Some(key) = self.names.engines.key(id) else { return Change::Same };
+        let is_back = |engine: &Engine| engine.stage == Stage::Ready && engine.position > position;
+        if self.listed.get(&key).is_some_and(is_back) {
+            return Change::Same;
+        }
         if self.recovery_ends.is_some_and(|until| now < until) {
             if let Some(engine) = self.listed.get_mut(&key) {
                 engine.lapsed_at = Some(now);
--- a/crates/coord/tests/serving/engines.rs
+++ b/crates/coord/tests/serving/engines.rs
@@ -171,6 +171,28 @@
     assert_eq!(engines.usable(SERVICE, ms(40)).len(), 1);
 }
 
+/// Guards against a late removal that unlists the next process of an engine, so that an outdated row
+/// brings back the one before.
+#[test]
+fn removal_older_than_the_entry_is_ignored() {
+    let written = |started_ms, version| {
+        let (started_ms, position) = (Some(started_ms), at(version));
+        Entry { started_ms, position, ..entry("e1", &[], &[]) }
+    };
+    let mut engines = engines(&[written(1, 3)]);
+    let key = engine(&engines, "e1");
+    // Another daemon read all rows; this daemon's own read is delayed.
+    assert_eq!(engines.apply_relayed(written(2, 9), ms(10)), Change::Restarted);
+    assert_eq!(engines.remove("e1", at(5), ms(20)), Change::Same);
+    assert_eq!(engines.upsert(written(1, 7), ms(30)), Change::Same);
+    assert!(engines.get(key).is_some_and(|engine| engine.started_ms == Some(2)));
+    assert_eq!(engines.remove("e1", at(9), ms(40)), Change::Left);
+    // What another daemon says of a leaving engine doesn't keep it.
+    engines.upsert(written(2, 12), ms(50));
+    engines.mark_draining(key, at(20));
+    assert_eq!(engines.remove("e1", at(15), ms(60)), Change::Left);
+}
+
 /// Guards against rows of a restored store that are ordered by their versions alone.
 #[test]
 fn entry_of_a_later_era_is_newer_whatever_its_version() {
