Send nothing to an engine during a pause that it asked for

Until now the time was ignored: the request went back after 40 ms where there was no other engine, and other requests went there at once.

The end of the longest pause is kept beside the engine's entry, for the process that asked for it, at the daemon that was asked. Until then the engine gets no request, order, report or resumed load from that daemon; inspections that are due wait for the end, so nothing spins. An engine that failed lately is used before one in a pause, and nothing falls back to the latter. Callers get what they get at an engine that names a limit: a request whose time allows waits, a model that only such engines hold counts as missing for the others, and else the request is refused at once with the time left, at most 1 s, since another daemon may have no pause to keep. That a request with a model isn't refused where no other engine could load it held for limits as well: it waited until its deadline.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -26,6 +26,8 @@
 const FAILURE_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest time for which an engine is avoided after a failure.
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(5);
+/// Smallest extension of a pause that counts as news.
+const MIN_PAUSE_EXTENSION: Duration = Duration::from_millis(500);
 /// Number of removed engines that are remembered, so that outdated entries don't add them again.
 const MAX_TOMBSTONES: usize = 512;
 /// Smallest increase of the cold period that counts as turning cold again. Delays of entries stay
@@ -403,6 +405,21 @@
         !std::mem::replace(&mut notice.is_leaving, true)
     }
 
+    /// Records a response in which a process of an engine asked this daemon to send nothing for
+    /// `pause`. The latest end of all pauses counts. Returns whether that is news.
+    pub fn record_pause(
+        &mut self,
+        key: UpstreamKey,
+        process: Process,
+        pause: Duration,
+        now: Tick,
+    ) -> bool {
+        let Some(notice) = self.notice_mut(key, process) else { return false };
+        let (before, until) = (notice.paused_until, now + pause);
+        notice.paused_until = before.max(until);
+        until.since(before.max(now)) >= MIN_PAUSE_EXTENSION || (before <= now && until > now)
+    }
+
     /// Returns the notice of a process, unless another process of the engine is known.
     fn notice_mut(&mut self, key: UpstreamKey, process: Process) -> Option<&mut Notice> {
         let notice = match self.listed.get_mut(&key) {
@@ -526,26 +543,34 @@
         self.listed.is_empty()
     }
 
-    /// Returns whether a process of an engine may receive new requests.
-    pub fn accepts(&self, key: UpstreamKey, process: Process) -> bool {
+    /// Returns whether a process of an engine may receive new requests and orders.
+    pub fn accepts(&self, key: UpstreamKey, process: Process, now: Tick) -> bool {
         let engine = self.listed.get(&key).filter(|engine| engine.process().may_be(&process));
-        engine.is_some_and(|engine| self.is_accepting(engine))
+        engine.is_some_and(|engine| engine.accepts(now) && !self.is_drained(engine.zone))
     }
 
-    fn is_accepting(&self, engine: &Engine) -> bool {
-        !engine.is_leaving() && !self.is_drained(engine.zone)
+    /// Returns the engines of a service that may receive new requests once their pause is over, with
+    /// the time until then.
+    pub fn paused(&self, service: &str, now: Tick) -> Vec<(UpstreamKey, Duration)> {
+        let staying = self.staying(service).map(|(key, engine)| (key, engine.pause_left(now)));
+        staying.filter(|(_, left)| !left.is_zero()).collect()
+    }
+
+    /// Iterates over the engines of a service that neither leave nor are in a drained zone.
+    fn staying<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (UpstreamKey, &'a Engine)> {
+        self.iter().filter(move |(_, engine)| {
+            engine.service == service && !engine.is_leaving() && !self.is_drained(engine.zone)
+        })
     }
 
     /// Returns the engines of a service that may receive new requests. Engines that failed recently
     /// are included only if there are no others.
     pub fn usable(&self, service: &str, now: Tick) -> Vec<UpstreamKey> {
-        let accepting = self.listed.iter();
-        let accepting =
-            accepting.filter(|(_, engine)| engine.service == service && self.is_accepting(engine));
+        let accepting = self.staying(service).filter(|(_, engine)| engine.accepts(now));
         let (healthy, backing_off): (Vec<_>, Vec<_>) =
             accepting.partition(|(_, engine)| engine.backoff.until <= now);
         let chosen = if healthy.is_empty() { backing_off } else { healthy };
-        chosen.into_iter().map(|(&key, _)| key).collect()
+        chosen.into_iter().map(|(key, _)| key).collect()
     }
 
     fn build_engine(&mut self, entry: Entry, now: Tick) -> Engine {
@@ -601,6 +626,16 @@
         self.stage == Stage::Draining || self.notice().is_some_and(|notice| notice.is_leaving)
     }
 
+    /// Returns for how long the engine gets nothing from this daemon because it asked for a pause.
+    pub fn pause_left(&self, now: Tick) -> Duration {
+        self.notice().map_or(Duration::ZERO, |notice| notice.paused_until.since(now))
+    }
+
+    /// Returns whether the engine neither leaves nor asked for a pause that isn't over.
+    pub fn accepts(&self, now: Tick) -> bool {
+        !self.is_leaving() && self.pause_left(now).is_zero()
+    }
+
     /// Returns whether the engine can serve a model, and the adapter if one is given.
     pub fn holds(&self, model: ModelKey, adapter: Option<AdapterKey>) -> bool {
         let missed = |adapter| self.misses.contains(&(model, adapter));
--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -6,7 +6,7 @@
 //! | [`desired`] | which route, team and service a request belongs to |
 //! | [`engines`] | which engines exist, what they hold and whether they may be used |
 //! | [`engine_limits`] | whether an engine that names a limit takes a request |
-//! | [`notice`] | which process of an engine said that it leaves |
+//! | [`notice`] | which process of an engine said that it leaves or needs a pause |
 //! | [`choice`] | which engine receives a request |
 //! | [`caps`] | whether a team's rate limit over the whole fleet admits a request |
 //! | [`quotas`] | how much of a fleet-wide limit this daemon may use on its own |
--- a/crates/coord/src/serving/notice.rs
+++ b/crates/coord/src/serving/notice.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::time::Tick;
+
 /// Process of an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Process {
@@ -27,11 +29,13 @@
     pub process: Process,
     /// Whether it leaves. Responses that don't say so take nothing back.
     pub is_leaving: bool,
+    /// End of the longest pause that it asked this daemon for.
+    pub paused_until: Tick,
 }
 
 impl Notice {
     /// Creates the notice of a process that has said nothing.
     pub fn new(process: Process) -> Self {
-        Notice { process, is_leaving: false }
+        Notice { process, is_leaving: false, paused_until: Tick::default() }
     }
 }
--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -455,6 +455,7 @@
             }
             if matches!(pending.phase, Phase::Executing | Phase::Uncertain)
                 && now >= pending.inspect_at
+                && engine.pause_left(now).is_zero()
             {
                 pending.phase = Phase::Inspecting;
                 actions.push(Action::Inspect(*key));
@@ -479,7 +480,7 @@
             .collect();
         for (key, DeferredLoad { model, .. }) in free {
             self.deferred.shift_remove(&key);
-            let engine = engines.get(key).filter(|engine| !engine.is_leaving());
+            let engine = engines.get(key).filter(|engine| engine.accepts(now));
             let Some(engine) = engine else { continue };
             let Some(candidate) = self.load_candidate(spec, engines, key, engine, model, now)
             else {
--- a/crates/coord/tests/serving/notices.rs
+++ b/crates/coord/tests/serving/notices.rs
@@ -1,5 +1,7 @@
-//! Tests of engines whose responses say that they leave, at one daemon and in fleets whose rows get
-//! lost, late and reordered.
+//! Tests of engines whose responses say that they leave or ask for a pause, at one daemon and in
+//! fleets whose rows get lost, late and reordered.
+
+use std::time::Duration;
 
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::engines::Change;
@@ -11,7 +13,9 @@
 use corianderyoke_coord::serving::residency::Action;
 use corianderyoke_coord::serving::residency::Answer;
 use corianderyoke_coord::serving::residency::Op;
+use corianderyoke_coord::serving::residency::Order;
 use corianderyoke_coord::serving::residency::Planner;
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rand::Rng;
 use rand::SeedableRng;
@@ -48,7 +52,8 @@
     engines.upsert(Entry { stage: Stage::Draining, ..written("e1", 1, 4) }, ms(30));
     engines.upsert(written("e1", 1, 5), ms(40));
     assert_eq!(engines.usable(SERVICE, ms(50)), [other]);
-    assert!(!engines.accepts(leaving, process(1)) && engines.accepts(other, process(1)));
+    assert!(!engines.accepts(leaving, process(1), ms(50)));
+    assert!(engines.accepts(other, process(1), ms(50)));
     assert!(engines.get(leaving).is_some_and(|engine| engine.is_leaving()));
     // There is no other engine left.
     engines.remove("e2", at(6), ms(60));
@@ -65,7 +70,7 @@
     // A response of the process before arrives late.
     assert!(!engines.record_leaving(key, process(1)));
     assert_eq!(engines.usable(SERVICE, ms(30)), [key]);
-    assert!(!engines.accepts(key, process(1)), "a request was about to be sent to it");
+    assert!(!engines.accepts(key, process(1), ms(30)), "a request was about to be sent to it");
 }
 
 /// Guards against an engine that leaves and whose entry expires and comes back, or whose earlier
@@ -143,6 +148,85 @@
     assert_eq!(ordered, [engine(&engines, "e2")]);
 }
 
+/// Guards against requests to an engine during a pause that it asked for, also when there are no
+/// others.
+#[test]
+fn engine_is_not_usable_until_the_latest_of_its_pauses_ends() {
+    let mut engines = engines(&[written("e1", 1, 1), written("e2", 1, 1)]);
+    let (paused, other) = (engine(&engines, "e1"), engine(&engines, "e2"));
+    let pause = |engines: &mut Engines, millis, now| {
+        engines.record_pause(paused, process(1), Duration::from_millis(millis), ms(now))
+    };
+    assert!(pause(&mut engines, 3_000, 0));
+    assert!(!pause(&mut engines, 1_000, 100), "it ends earlier");
+    assert!(!pause(&mut engines, 3_000, 100), "it hardly ends later");
+    assert!(pause(&mut engines, 4_000, 200));
+    assert!(!pause(&mut engines, 0, 300));
+    engines.upsert(written("e1", 1, 2), ms(400));
+    assert_eq!(engines.usable(SERVICE, ms(4_199)), [other]);
+    assert_eq!(engines.paused(SERVICE, ms(3_200)), [(paused, Duration::from_secs(1))]);
+    assert!(!engines.accepts(paused, process(1), ms(4_199)));
+    // An engine that failed is used before one that asked for a pause.
+    engines.record_failure(other, ms(4_100));
+    assert_eq!(engines.usable(SERVICE, ms(4_199)), [other]);
+    engines.remove("e2", at(3), ms(4_199));
+    assert_eq!(engines.usable(SERVICE, ms(4_199)), []);
+    assert_eq!(engines.usable(SERVICE, ms(4_200)), [paused]);
+    assert!(engines.accepts(paused, process(1), ms(4_200)));
+    assert_eq!(engines.paused(SERVICE, ms(4_200)), []);
+    assert!(pause(&mut engines, 100, 4_300), "it is the next one");
+}
+
+#[test]
+fn pause_ends_with_the_process_and_outlives_an_entry_that_expired() {
+    let mut engines = engines(&[written("e1", 1, 1)]);
+    let key = engine(&engines, "e1");
+    engines.record_pause(key, process(1), Duration::from_secs(9), ms(0));
+    engines.remove("e1", at(2), ms(10));
+    engines.upsert(written("e1", 1, 3), ms(20));
+    assert_eq!(engines.usable(SERVICE, ms(20)), []);
+    engines.upsert(written("e1", 2, 4), ms(30));
+    assert_eq!(engines.usable(SERVICE, ms(30)), [key]);
+    // A response of the process before arrives late.
+    assert!(!engines.record_pause(key, process(1), Duration::from_secs(9), ms(40)));
+    assert_eq!(engines.usable(SERVICE, ms(50)), [key]);
+}
+
+#[test]
+fn engine_that_leaves_in_a_pause_is_not_usable_after_it() {
+    let mut engines = engines(&[written("e1", 1, 1)]);
+    let key = engine(&engines, "e1");
+    engines.record_pause(key, process(1), Duration::from_secs(1), ms(0));
+    engines.record_leaving(key, process(1));
+    assert_eq!(engines.paused(SERVICE, ms(0)), []);
+    assert_eq!(engines.usable(SERVICE, ms(2_000)), []);
+}
+
+/// Guards against reports, loads and evictions on an engine that asked for a pause, and against
+/// models that are loaded nowhere because only such an engine holds them.
+#[test]
+fn model_of_an_engine_in_a_pause_is_loaded_elsewhere() {
+    let mut engines = engines(&[entry("e1", &["m"], &[]), entry("e2", &[], &["m"])]);
+    let spec = spec(100_000.0, &["m"]);
+    let wanted = model(&mut engines, "m");
+    let (paused, other) = (engine(&engines, "e1"), engine(&engines, "e2"));
+    let mut planner = Planner::default();
+    planner.begin_term(&engines, ms(0));
+    engines.record_pause(paused, process(1), Duration::from_secs(9), ms(0));
+    for at in [0, 2_000, 5_000] {
+        for action in planner.plan(SERVICE, &spec, &engines, ms(at)) {
+            assert_eq!(action, Action::Inspect(other), "at {at} ms");
+            planner.handle_inspection(other, false, ms(at));
+        }
+    }
+    planner.record_waiting("daemon-1", wanted, 1, ms(8_000));
+    let actions = planner.plan(SERVICE, &spec, &engines, ms(8_000));
+    let order = Order { engine: other, op: Op::Load(wanted), expected: 0 };
+    assert_eq!(actions, [Action::Send(order)]);
+    let actions = planner.plan(SERVICE, &spec, &engines, ms(9_000));
+    assert_eq!(actions, [Action::Inspect(paused)]);
+}
+
 const ENGINES: u64 = 6;
 
 /// Process of a simulated engine. An engine starts again under its identity.
@@ -157,13 +241,17 @@
     Row(Box<Entry>),
     Removal(String, u64),
     Leaving(UpstreamKey, Process),
+    Pause(UpstreamKey, Process, Duration),
 }
 
+#[derive(Default)]
 struct Daemon {
     engines: Engines,
     inbox: Vec<(u64, Message)>,
     /// Processes of which it knows that they leave.
     leaving: IndexSet<(UpstreamKey, u64)>,
+    /// Ends of the pauses that processes asked it for.
+    paused: IndexMap<(UpstreamKey, u64), u64>,
 }
 
 impl Daemon {
@@ -186,6 +274,12 @@
                     self.engines.record_leaving(key, process);
                     self.leaving.extend(process.started_ms.map(|started| (key, started)));
                 }
+                Message::Pause(key, process, span) => {
+                    self.engines.record_pause(key, process, span, ms(arrived));
+                    let started_ms = process.started_ms.expect("all entries state it");
+                    let end = self.paused.entry((key, started_ms)).or_default();
+                    *end = (*end).max(arrived + span.as_millis() as u64);
+                }
             }
         }
     }
@@ -199,18 +293,16 @@
     }
 }
 
-/// Guards against daemons that send requests to an engine after it told them that it leaves, in
-/// fleets of any size. Engines leave, restart, expire and come back; rows are lost, late and
-/// reordered, and none says that an engine drains.
+/// Guards against daemons that send requests to an engine after it told them that it leaves, or in a
+/// pause that it asked for, in fleets of any size. Engines leave, restart, expire and come back; rows
+/// are lost, late and reordered, and none says that an engine drains.
 #[test]
-fn daemons_of_fleets_of_any_size_send_nothing_to_engines_that_told_them_they_leave() {
+fn daemons_of_fleets_of_any_size_send_nothing_to_engines_that_leave_or_pause() {
     for size in [8, 80, 195, 510] {
         let mut rng = ChaCha8Rng::seed_from_u64(size);
-        let daemon =
-            || Daemon { engines: Engines::default(), inbox: Vec::new(), leaving: IndexSet::new() };
-        let mut fleet: Vec<Daemon> = (0..size).map(|_| daemon()).collect();
+        let mut fleet: Vec<Daemon> = (0..size).map(|_| Daemon::default()).collect();
         let mut running = vec![Running { started_ms: 1, is_leaving: false }; ENGINES as usize];
-        let (mut version, mut sent, mut told) = (0, 0, 0);
+        let (mut version, mut sent, mut told, mut refused) = (0, 0, 0, 0);
         for now in (0..30_000).step_by(100) {
             for (number, process) in running.iter_mut().enumerate() {
                 let id = format!("e{number}");
@@ -237,21 +329,30 @@
                 daemon.receive(now, &mut rng);
                 let Some((key, known)) = daemon.send(now, &mut rng) else { continue };
                 let started_ms = known.started_ms.expect("all entries state it");
-                assert!(
-                    !daemon.leaving.contains(&(key, started_ms)),
-                    "{size} daemons: sent at {now} ms"
-                );
+                let process = (key, started_ms);
+                let paused_until = daemon.paused.get(&process).copied().unwrap_or(0);
+                let may_send = !daemon.leaving.contains(&process) && paused_until <= now;
+                assert!(may_send, "{size} daemons: sent at {now} ms");
                 sent += 1;
                 let id = daemon.engines.names.engines.name(key);
                 let process = running[id[1..].parse::<usize>().expect("a number")];
-                if process.is_leaving && process.started_ms == started_ms {
+                if process.started_ms != started_ms {
+                    continue;
+                }
+                let arrives = now + rng.random_range(0..300);
+                if process.is_leaving {
                     told += 1;
-                    let answer = Message::Leaving(key, known);
-                    daemon.inbox.push((now + rng.random_range(0..300), answer));
+                    daemon.inbox.push((arrives, Message::Leaving(key, known)));
+                }
+                if rng.random_bool(0.1) {
+                    refused += 1;
+                    let span = Duration::from_millis(rng.random_range(0..4_000));
+                    daemon.inbox.push((arrives, Message::Pause(key, known, span)));
                 }
             }
         }
-        assert!(sent > size * 100 && told > size * 5, "{size} daemons: {sent} sent, {told} told");
+        let counts = format!("{size} daemons: {sent} sent, {told} told, {refused} refused");
+        assert!(sent > size * 100 && told > size * 5 && refused > size * 10, "{counts}");
         for daemon in &mut fleet {
             daemon.receive(60_000, &mut rng);
             for number in 0..ENGINES {
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -64,8 +64,8 @@
 const UNKNOWN_MODEL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Number of report intervals after which an announcement of the lease holder is overdue.
 const ANNOUNCEMENT_INTERVALS: u32 = 4;
-/// Longest `Retry-After` of a refusal because of a limit that an engine names. Another daemon may
-/// have a part of the limit left.
+/// Longest `Retry-After` of a refusal because of a limit that an engine names or a pause that it
+/// asked for. Another daemon may have a part of the limit left, or no pause to keep.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` of a refusal because no engine is available.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -357,7 +357,7 @@
                 let is_permitted = !is_exhausted || tried.contains(&key);
                 is_permitted && misplaced.iter().all(|(other, _)| *other != key)
             };
-            let mut is_limit_short = false;
+            let mut limit_wait: Option<Duration> = None;
             let missing = match selection::select_engine(&self.call, allowed, &self.failed, now) {
                 Selection::Engine(target, guard) => return Ok((*target, guard)),
                 Selection::NoEngine if is_exhausted => {
@@ -366,12 +366,12 @@
                 Selection::ModelNotLoaded => Some(Missing::Model),
                 Selection::AdapterNotLoaded => Some(Missing::Adapter),
                 Selection::Limited(wait, missing) => {
-                    if wait > left && self.call.generation.is_none() {
+                    if wait > left && missing.is_none() {
                         let wait = wait.min(MAX_LIMITED_RETRY_AFTER);
                         return Err(self.end_with(Refusal::NoEngine(wait)));
                     }
-                    is_limit_short = wait <= left;
-                    self.call.generation.is_some().then_some(missing)
+                    limit_wait = Some(wait);
+                    missing
                 }
                 Selection::NoEngine | Selection::Full => None,
             };
@@ -387,8 +387,9 @@
                 );
                 wait_guard = missing.and_then(|missing| WaitGuard::begin(&self.call, missing));
             }
-            let hopeless = missing.filter(|_| !is_limit_short);
+            let hopeless = missing.filter(|_| limit_wait.is_none_or(|wait| wait > left));
             if let Some(wait) = hopeless.and_then(|missing| self.hopeless_wait(missing, now)) {
+                let wait = limit_wait.map_or(wait, |limit| limit.min(wait));
                 return Err(self.end_with(Refusal::NotLoaded(wait)));
             }
             // Wakes on a notification, or on the timeout if none arrives.
@@ -429,8 +430,8 @@
             shared.state().engines.record_failure(target.key, clock::now());
             Failure::Unsent
         })?;
-        // The engine may have left while the connection was established.
-        if !shared.state().engines.accepts(target.key, target.process) {
+        // The engine may have begun to leave or to pause while the connection was established.
+        if !shared.state().engines.accepts(target.key, target.process, clock::now()) {
             return Err(Failure::Unsent);
         }
         let Some(request) = self.build_request(target) else { return Err(Failure::Misplaced) };
@@ -509,7 +510,7 @@
         let facts = headers::decode_response(&head.headers);
         self.record_limit(target, facts.limit);
         let receiver = Receiver { key: target.key, id: &target.id, process: target.process };
-        notices::record(&self.call.shared, &receiver, &self.call.id, &facts);
+        notices::record(&self.call.shared, &receiver, &self.call.id, head.status, &facts);
         let execution = Execution::of(head.status.as_u16(), facts.not_executed);
         match execution {
             Execution::Done => {}
--- a/crates/daemon/src/forward/selection.rs
+++ b/crates/daemon/src/forward/selection.rs
@@ -54,9 +54,9 @@
     AdapterNotLoaded,
     /// All eligible engines are at capacity.
     Full,
-    /// The limits that the eligible engines name leave no request for this time. Unless it is short,
-    /// the model or adapter has to be loaded on another engine.
-    Limited(Duration, Missing),
+    /// The limits and pauses that engines name leave no request for this time. Unless it is short,
+    /// other engines have to load what they lack; `None` if there are none or they lack nothing.
+    Limited(Duration, Option<Missing>),
 }
 
 /// Selects an engine among those that satisfy `allowed`. Engines in `avoided` are considered only
@@ -69,9 +69,13 @@
 ) -> Selection {
     let mut guard = call.shared.state();
     let state = &mut *guard;
-    let mut eligible = match eligible_engines(call, state, allowed, now) {
-        Ok(eligible) => eligible,
-        Err(reason) => return reason,
+    let pause = shortest_pause(call, state, &allowed, now);
+    let mut eligible = match (eligible_engines(call, state, &allowed, now), pause) {
+        (Ok(eligible), _) => eligible,
+        (Err(_), Some(pause)) => {
+            return Selection::Limited(pause, missing_elsewhere(call, state, allowed, now));
+        }
+        (Err(reason), None) => return reason,
     };
     if eligible.iter().any(|key| !avoided.contains(key)) {
         eligible.retain(|key| !avoided.contains(key));
@@ -79,7 +83,7 @@
     let default_need = Need::default();
     let need = call.generation.as_ref().map_or(&default_need, |generation| &generation.need);
     let mut candidates = candidates(call, state, &eligible, need, now);
-    let (mut limited_count, mut shortest) = (0, Duration::MAX);
+    let (mut limited_count, mut shortest) = (0, pause.unwrap_or(Duration::MAX));
     while let Some(best) = choice::choose(&call.shared.choice, need, &candidates, call.seed()) {
         if !try_admit(call, state, best.key, now) {
             candidates.retain(|candidate| candidate.key != best.key);
@@ -95,7 +99,7 @@
     }
     // An engine that is full or cold may take the request any moment.
     if limited_count == eligible.len() {
-        return Selection::Limited(shortest, missing_elsewhere(call, state, now));
+        return Selection::Limited(shortest, missing_elsewhere(call, state, allowed, now));
     }
     Selection::Full
 }
@@ -212,19 +216,45 @@
     Ok(())
 }
 
-/// Returns what engines without a limit lack for a call.
-fn missing_elsewhere(call: &Call, state: &State, now: Tick) -> Missing {
-    let Some(generation) = &call.generation else { return Missing::Model };
-    let usable = state.engines.usable(&call.service, now);
-    let unlimited = usable.iter().filter(|key| !state.engine_limits.is_limited(**key));
-    let mut engines = unlimited.filter_map(|key| state.engines.get(*key));
+/// Returns what the engines without a limit or pause lack for a call, if there are any.
+fn missing_elsewhere(
+    call: &Call,
+    state: &State,
+    allowed: impl Fn(UpstreamKey) -> bool,
+    now: Tick,
+) -> Option<Missing> {
+    let generation = call.generation.as_ref()?;
+    let mut unlimited = state.engines.usable(&call.service, now);
+    unlimited.retain(|key| allowed(*key) && !state.engine_limits.is_limited(*key));
+    if unlimited.is_empty() {
+        return None;
+    }
+    let mut engines = unlimited.iter().filter_map(|key| state.engines.get(*key));
     let has_model = engines.any(|engine| engine.holds(generation.model, None));
     match generation.adapter {
-        Some(_) if has_model => Missing::Adapter,
-        _ => Missing::Model,
+        Some(_) if has_model => Some(Missing::Adapter),
+        _ => Some(Missing::Model),
     }
 }
 
+/// Returns the time until the first engine that asked for a pause may receive the call.
+fn shortest_pause(
+    call: &Call,
+    state: &State,
+    allowed: impl Fn(UpstreamKey) -> bool,
+    now: Tick,
+) -> Option<Duration> {
+    let paused = state.engines.paused(&call.service, now).into_iter();
+    let serving = paused.filter(|(key, _)| {
+        allowed(*key)
+            && call.generation.as_ref().is_none_or(|generation| {
+                let engine = state.engines.get(*key);
+                engine.is_some_and(|engine| engine.holds(generation.model, generation.adapter))
+            })
+    });
+    serving.map(|(_, left)| left).min()
+}
+
 fn assign(
     call: &Call,
     state: &mut State,
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -4,6 +4,10 @@
 use corianderyoke_coord::keys::UpstreamKey;
 use corianderyoke_coord::serving::engines::Change;
 use corianderyoke_coord::serving::notice::Process;
+use corianderyoke_util::clock;
+use corianderyoke_util::events;
+use corianderyoke_util::events::Event;
+use http::StatusCode;
 
 use crate::state::Shared;
 use crate::watch;
@@ -21,14 +25,31 @@
 
 /// Records what a response says. `request` is the identifier of the request that it answers, or the
 /// kind of request if it has none.
-pub fn record(shared: &Shared, receiver: &Receiver<'_>, request: &str, facts: &ResponseHeaders) {
+pub fn record(
+    shared: &Shared,
+    receiver: &Receiver<'_>,
+    request: &str,
+    status: StatusCode,
+    facts: &ResponseHeaders,
+) {
     let Receiver { key, id, process } = *receiver;
-    if !facts.leaving || facts.engine.as_deref().is_some_and(|responder| responder != id) {
+    let pause = facts.pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    let is_silent = !facts.leaving && pause.is_none();
+    if is_silent || facts.engine.as_deref().is_some_and(|responder| responder != id) {
         return;
     }
+    let started_ms = process.started_ms;
     let mut state = shared.state();
-    if state.engines.record_leaving(key, process) {
-        let started_ms = process.started_ms;
+    if let Some(pause) = pause {
+        if state.engines.record_pause(key, process, pause, clock::now()) {
+            let pause_ms = pause.as_millis();
+            events::log(
+                Event::UpstreamPaused,
+                format_args!("engine={id} id={request} started_ms={started_ms:?} ms={pause_ms}"),
+            );
+        }
+    }
+    if facts.leaving && state.engines.record_leaving(key, process) {
         let detail = format!("id={request} started_ms={started_ms:?} said in its response");
         watch::handle_change(shared, &mut state, id, Change::Left, &detail);
     }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -342,11 +342,12 @@
     let Ok(connection) = shared.pool.connection(&id, process.address, NO_ID, true).await else {
         return Answer::Busy;
     };
-    // The lease may have expired, or the engine left, while the connection was being established.
+    // The lease may have expired, or the engine begun to leave or to pause, while the connection was
+    // being established.
     let may_send = {
         let state = shared.state();
         let holds_lease = state.lease.token(clock::now()).is_some();
-        holds_lease && state.engines.accepts(order.engine, process)
+        holds_lease && state.engines.accepts(order.engine, process, clock::now())
     };
     if !may_send {
         return Answer::Busy;
@@ -415,7 +416,8 @@
         connection.reset();
         return None;
     };
-    notices::record(shared, receiver, &path, &headers::decode_response(&head.headers));
+    let facts = headers::decode_response(&head.headers);
+    notices::record(shared, receiver, &path, head.status, &facts);
     shared.pool.release(receiver.id, connection, &head);
     Some((head, body))
 }
@@ -437,6 +439,11 @@
     shared.replan.notify_one();
 }
 
+fn is_paused(shared: &Shared, key: UpstreamKey) -> bool {
+    let state = shared.state();
+    state.engines.get(key).is_some_and(|engine| !engine.pause_left(clock::now()).is_zero())
+}
+
 async fn fetch_report(shared: &Shared, key: UpstreamKey) -> Option<Report> {
     let (id, process) = {
         let state = shared.state();
@@ -445,6 +452,9 @@
     };
     let connection = shared.pool.connection(&id, process.address, NO_ID, false).await.ok()?;
     let request = build_request(Method::GET, orders::REPORT_PATH, &id, Bytes::new())?;
+    if is_paused(shared, key) {
+        return None;
+    }
     let receiver = Receiver { key, id: &id, process };
     let (head, body) = exchange(shared, &receiver, connection, request).await?;
     if !head.status.is_success() {
--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -55,6 +55,8 @@
     Stall(u64),
     /// Refuses with status 503 and a header stating that it wasn't executed.
     Refuse,
+    /// Refuses like [`Behavior::Refuse`], and asks for a pause of so many seconds.
+    RefuseFor(&'static str),
     /// Refuses with status 421 because it lacks the model or adapter.
     LacksModel,
     /// Closes the connection without a response.
@@ -312,7 +314,7 @@
             let mut state = self.state.lock();
             let behavior =
                 state.behaviors.pop_front().unwrap_or_else(|| self.default_behavior(&path));
-            let executed = !matches!(behavior, Behavior::Refuse | Behavior::LacksModel);
+            let executed = !is_refusal(behavior);
             let crashes = state.crashing_part.is_some_and(|part| has_shared_part(&headers, part));
             let is_poison = state.crashing_body.is_some_and(|poison| body == poison);
             let at = Instant::now();
@@ -348,9 +350,11 @@
                 StreamEnd::Stalled,
                 Arc::clone(&self.state),
             ),
-            Behavior::Refuse => {
-                let mut response = full_response(503, "full");
-                response.headers_mut().insert("corianderyoke-not-executed", header_value_one());
+            Behavior::Refuse => refusal(),
+            Behavior::RefuseFor(seconds) => {
+                let mut response = refusal();
+                let pause = http::HeaderValue::from_static(seconds);
+                response.headers_mut().insert("retry-after", pause);
                 response
             }
             Behavior::LacksModel => full_response(421, "not here"),
@@ -381,7 +385,7 @@
         if let Some(limit) = self.state.lock().limit {
             headers.insert("server-limit", http::HeaderValue::from_static(limit));
         }
-        if !matches!(behavior, Behavior::Unsigned | Behavior::Refuse | Behavior::LacksModel) {
+        if behavior != Behavior::Unsigned && !is_refusal(behavior) {
             headers.insert("corianderyoke-response-seal", "seal".parse().expect("a valid header"));
         }
         Ok(response)
@@ -536,6 +540,16 @@
     http::HeaderValue::from_static("1")
 }
 
+fn is_refusal(behavior: Behavior) -> bool {
+    matches!(behavior, Behavior::Refuse | Behavior::RefuseFor(_) | Behavior::LacksModel)
+}
+
+fn refusal() -> Response<Body> {
+    let mut response = full_response(503, "full");
+    response.headers_mut().insert("corianderyoke-not-executed", header_value_one());
+    response
+}
+
 fn full_response(status: u16, text: &str) -> Response<Body> {
     let body = Full::new(Bytes::copy_from_slice(text.as_bytes()));
     let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
--- a/crates/daemon/tests/fleet/fixture.rs
+++ b/crates/daemon/tests/fleet/fixture.rs
@@ -78,6 +78,24 @@
         Engine::start(&self.store, id, "advice", models).await
     }
 
+    /// Starts an engine of the service of a path, with model `m1` if that is the one of models.
+    pub async fn engine_for(&self, path: &str, id: &str) -> Engine {
+        if is_generation(path) {
+            self.model_engine(id, &["m1"]).await
+        } else {
+            self.plain_engine(id).await
+        }
+    }
+
+    /// Builds a request for a path, for model `m1` if its service is the one of models.
+    pub fn request_for(&self, daemon: &Daemon, path: &str, id: &str) -> RequestBuilder {
+        if is_generation(path) {
+            self.generation_request(daemon, path, id, "m1")
+        } else {
+            self.request(daemon, path, id)
+        }
+    }
+
     /// Starts a daemon and waits until it is ready.
     pub async fn daemon(&self, name: &str) -> Daemon {
         self.daemon_with_status(name, 200).await
@@ -246,6 +264,10 @@
     desired
 }
 
+fn is_generation(path: &str) -> bool {
+    path.starts_with("/stream/") || path.starts_with("/resume/")
+}
+
 /// Returns the status of a response and whether it has a `Retry-After` header.
 pub fn status_and_retry_after(response: &Response) -> (u16, bool) {
     (response.status().as_u16(), response.headers().contains_key("retry-after"))
--- a/crates/daemon/tests/fleet/leaving.rs
+++ b/crates/daemon/tests/fleet/leaving.rs
@@ -11,7 +11,6 @@
 use tokio::time::Instant;
 
 use crate::engine::Behavior;
-use crate::engine::Engine;
 use crate::fixture::wait_until;
 use crate::fixture::Daemon;
 use crate::fixture::Fixture;
@@ -27,15 +26,6 @@
 /// Time after which all daemons use an engine again.
 const RESTART_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Starts an engine with model `m1`, of the service of the routes `/once/` and `/again/` or of that
-/// of `/resume/`.
-async fn start_engine(fixture: &Fixture, id: &str, path: &str) -> Engine {
-    match path {
-        "/resume/soak" => fixture.model_engine(id, &["m1"]).await,
-        _ => fixture.plain_engine(id).await,
-    }
-}
-
 /// Returns the header of a caller that waits for so many milliseconds.
 fn deadline(millis: &'static str) -> HeaderMap {
     let name = HeaderName::from_static("corianderyoke-deadline-ms");
@@ -44,11 +34,7 @@
 
 /// Sends a request. Returns its status.
 async fn send(fixture: &Fixture, daemon: &Daemon, path: &str, id: &str) -> u16 {
-    let request = match path {
-        "/resume/soak" => fixture.generation_request(daemon, path, id, "m1"),
-        _ => fixture.request(daemon, path, id),
-    };
-    let response = request.send().await.expect("a response");
+    let response = fixture.request_for(daemon, path, id).send().await.expect("a response");
     let status = response.status().as_u16();
     response.bytes().await.expect("the response is complete");
     status
@@ -67,8 +53,8 @@
     for path in ["/again/", "/resume/soak"] {
         for behavior in behaviors {
             let fixture = Fixture::start().await;
-            let leaving = start_engine(&fixture, "i-1", path).await;
-            start_engine(&fixture, "i-2", path).await;
+            let leaving = fixture.engine_for(path, "i-1").await;
+            fixture.engine_for(path, "i-2").await;
             leaving.set_leaving(true);
             leaving.queue_behaviors(&[behavior]);
             let daemon = fixture.daemon("d1").await;
@@ -181,11 +167,7 @@
         .await;
         let daemon = fixture.daemon("d1").await;
         for id in ["1", "2", "3"] {
-            let request = match path {
-                "/resume/soak" => fixture.generation_request(&daemon, path, id, "m1"),
-                _ => fixture.request(&daemon, path, id),
-            };
-            let request = request.headers(deadline("700"));
+            let request = fixture.request_for(&daemon, path, id).headers(deadline("700"));
             assert_eq!(request.send().await.expect("a response").status(), 503, "{path}");
         }
         let received = engine.received();
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod odd_datagrams;
 mod odd_entries;
 mod orders;
+mod pausing;
 mod raw_engine;
 mod restored;
 mod resumed_streams;
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -90,6 +90,7 @@
     UpstreamListed = 511, Info, "an upstream is listed, or what it holds changed";
     UpstreamCrashed = 512, Warn, "an upstream crashed while requests were there";
     UpstreamLimited = 513, Info, "an upstream names a limit on the requests of all daemons";
+    UpstreamPaused = 514, Info, "an upstream gets nothing from this daemon for some time";
 }
 
 /// Logs `event` with `detail`, which holds `key=value` pairs.
