--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -55,6 +55,8 @@
     Stall(u64),
     /// Refuses with status 503 and a header stating that it wasn't executed.
     Refuse,
+    /// Refuses like [`Behavior::Refuse`], and asks for a pause of so many seconds.
+    RefuseFor(&'static str),
     /// Refuses with status 421 because it lacks the model or adapter.
     LacksModel,
     /// Closes the connection without a response.
@@ -116,6 +118,8 @@
     /// Number of responses that are written once more, each before the next response on its
     /// connection.
     repetitions: usize,
+    /// Whether all responses say that the engine leaves.
+    leaving: bool,
 }
 
 impl State {
@@ -125,6 +129,7 @@
         self.adapters.clear();
         self.orders.clear();
         self.busy = false;
+        self.leaving = false;
     }
 
     /// Loaded models and adapters, in the form used by the entry and the report.
@@ -227,6 +232,16 @@
         self.state.lock().limit = limit;
     }
 
+    /// Makes the engine say in all responses that it leaves, or no longer. Its entry stays as it is.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.lock().leaving = leaving;
+    }
+
+    /// Ends the engine's process. It is back soon under the same identity, and empty.
+    pub fn restart(&self) {
+        self.crash.notify_one();
+    }
+
     /// Returns the times at which the engine crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state.lock().crashes.clone()
@@ -274,6 +289,14 @@
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        let mut response = self.handle(request).await?;
+        if self.state.lock().leaving {
+            response.headers_mut().insert("server-leaving", header_value_one());
+        }
+        Ok(response)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
         let path = request.uri().to_string();
         let headers = request.headers().clone();
         let body = request.into_body().collect().await;
@@ -291,7 +314,7 @@
             let mut state = self.state.lock();
             let behavior =
                 state.behaviors.pop_front().unwrap_or_else(|| self.default_behavior(&path));
-            let executed = !matches!(behavior, Behavior::Refuse | Behavior::LacksModel);
+            let executed = !is_refusal(behavior);
             let crashes = state.crashing_part.is_some_and(|part| has_shared_part(&headers, part));
             let is_poison = state.crashing_body.is_some_and(|poison| body == poison);
             let at = Instant::now();
@@ -327,9 +350,11 @@
                 StreamEnd::Stalled,
                 Arc::clone(&self.state),
             ),
-            Behavior::Refuse => {
-                let mut response = full_response(503, "full");
-                response.headers_mut().insert("corianderyoke-not-executed", header_value_one());
+            Behavior::Refuse => refusal(),
+            Behavior::RefuseFor(seconds) => {
+                let mut response = refusal();
+                let pause = http::HeaderValue::from_static(seconds);
+                response.headers_mut().insert("retry-after", pause);
                 response
             }
             Behavior::LacksModel => full_response(421, "not here"),
@@ -360,7 +385,7 @@
         if let Some(limit) = self.state.lock().limit {
             headers.insert("server-limit", http::HeaderValue::from_static(limit));
         }
-        if !matches!(behavior, Behavior::Unsigned | Behavior::Refuse | Behavior::LacksModel) {
+        if behavior != Behavior::Unsigned && !is_refusal(behavior) {
             headers.insert("corianderyoke-response-seal", "seal".parse().expect("a valid header"));
         }
         Ok(response)
@@ -515,6 +540,16 @@
     http::HeaderValue::from_static("1")
 }
 
+fn is_refusal(behavior: Behavior) -> bool {
+    matches!(behavior, Behavior::Refuse | Behavior::RefuseFor(_) | Behavior::LacksModel)
+}
+
+fn refusal() -> Response<Body> {
+    let mut response = full_response(503, "full");
+    response.headers_mut().insert("corianderyoke-not-executed", header_value_one());
+    response
+}
+
 fn full_response(status: u16, text: &str) -> Response<Body> {
     let body = Full::new(Bytes::copy_from_slice(text.as_bytes()));
     let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
