--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -92,6 +92,10 @@
     pub body: Bytes,
     /// Whether the engine executed it; false for refusals.
     pub executed: bool,
+    /// How the engine handled it.
+    pub behavior: Behavior,
+    /// Whether another response may be written before the one to this request.
+    pub masked: bool,
     /// Time of receipt.
     pub at: Instant,
 }
@@ -317,8 +321,9 @@
             let executed = !is_refusal(behavior);
             let crashes = state.crashing_part.is_some_and(|part| has_shared_part(&headers, part));
             let is_poison = state.crashing_body.is_some_and(|poison| body == poison);
-            let at = Instant::now();
-            state.received.push(ReceivedRequest { path, headers, body, executed, at });
+            let (masked, at) = (state.repetitions > 0, Instant::now());
+            let request = ReceivedRequest { path, headers, body, executed, behavior, masked, at };
+            state.received.push(request);
             if is_poison {
                 Behavior::CrashUnanswered
             } else if crashes {
--- a/crates/daemon/tests/fleet/soak.rs
+++ b/crates/daemon/tests/fleet/soak.rs
@@ -1,8 +1,10 @@
 //! Injects random faults, some of which overlap, into a fleet of real daemons and checks what
 //! callers and engines received: no request of a non-idempotent route runs twice, no refused one
-//! runs, and streams are complete. Engines write responses once more on kept connections. Beside them
-//! comes a request that crashes engines, the operator changes routes, and the store is restored from older copies; once the faults have ended, every
-//! daemon serves by the latest change, and the crashing request hardly reaches engines.
+//! runs, and streams are complete. Engines write refusals once more on kept connections, ask for
+//! pauses and say that they leave, which the daemons must respect. Beside them comes a request that
+//! crashes engines, the operator changes routes, and the store is restored from older copies; once
+//! the faults have ended, every daemon serves by the latest change, and the crashing request hardly
+//! reaches engines.
 //!
 //! CI runs a few seeds; `CORIANDERYOKE_SOAK=FROM..TO` runs others.
 
@@ -24,6 +26,7 @@
 
 use crate::engine::Behavior;
 use crate::engine::Engine;
+use crate::engine::ReceivedRequest;
 use crate::fixture::desired_state;
 use crate::fixture::desired_state_with_added_route;
 use crate::fixture::wait_until;
@@ -49,6 +52,18 @@
 const MAX_LATER_POISON: usize = 3;
 /// Copies of the store that a restoration may use, the latest ones.
 const MAX_COPIES: usize = 4;
+/// Pause that engines ask for, in seconds.
+const PAUSE_SECONDS: &str = "2";
+/// The same pause.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Time after a pause was asked for within which further requests may arrive.
+const PAUSE_REACTION: Duration = Duration::from_millis(500);
+/// Most requests that reach an engine from a daemon during the rest of a pause.
+const MAX_PAUSED: usize = 2;
+/// Time from the first response that says that an engine leaves to its end.
+const LEAVING_TIME: Duration = Duration::from_secs(4);
+/// Time after such a response within which further requests may reach the engine.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Number of refusals that an engine writes twice.
 const REFUSALS: usize = 6;
 /// Longest time that engines take to write their entries again, in milliseconds.
@@ -58,6 +73,25 @@
     Duration::from_millis(rng.random_range(20..20 + range_ms))
 }
 
+/// What a caller knows of a request.
+#[derive(Debug)]
+struct Sending {
+    /// Address of the daemon that received it, which changes when the daemon restarts.
+    daemon: SocketAddr,
+    sent: Instant,
+    /// When a response of an engine was complete that says that the engine leaves.
+    told_leaving: Option<Instant>,
+    outcome: Outcome,
+}
+
+/// Time in which a daemon was frozen.
+#[derive(Clone, Copy, Debug)]
+struct Freeze {
+    daemon: SocketAddr,
+    from: Instant,
+    until: Instant,
+}
+
 /// Result of a request, as its caller saw it.
 #[derive(Debug)]
 enum Outcome {
@@ -67,14 +101,14 @@
     Failed,
 }
 
-/// Outcomes by request identifier. Its first letter is the kind of the request: `a` for
+/// Requests by identifier. Its first letter is the kind of the request: `a` for
 /// non-idempotent, `b` for idempotent and `c` for a resumable stream.
-type Outcomes = Arc<Mutex<BTreeMap<String, Outcome>>>;
+type Sendings = Arc<Mutex<BTreeMap<String, Sending>>>;
 /// Address for callers of each daemon.
 type Addresses = Arc<Mutex<Vec<SocketAddr>>>;
 
 /// Sends one request after the other over persistent connections until `stop` is set.
-async fn caller(number: u64, addresses: Addresses, outcomes: Outcomes, stop: Arc<AtomicBool>) {
+async fn caller(number: u64, addresses: Addresses, sendings: Sendings, stop: Arc<AtomicBool>) {
     let client = reqwest::Client::builder().no_proxy().timeout(Duration::from_secs(6));
     let client = client.build().expect("a client");
     let mut rng = ChaCha8Rng::seed_from_u64(number);
@@ -102,12 +136,15 @@
                 .header("corianderyoke-prompt-prefix", "aa:60,bb:40"),
             _ => request,
         };
+        let (sent, mut told_leaving) = (Instant::now(), None);
         let outcome = match request.send().await {
             Ok(response) => {
+                let is_leaving = response.headers().contains_key("server-leaving");
                 let echoed = response.headers().get("corianderyoke-attempt-id").cloned();
                 let status = response.status().as_u16();
                 match response.text().await {
                     Ok(text) => {
+                        told_leaving = is_leaving.then(Instant::now);
                         if status == 200 {
                             assert_eq!(
                                 echoed.expect("the engine's response has an identifier"),
@@ -121,7 +158,7 @@
             }
             Err(_) => Outcome::Failed,
         };
-        outcomes.lock().insert(id, outcome);
+        sendings.lock().insert(id, Sending { daemon: address, sent, told_leaving, outcome });
         sleep(Duration::from_millis(5)).await;
     }
 }
@@ -162,6 +199,7 @@
     /// Latest revision that the operator wrote.
     revision: u64,
     copies: VecDeque<Copy>,
+    freezes: Vec<Freeze>,
 }
 
 impl FaultInjector {
@@ -214,9 +252,12 @@
                 self.restart(daemon).await;
             }
             2 => {
-                self.daemons[daemon].signal(Signal::SIGSTOP);
+                let (frozen, from) = (&self.daemons[daemon], Instant::now());
+                frozen.signal(Signal::SIGSTOP);
                 sleep(random_duration(&mut self.rng, 2_000)).await;
-                self.daemons[daemon].signal(Signal::SIGCONT);
+                frozen.signal(Signal::SIGCONT);
+                let (daemon, until) = (frozen.callers, Instant::now());
+                self.freezes.push(Freeze { daemon, from, until });
             }
             3 => self.daemons[daemon].signal(Signal::SIGHUP),
             4 => {
@@ -274,6 +315,18 @@
         if self.engines[engine].service == service {
             self.engines[engine].queue_behaviors(&[behavior, behavior]);
         }
+        match self.rng.random_range(0..4) {
+            0 => self.engines[engine].queue_behaviors(&[Behavior::RefuseFor(PAUSE_SECONDS); 2]),
+            1 => {
+                let (engine, delay) = (self.engines[engine].clone(), LEAVING_TIME);
+                engine.set_leaving(true);
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    engine.restart();
+                });
+            }
+            _ => {}
+        }
         if self.rng.random_bool(0.5) {
             // Refusals that are written once more may seem to be those of the requests after them.
             let engine = &self.engines[self.rng.random_range(0..self.engines.len())];
@@ -309,11 +362,11 @@
     }
     let addresses: Addresses =
         Arc::new(Mutex::new(daemons.iter().map(|daemon| daemon.callers).collect()));
-    let (outcomes, stop) = (Outcomes::default(), Arc::new(AtomicBool::new(false)));
+    let (sendings, stop) = (Sendings::default(), Arc::new(AtomicBool::new(false)));
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|number| {
-            let (addresses, outcomes) = (Arc::clone(&addresses), Arc::clone(&outcomes));
-            tokio::spawn(caller(number, addresses, outcomes, Arc::clone(&stop)))
+            let (addresses, sendings) = (Arc::clone(&addresses), Arc::clone(&sendings));
+            tokio::spawn(caller(number, addresses, sendings, Arc::clone(&stop)))
         })
         .collect();
     let poison = tokio::spawn(send_poison(Arc::clone(&addresses), Arc::clone(&stop)));
@@ -325,6 +378,7 @@
         rng: ChaCha8Rng::seed_from_u64(seed),
         revision: 1,
         copies: VecDeque::new(),
+        freezes: Vec::new(),
     };
     for _ in 0..FAULT_COUNT {
         injector.inject_fault().await;
@@ -332,10 +386,10 @@
         sleep(pause).await;
     }
     let served = || {
-        outcomes
+        sendings
             .lock()
             .values()
-            .filter(|outcome| matches!(outcome, Outcome::Complete(200, _)))
+            .filter(|sending| matches!(sending.outcome, Outcome::Complete(200, _)))
             .count()
     };
     let before = served();
@@ -347,7 +401,8 @@
     for task in callers.into_iter().chain([poison]) {
         task.await.unwrap_or_else(|error| panic!("seed {seed}: {error}"));
     }
-    check_outcomes(seed, &outcomes.lock(), &injector.engines);
+    check_outcomes(seed, &sendings.lock(), &injector.engines);
+    check_notices(seed, &sendings.lock(), &injector);
     check_poison(seed, &injector.engines, calm);
     check_revision(seed, &injector).await;
 }
@@ -374,7 +429,7 @@
 }
 
 /// Compares what callers received with what engines executed.
-fn check_outcomes(seed: u64, outcomes: &BTreeMap<String, Outcome>, engines: &[Engine]) {
+fn check_outcomes(seed: u64, sendings: &BTreeMap<String, Sending>, engines: &[Engine]) {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     for received in engines.iter().flat_map(Engine::received) {
         if received.body == POISON {
@@ -385,7 +440,7 @@
         assert_eq!(received.headers["corianderyoke-tenant"], "team", "seed {seed}: {id}");
         *runs.entry(id).or_default() += usize::from(received.executed);
     }
-    for (id, outcome) in outcomes {
+    for (id, Sending { outcome, .. }) in sendings {
         let executed = runs.get(id).copied().unwrap_or(0);
         let non_idempotent = id.starts_with('a');
         assert!(!non_idempotent || executed <= 1, "seed {seed}: {id} ran {executed} times");
@@ -404,6 +459,91 @@
     }
 }
 
+/// Request that an engine received, with what its caller knows of it.
+type Received<'a> = (ReceivedRequest, &'a Sending);
+
+fn id_of(request: &ReceivedRequest) -> &str {
+    request.headers["corianderyoke-attempt-id"].to_str().expect("text")
+}
+
+/// Checks what engines got from daemons that they had told to pause, or that they leave.
+fn check_notices(seed: u64, sendings: &BTreeMap<String, Sending>, injector: &FaultInjector) {
+    let all: Vec<ReceivedRequest> = injector.engines.iter().flat_map(Engine::received).collect();
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for request in &all {
+        *counts.entry(id_of(request)).or_default() += 1;
+    }
+    for engine in &injector.engines {
+        let received = engine.received().into_iter();
+        let received = received.filter_map(|request| {
+            let sending = sendings.get(id_of(&request))?;
+            Some((request, sending))
+        });
+        let received: Vec<Received<'_>> = received.collect();
+        check_pauses(seed, engine, &received, &injector.freezes);
+        let is_sent_once = |request: &ReceivedRequest| counts[id_of(request)] == 1;
+        check_leaving(seed, engine, &received, &injector.freezes, is_sent_once);
+    }
+}
+
+fn was_frozen(freezes: &[Freeze], daemon: SocketAddr, from: Instant, until: Instant) -> bool {
+    let mut freezes = freezes.iter().filter(|freeze| freeze.daemon == daemon);
+    freezes.any(|freeze| freeze.from < until && freeze.until > from)
+}
+
+/// Checks that an engine got hardly any request from a daemon that it had asked for a pause.
+fn check_pauses(seed: u64, engine: &Engine, received: &[Received<'_>], freezes: &[Freeze]) {
+    let (id, crashes) = (&engine.id, engine.crashes());
+    for (refused, Sending { daemon, .. }) in received {
+        let (start, end) = (refused.at, refused.at + PAUSE);
+        // A response that follows another one isn't read.
+        let is_pause = matches!(refused.behavior, Behavior::RefuseFor(_)) && !refused.masked;
+        let is_restarted = crashes.iter().any(|crash| *crash > start && *crash < end);
+        if !is_pause || is_restarted || was_frozen(freezes, *daemon, start, end) {
+            continue;
+        }
+        let count = received.iter().filter(|(request, sending)| {
+            let is_paused = request.at > start + PAUSE_REACTION && request.at < end;
+            sending.daemon == *daemon && is_paused
+        });
+        let count = count.count();
+        assert!(
+            count <= MAX_PAUSED,
+            "seed {seed}: {id} got {count} requests of {daemon} in a pause"
+        );
+    }
+}
+
+/// Checks that an engine got no request from a daemon that had told a caller that the engine leaves.
+fn check_leaving(
+    seed: u64,
+    engine: &Engine,
+    received: &[Received<'_>],
+    freezes: &[Freeze],
+    is_sent_once: impl Fn(&ReceivedRequest) -> bool,
+) {
+    let (id, crashes) = (&engine.id, engine.crashes());
+    for (request, Sending { daemon, told_leaving, .. }) in received {
+        // The head of a response that went on at another engine is that of the first one.
+        let told = told_leaving.filter(|_| is_sent_once(request));
+        let Some(told) = told else { continue };
+        let ended = crashes.iter().find(|crash| **crash > told).copied();
+        let late = received.iter().find(|(request, sending)| {
+            let is_late = sending.sent > told + DRAIN_TIME;
+            sending.daemon == *daemon && is_late && ended.is_none_or(|ended| request.at < ended)
+        });
+        if let Some((request, sending)) = late {
+            let is_excused = was_frozen(freezes, *daemon, told, sending.sent);
+            let delay = sending.sent - told;
+            assert!(
+                is_excused,
+                "seed {seed}: {id} got {} from {daemon} {delay:?} after it had told that it leaves",
+                request.path
+            );
+        }
+    }
+}
+
 /// Checks that a complete stream has every event from the first on exactly once.
 fn check_stream(seed: u64, id: &str, text: &str) {
     let numbers = text.lines().filter_map(|line| line.strip_prefix("id: "));
