--- a/crates/daemon/tests/fleet/odd_entries.rs
+++ b/crates/daemon/tests/fleet/odd_entries.rs
@@ -1,5 +1,7 @@
 //! Tests of entries and rows of another writer that no engine, operator or daemon would write.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -23,17 +25,22 @@
 /// Time within which a daemon reads a row; also longer than the interval of the engines' table.
 const READ_TIME: Duration = Duration::from_millis(700);
 
-/// Returns the entry of an engine of the plain service with one field replaced.
+fn entry(engine: &Engine) -> Value {
+    json!({
+        "service": engine.service, "address": engine.address.to_string(), "zone": "a",
+        "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 40, "born": 1,
+        "models": [],
+    })
+}
+
+/// Returns the entry of an engine with one field replaced.
 fn entry_with(engine: &Engine, field: &str, value: Value) -> Vec<u8> {
-    let mut entry = json!({
-        "service": "orders", "address": engine.address.to_string(), "zone": "a", "version": "v1",
-        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 40, "born": 1, "models": [],
-    });
+    let mut entry = entry(engine);
     entry[field] = value;
     entry.to_string().into_bytes()
 }
 
-/// Returns a text that consists of `text`, with `field` of the entry replaced by a nested list.
+/// Returns the entry of an engine with one field replaced by a nested list.
 fn nested_entry(engine: &Engine, field: &str) -> Vec<u8> {
     let entry = entry_with(engine, field, json!("NESTED"));
     let entry = String::from_utf8(entry).expect("JSON is text");
@@ -56,6 +63,7 @@
         entry_with(decoy, "born", json!(-1)),
         entry_with(decoy, "address", json!(format!("{address}:80000"))),
         entry_with(decoy, "address", json!(format!("{address}:-1"))),
+        entry_with(decoy, "address", json!(format!("{address}:0"))),
         entry_with(decoy, "address", json!("x".repeat(LONG))),
         entry_with(decoy, "state", json!("x".repeat(LONG))),
         entry_with(decoy, "models", json!([1, 2])),
@@ -65,10 +73,13 @@
     ]
 }
 
-/// Sends requests until a later engine has received one.
+/// Sends requests with different identifiers, which break ties between engines, until an engine has
+/// received one.
 async fn wait_until_used(fixture: &Fixture, daemon: &Daemon, engine: &Engine) {
+    let count = AtomicUsize::new(0);
     wait_until(|| async {
-        let response = fixture.request(daemon, "/again/", "1").send().await;
+        let id = format!("{:x}", count.fetch_add(1, Ordering::Relaxed));
+        let response = fixture.request(daemon, "/again/", &id).send().await;
         assert!(response.is_ok_and(|response| response.status() == 200));
         !engine.received().is_empty()
     })
@@ -95,8 +106,9 @@
     fixture.store.remove("servers", "i-1");
     sleep(READ_TIME).await;
     let before = sound.received().len();
-    for _ in 0..20 {
-        let response = fixture.request(&daemon, "/again/", "2").send().await.expect("a response");
+    for number in 0..20 {
+        let id = format!("{number:x}");
+        let response = fixture.request(&daemon, "/again/", &id).send().await.expect("a response");
         assert_eq!(response.status(), 200);
     }
     assert_eq!(sound.received().len(), before, "the engine whose entry was removed isn't used");
@@ -257,3 +269,68 @@
         assert!(!daemon.has_exited());
     }
 }
+
+/// Guards against daemons that end requests because of the largest numbers that a desired state may
+/// contain.
+#[tokio::test]
+async fn desired_state_with_the_largest_numbers_is_served() {
+    let year_ms = 365_u64 * 24 * 60 * 60 * 1_000;
+    let (year_s, huge) = (year_ms / 1_000, 1e300);
+    let mut desired = desired_state(2);
+    for route in desired["routes"].as_array_mut().expect("a list") {
+        let service = route["service"].clone();
+        route["timeout_ms"] = json!(year_ms);
+        route["target_latency_ms"] = json!(year_ms);
+        route["gap_aim_ms"] = json!(year_ms);
+        route["priority"] = json!(u8::MAX);
+        route["max_attempts"] = json!(u32::MAX);
+        let split = json!({"service": service, "weight": u32::MAX});
+        route["traffic_split"] = json!([split, split]);
+    }
+    for service in desired["services"].as_array_mut().expect("a list") {
+        service["max_conns"] = json!(u32::MAX);
+        service["cold_per_s"] = json!(huge);
+    }
+    let engine = &mut desired["services"][1]["engine"];
+    for (field, value) in [
+        ("slots", json!(u32::MAX)),
+        ("kv_capacity", json!(u64::MAX)),
+        ("weights_mb", json!(huge)),
+        ("adapter_slots", json!(u32::MAX)),
+        ("loads_per_s", json!(huge)),
+        ("host_mb", json!(huge)),
+        ("disk_mb", json!(huge)),
+    ] {
+        engine[field] = value;
+    }
+    for model in engine["models"].as_array_mut().expect("a list") {
+        for field in ["load_s", "disk_s", "warm_s"] {
+            model[field] = json!(year_s);
+        }
+    }
+    desired["limits"] = json!({"max_header_bytes": u64::MAX, "max_body_bytes": u64::MAX,
+                               "header_timeout_ms": year_ms, "idle_timeout_ms": year_ms});
+    for field in ["plain_tokens", "rate_per_s", "burst"] {
+        desired["tenants"][0][field] = json!(huge);
+    }
+    desired["tenants"][0]["plain_tokens"] = json!(u64::MAX);
+    let fixture = Fixture::start().await;
+    fixture.write_desired_state(&desired);
+    fixture.plain_engine("i-1").await;
+    let cold = fixture.model_engine("i-2", &["m1"]).await;
+    let mut entry = entry(&cold);
+    entry["cold_left_ms"] = json!(year_ms);
+    entry["models"] = json!([{"name": "m1", "version": 1, "adapters": []}]);
+    fixture.store.put("servers", "i-2", entry.to_string().as_bytes());
+    let mut daemon = fixture.daemon("d1").await;
+    for path in ["/once/", "/again/", "/once/", "/again/"] {
+        let response = fixture.request(&daemon, path, "1").send().await.expect("a response");
+        assert_eq!(response.status(), 200, "{path}");
+    }
+    // A model that no engine holds can't be loaded in time.
+    for (model, status) in [("m1", 200), ("m1", 200), ("m2", 503)] {
+        let sent = fixture.generation_request(&daemon, "/resume/soak", "2", model).send();
+        assert_eq!(sent.await.expect("a response").status(), status, "{model}");
+    }
+    assert!(!daemon.has_exited());
+}
