--- a/crates/daemon/tests/fleet/odd_entries.rs
+++ b/crates/daemon/tests/fleet/odd_entries.rs
@@ -1,5 +1,7 @@
 //! Tests of entries and rows of another writer that no engine, operator or daemon would write.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -71,10 +73,13 @@
     ]
 }
 
-/// Sends requests until a later engine has received one.
+/// Sends requests with different identifiers, which break ties between engines, until an engine has
+/// received one.
 async fn wait_until_used(fixture: &Fixture, daemon: &Daemon, engine: &Engine) {
+    let count = AtomicUsize::new(0);
     wait_until(|| async {
-        let response = fixture.request(daemon, "/again/", "1").send().await;
+        let id = format!("{:x}", count.fetch_add(1, Ordering::Relaxed));
+        let response = fixture.request(daemon, "/again/", &id).send().await;
         assert!(response.is_ok_and(|response| response.status() == 200));
         !engine.received().is_empty()
     })
@@ -101,8 +106,9 @@
     fixture.store.remove("servers", "i-1");
     sleep(READ_TIME).await;
     let before = sound.received().len();
-    for _ in 0..20 {
-        let response = fixture.request(&daemon, "/again/", "2").send().await.expect("a response");
+    for number in 0..20 {
+        let id = format!("{number:x}");
+        let response = fixture.request(&daemon, "/again/", &id).send().await.expect("a response");
         assert_eq!(response.status(), 200);
     }
     assert_eq!(sound.received().len(), before, "the engine whose entry was removed isn't used");
