Look for pauses only where a request can't be sent

Each selection looked through all engines of the service for pauses, though the result counts only where no engine is eligible or all are at their limits. No change of behaviour; the tests of pauses and limits pass.

--- a/crates/daemon/src/forward/selection.rs
+++ b/crates/daemon/src/forward/selection.rs
@@ -69,13 +69,12 @@
 ) -> Selection {
     let mut guard = call.shared.state();
     let state = &mut *guard;
-    let pause = shortest_pause(call, state, &allowed, now);
-    let mut eligible = match (eligible_engines(call, state, &allowed, now), pause) {
-        (Ok(eligible), _) => eligible,
-        (Err(_), Some(pause)) => {
+    let mut eligible = match eligible_engines(call, state, &allowed, now) {
+        Ok(eligible) => eligible,
+        Err(reason) => {
+            let Some(pause) = shortest_pause(call, state, &allowed, now) else { return reason };
             return Selection::Limited(pause, missing_elsewhere(call, state, allowed, now));
         }
-        (Err(reason), None) => return reason,
     };
     if eligible.iter().any(|key| !avoided.contains(key)) {
         eligible.retain(|key| !avoided.contains(key));
@@ -83,7 +82,7 @@
     let default_need = Need::default();
     let need = call.generation.as_ref().map_or(&default_need, |generation| &generation.need);
     let mut candidates = candidates(call, state, &eligible, need, now);
-    let (mut limited_count, mut shortest) = (0, pause.unwrap_or(Duration::MAX));
+    let (mut limited_count, mut shortest) = (0, Duration::MAX);
     while let Some(best) = choice::choose(&call.shared.choice, need, &candidates, call.seed()) {
         if !try_admit(call, state, best.key, now) {
             candidates.retain(|candidate| candidate.key != best.key);
@@ -99,7 +98,9 @@
     }
     // An engine that is full or cold may take the request any moment.
     if limited_count == eligible.len() {
-        return Selection::Limited(shortest, missing_elsewhere(call, state, allowed, now));
+        let pause = shortest_pause(call, state, &allowed, now);
+        let wait = pause.map_or(shortest, |pause| pause.min(shortest));
+        return Selection::Limited(wait, missing_elsewhere(call, state, allowed, now));
     }
     Selection::Full
 }
