Keep the port of a test engine that crashed

A simulated engine gave its port up for the 600 ms until it is back. Once, in a run beside other tests, a process that started meanwhile took the port: the engine panicked ("the port is still free"), and leaving::each_daemon_of_a_fleet_sends_nothing_more_until_the_engine_restarted failed because the engine never came back. The tests of crashes restart engines the same way. A bound socket that doesn't listen keeps the port and refuses connections as before; the tests of crashes, which rely on that, pass.

--- a/crates/daemon/tests/fleet/engine.rs
+++ b/crates/daemon/tests/fleet/engine.rs
@@ -32,6 +32,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -75,6 +76,8 @@
 
 /// Time between the first event of a response and the crash that it causes.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
+/// Connections that wait to be accepted by an engine that is back.
+const BACKLOG: u32 = 1_024;
 /// Time after which a crashed engine is back.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
 
@@ -191,10 +194,14 @@
             }
             drop(listener);
             drop(connections);
+            // A socket that doesn't listen refuses connections and keeps the port from other tests.
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.set_reuseaddr(true).expect("the option is known");
+            socket.bind(self.address).expect("the port is still free");
             self.state.lock().crashes.push(Instant::now());
             sleep(RESTART_DELAY).await;
             self.state.lock().restart();
-            listener = TcpListener::bind(self.address).await.expect("the port is still free");
+            listener = socket.listen(BACKLOG).expect("the socket is bound");
             self.write_entry("ready");
         }
     }
