Keep a pause that an engine's next process asked for before its entry came

A daemon sent up to 11 requests to an engine in a pause that the engine had asked it for.

Cause: an answer counts for the process whose entry the daemon has read. Where the engine had started again and its entry was late (the store was down), a pause that the new process asked for counted for the old one, and ended when the entry arrived. A pause that was asked for less than 10 s before the entry of a later process is now kept, for 30 s at most, since it isn't clear whose it is. That the engine leaves isn't carried over: a process hardly leaves before its first entry.

The test that a pause ends with its process asks so of a pause of 10 s before now, and that it lasts until then.

--- a/crates/coord/src/serving/engines.rs
+++ b/crates/coord/src/serving/engines.rs
@@ -248,7 +248,9 @@
             return Change::Same;
         }
         engine.notice = old.notice;
-        if !engine.process().may_be(&old.process()) {
+        let process = engine.process();
+        if !process.may_be(&old.process()) {
+            engine.notice = engine.notice.map(|notice| notice.carry_over(process, now));
             self.listed.insert(key, engine);
             return Change::Restarted;
         }
@@ -417,6 +419,7 @@
         let Some(notice) = self.notice_mut(key, process) else { return false };
         let (before, until) = (notice.paused_until, now + pause);
         notice.paused_until = before.max(until);
+        notice.asked_at = now;
         until.since(before.max(now)) >= MIN_PAUSE_EXTENSION || (before <= now && until > now)
     }
 
--- a/crates/coord/src/serving/notice.rs
+++ b/crates/coord/src/serving/notice.rs
@@ -1,9 +1,16 @@
 //! What a process of an engine says about further requests in its responses.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::time::Tick;
 
+/// Longest time from the start of a process to the arrival of its first entry. A response that came
+/// less than that before the entry may be one of the new process.
+const ENTRY_LAG: Duration = Duration::from_secs(10);
+/// Longest pause that is kept if it isn't clear which process asked for it.
+const MAX_UNCLEAR_PAUSE: Duration = Duration::from_secs(30);
+
 /// Process of an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Process {
@@ -29,6 +36,8 @@
     pub process: Process,
     /// Whether it leaves. Responses that don't say so take nothing back.
     pub is_leaving: bool,
+    /// Time at which it last asked this daemon for a pause.
+    pub asked_at: Tick,
     /// End of the longest pause that it asked this daemon for.
     pub paused_until: Tick,
 }
@@ -36,6 +45,18 @@
 impl Notice {
     /// Creates the notice of a process that has said nothing.
     pub fn new(process: Process) -> Self {
-        Notice { process, is_leaving: false, paused_until: Tick::default() }
+        let (asked_at, paused_until) = (Tick::default(), Tick::default());
+        Notice { process, is_leaving: false, asked_at, paused_until }
+    }
+
+    /// Returns what holds once the entry of `process` has arrived. A pause that the engine asked for
+    /// shortly before may be one of this process, if it started after the one of the notice.
+    pub fn carry_over(self, process: Process, now: Tick) -> Self {
+        let is_later = process.started_ms > self.process.started_ms;
+        if !is_later || now.since(self.asked_at) >= ENTRY_LAG || self.paused_until <= now {
+            return self;
+        }
+        let paused_until = self.paused_until.min(self.asked_at + MAX_UNCLEAR_PAUSE);
+        Notice { process, is_leaving: false, paused_until, ..self }
     }
 }
--- a/crates/coord/tests/serving/notices.rs
+++ b/crates/coord/tests/serving/notices.rs
@@ -181,15 +181,36 @@
 fn pause_ends_with_the_process_and_outlives_an_entry_that_expired() {
     let mut engines = engines(&[written("e1", 1, 1)]);
     let key = engine(&engines, "e1");
-    engines.record_pause(key, process(1), Duration::from_secs(9), ms(0));
+    engines.record_pause(key, process(1), Duration::from_secs(60), ms(0));
     engines.remove("e1", at(2), ms(10));
     engines.upsert(written("e1", 1, 3), ms(20));
-    assert_eq!(engines.usable(SERVICE, ms(20)), []);
-    engines.upsert(written("e1", 2, 4), ms(30));
-    assert_eq!(engines.usable(SERVICE, ms(30)), [key]);
+    assert_eq!(engines.usable(SERVICE, ms(9_990)), []);
+    engines.upsert(written("e1", 2, 4), ms(10_000));
+    assert_eq!(engines.usable(SERVICE, ms(10_000)), [key]);
     // A response of the process before arrives late.
-    assert!(!engines.record_pause(key, process(1), Duration::from_secs(9), ms(40)));
-    assert_eq!(engines.usable(SERVICE, ms(50)), [key]);
+    assert!(!engines.record_pause(key, process(1), Duration::from_secs(9), ms(10_010)));
+    assert_eq!(engines.usable(SERVICE, ms(10_020)), [key]);
+}
+
+/// Guards against a pause that is lost because the engine's first response came before its entry.
+#[test]
+fn pause_that_the_next_process_asked_for_before_its_entry_arrived_is_kept() {
+    let mut engines = engines(&[written("e1", 1, 1)]);
+    let key = engine(&engines, "e1");
+    engines.record_pause(key, process(1), Duration::from_secs(4), ms(0));
+    engines.upsert(written("e1", 2, 2), ms(500));
+    assert_eq!(engines.usable(SERVICE, ms(3_990)), []);
+    assert_eq!(engines.usable(SERVICE, ms(4_000)), [key]);
+    // It isn't clear whether this process asked for the long one.
+    engines.record_pause(key, process(2), Duration::from_secs(3_600), ms(5_000));
+    engines.upsert(written("e1", 3, 3), ms(6_000));
+    assert_eq!(engines.usable(SERVICE, ms(34_990)), []);
+    assert_eq!(engines.usable(SERVICE, ms(35_000)), [key]);
+    // A copy of the store lists an earlier process.
+    engines.record_pause(key, process(3), Duration::from_secs(4), ms(36_000));
+    engines.upsert(written("e1", 2, 4), ms(36_500));
+    engines.upsert(written("e1", 3, 5), ms(37_000));
+    assert_eq!(engines.usable(SERVICE, ms(37_010)), []);
 }
 
 #[test]
