--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -179,7 +179,7 @@
             }
             let backoff = self.backoff(&target);
             if backoff > self.call.time_to_start() {
-                return Err(self.end_with(Refusal::NotStarted));
+                return Err(self.end_with(Refusal::NoEngine(NO_ENGINE_RETRY_AFTER)));
             }
             sleep(backoff).await;
             match self.send(&target, guard).await {
