Take limits and notices only from responses that answer the request

On a connection that carried nothing before, a head without the request's identifier isn't believed unless it is a refusal, but its limit and what it said of leaving and pauses were recorded first (found in review). The identifier is compared before. The tests of the review are named after what they check.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -523,10 +523,14 @@
     ) -> Result<EngineResponse, Failure> {
         let (head, body) = response.into_parts();
         let facts = headers::decode_response(&head.headers);
+        let execution = Execution::of(head.status.as_u16(), facts.not_executed);
+        let is_refusal = matches!(execution, Execution::Refused | Execution::Misplaced);
+        if !is_refusal && facts.id != self.call.id {
+            return Err(Failure::Broken("other_id"));
+        }
         self.record_limit(target, facts.limit);
         let receiver = Receiver { key: target.key, id: &target.id, process: target.process };
         notices::record(&self.call.shared, &receiver, &self.call.id, head.status, &facts);
-        let execution = Execution::of(head.status.as_u16(), facts.not_executed);
         match execution {
             Execution::Done => {}
             Execution::Unclear => return Err(Failure::Broken("unclear_status")),
@@ -543,9 +547,6 @@
                 return Err(Failure::Misplaced);
             }
         }
-        if facts.id != self.call.id {
-            return Err(Failure::Broken("other_id"));
-        }
         if head.status.is_success() && !facts.signed {
             return Err(Failure::Broken("unsigned"));
         }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the real daemon with a simulated store and simulated engines.
 
+mod attribution;
 mod calls;
 mod crashing_part;
 mod crashing_request;
@@ -18,7 +19,6 @@
 mod raw_engine;
 mod restored;
 mod resumed_streams;
-mod review;
 mod soak;
 mod stopping;
 mod store;
