review: case 4, adapters beyond an engine's memory

The planner orders adapters up to the number of slots without regard to the engine's memory. An engine that is nearly full of weights crashes at the seventh adapter.

--- a/review/standin/src/bin/adapter_memory.rs
+++ b/review/standin/src/bin/adapter_memory.rs
@@ -1,4 +1,4 @@
-//! Asks for rarely used adapters of loaded models, many of them at once, while the engines' memory for
+//! Asks for rarely used adapters of a loaded model, many of them in a burst, while the engines' memory for
 //! weights leaves room for some of them only. Streams run beside that.
 
 use std::net::SocketAddr;
@@ -17,9 +17,12 @@
 use review_standin::world;
 use review_standin::world::Daemon;
 
-/// Adapters that are asked for at once in a burst, and without one.
+/// Adapters that are asked for, each by one request, in a burst and without one.
 const BURST: usize = 16;
 const FEW: usize = 8;
+/// Time between two of these requests, in a burst and without one.
+const BURST_GAP: Duration = Duration::from_millis(65);
+const USUAL_GAP: Duration = Duration::from_millis(130);
 /// Events of the streams that run beside that, and the time between two of them.
 const EVENTS: u64 = 25;
 const EVENT_GAP: Duration = Duration::from_millis(200);
@@ -153,8 +156,10 @@
         send(index, "claim", format!("m{}", index + 1));
     }
     thread::sleep(Duration::from_millis(500));
-    for index in 0..if trouble { BURST } else { FEW } {
+    let (count, gap) = if trouble { (BURST, BURST_GAP) } else { (FEW, USUAL_GAP) };
+    for index in 0..count {
         send(10 + index, "counter", format!("m1/a{}", index + 1));
+        thread::sleep(gap);
     }
     for caller in callers {
         caller.join().map_err(|_| "a caller failed")?;
