--- a/review/standin/src/bin/adapter_memory.rs
+++ b/review/standin/src/bin/adapter_memory.rs
@@ -177,5 +177,6 @@
 }
 
 fn main() {
+    world::limit_time();
     world::finish(run())
 }
--- a/review/standin/src/bin/silent_stream.rs
+++ b/review/standin/src/bin/silent_stream.rs
@@ -188,7 +188,7 @@
     if trouble {
         while events.recv().map_err(|_| "no event arrived")? < STOPPED_AFTER {}
         record.write(&format!("SIGTERM to {}", daemon.name));
-        if !daemon.signal("TERM") {
+        if !daemon.terminate() {
             return Err("the signal can't be sent".to_owned());
         }
         stopped = Some(Instant::now());
@@ -205,6 +205,7 @@
 }
 
 fn main() {
+    world::limit_time();
     // The daemons end with their owner before the process exits.
     let result = run();
     world::finish(result)
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -322,9 +322,8 @@
             models.remove(position);
         }
         (Some(position), false, true) => {
-            if !models[position].1.iter().any(|name| name == adapter) {
-                models[position].1.push(adapter.to_owned());
-            }
+            models[position].1.retain(|name| name != adapter);
+            models[position].1.push(adapter.to_owned());
         }
         (Some(position), false, false) => models[position].1.retain(|name| name != adapter),
         _ => {}
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -1,10 +1,10 @@
 //! Starts daemons with the command and the template of the deploy file, and calls them.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::net::UdpSocket;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -14,17 +14,22 @@
 use std::time::Instant;
 
 use crate::http::Connection;
-use crate::json::Value;
 
+/// Time limit for a whole case.
+const CASE_TIMEOUT: Duration = Duration::from_secs(100);
 /// Time limit for a daemon to get ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// Running daemon, killed when dropped.
 pub struct Daemon {
     pub name: String,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    pub directory: SocketAddr,
     child: Child,
 }
 
@@ -94,13 +99,13 @@
         std::fs::write(&path, text).map_err(|error| format!("settings: {error}"))?;
         let log = std::fs::File::create(folder.join(format!("{name}.log")));
         let log = log.map_err(|error| format!("log: {error}"))?;
-        let child = Command::new(root.join(command))
-            .env("CORIANDERYOKE_SETTINGS", &path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn()
-            .map_err(|error| format!("{command}: {error}; build it first"))?;
-        let daemon = Daemon { name: name.to_owned(), callers, ready, directory, child };
+        let mut program = Command::new(root.join(command));
+        program.env("CORIANDERYOKE_SETTINGS", &path).stdin(Stdio::null()).stdout(log);
+        // SAFETY: the call sets an attribute of the new process and allocates nothing.
+        unsafe { program.pre_exec(end_with_parent) };
+        let child =
+            program.spawn().map_err(|error| format!("{command}: {error}; build it first"))?;
+        let daemon = Daemon { name: name.to_owned(), callers, ready, child };
         let until = Instant::now() + READY_TIMEOUT;
         while status(daemon.ready, "/readyz") != Some(200) {
             if Instant::now() > until {
@@ -111,29 +116,32 @@
         Ok(daemon)
     }
 
-    /// Sends a signal by its name, such as `TERM`.
-    pub fn signal(&self, signal: &str) -> bool {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{signal}"), &id]).status();
-        status.is_ok_and(|status| status.success())
+    /// Tells the process to stop, as the platform does.
+    pub fn terminate(&self) -> bool {
+        const SIGTERM: i32 = 15;
+        // SAFETY: the process is a child that hasn't been waited for, so that the id is its own.
+        i32::try_from(self.child.id()).is_ok_and(|id| unsafe { kill(id, SIGTERM) } == 0)
     }
+}
 
-    /// Returns whether the process has exited.
-    pub fn has_exited(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+/// Makes the new process end with its parent, however that ends.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: usize = 9;
+    // SAFETY: the call takes numbers alone.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
     }
+}
 
-    /// Asks the directory, as callers do before they connect. Returns the addresses that it lists.
-    pub fn resolve(&self) -> Vec<String> {
-        let target = "/resolve?name=a.example&region=reykjavik&zone=hofdi";
-        let Some((200, body)) = get(self.directory, target) else { return Vec::new() };
-        let Some(value) = Value::parse(&body) else { return Vec::new() };
-        let addresses = value.list("addresses").iter().filter_map(|address| match address {
-            Value::Text(address) => Some(address.clone()),
-            _ => None,
-        });
-        addresses.collect()
-    }
+/// Ends the process with 2 if the case takes too long, and with it the daemons.
+pub fn limit_time() {
+    std::thread::spawn(|| {
+        std::thread::sleep(CASE_TIMEOUT);
+        eprintln!("the case couldn't run: it took more than {CASE_TIMEOUT:?}");
+        std::process::exit(2)
+    });
 }
 
 /// Sends a GET request on a new connection. Returns the status and body.
@@ -169,9 +177,3 @@
     };
     std::process::exit(code)
 }
-
-/// Reads until the end of a connection, and drops what was read.
-pub fn drain(stream: &mut TcpStream) {
-    let mut chunk = [0; 4096];
-    while matches!(stream.read(&mut chunk), Ok(1..)) {}
-}
