--- a/review/standin/src/bin/adapter_memory.rs
+++ b/review/standin/src/bin/adapter_memory.rs
@@ -1,4 +1,4 @@
-//! Asks for rarely used adapters of a loaded model, many of them in a burst, while the engines' memory for
+//! Asks for rarely used adapters of a loaded model beside the usual ones, while the engines' memory for
 //! weights leaves room for some of them only. Streams run beside that.
 
 use std::net::SocketAddr;
@@ -17,12 +17,11 @@
 use review_standin::world;
 use review_standin::world::Daemon;
 
-/// Adapters that are asked for, each by one request, in a burst and without one.
-const BURST: usize = 16;
-const FEW: usize = 8;
-/// Time between two of these requests, in a burst and without one.
-const BURST_GAP: Duration = Duration::from_millis(65);
-const USUAL_GAP: Duration = Duration::from_millis(130);
+/// Requests for adapters. With rare ones each is for another adapter, else two are for each usual one.
+const REQUESTS: usize = 16;
+const USUAL_ADAPTERS: usize = 8;
+/// Time between two of these requests, with rare adapters and without.
+const REQUEST_GAP: Duration = Duration::from_millis(131);
 /// Events of the streams that run beside that, and the time between two of them.
 const EVENTS: u64 = 25;
 const EVENT_GAP: Duration = Duration::from_millis(200);
@@ -123,7 +122,7 @@
     let record = Record::create(Path::new(&path)).map_err(|error| error.to_string())?;
     let record = Arc::new(record);
     let trouble = world::has_trouble();
-    record.write(&format!("adapter_memory, with the burst: {trouble}"));
+    record.write(&format!("adapter_memory, with rare adapters: {trouble}"));
     let store = Store::start().map_err(|error| error.to_string())?;
     store.put("op", "config", CONFIG);
     let memory =
@@ -156,10 +155,10 @@
         send(index, "claim", format!("m{}", index + 1));
     }
     thread::sleep(Duration::from_millis(500));
-    let (count, gap) = if trouble { (BURST, BURST_GAP) } else { (FEW, USUAL_GAP) };
-    for index in 0..count {
-        send(10 + index, "counter", format!("m1/a{}", index + 1));
-        thread::sleep(gap);
+    let adapters = if trouble { REQUESTS } else { USUAL_ADAPTERS };
+    for index in 0..REQUESTS {
+        send(10 + index, "counter", format!("m1/a{}", index % adapters + 1));
+        thread::sleep(REQUEST_GAP);
     }
     for caller in callers {
         caller.join().map_err(|_| "a caller failed")?;
