daemon: give up a lost read of the engines' entries in 2 s, not 12 s

Cause: a daemon that isn't told of changes by the lease holder reads the entries itself, with a feed that waits for 10 s and is given 2 s more. One that a silent store swallowed blocked the next one for 12 s. When the holder stopped then, nobody read.

Evidence: E110 at 23.15 s on the seven other daemons, E111 0.1 s later, nothing read since 10.95 s; the leases and announcements in the same log rule out a late successor and ignored messages.

Fix: the feed of the entries waits for a quarter of the drain time on all daemons. Entries change several times a second, so that the longer wait saved no call. The slack of a feed is the time limit of any other call. Retries are spread by the daemons' ranks.

The simulated store can swallow calls and the responses that are due, and honours the wait of a feed.

--- a/crates/coord/src/serving/mod.rs
+++ b/crates/coord/src/serving/mod.rs
@@ -19,6 +19,7 @@
 //! | [`residency`] | which engine loads which models |
 //! | [`quarantine`] | which parts of prompts crash engines |
 //! | [`responses`] | which request a response on a kept connection answers |
+//! | [`stagger`] | when a daemon sends a call that the others send as well |
 //! | [`shortage`] | whether a request that waits for a load can be served in time |
 //! | [`stream`] | which part of an event stream is complete |
 
@@ -39,4 +40,5 @@
 pub mod responses;
 pub mod roster;
 pub mod shortage;
+pub mod stagger;
 pub mod stream;
--- a/crates/coord/tests/serving/main.rs
+++ b/crates/coord/tests/serving/main.rs
@@ -19,4 +19,5 @@
 mod roster;
 mod scarcity;
 mod shortage;
+mod stagger;
 mod stream;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -33,6 +33,7 @@
 use corianderyoke_coord::serving::residency::Planner;
 use corianderyoke_coord::serving::roster::Roster;
 use corianderyoke_coord::serving::roster::PEER_TIMEOUT;
+use corianderyoke_coord::serving::stagger::Slot;
 use corianderyoke_coord::time::Tick;
 use corianderyoke_wire::word::Holder;
 use indexmap::IndexMap;
@@ -356,6 +357,12 @@
         quotas::rank(subject, &self.settings.name, peers)
     }
 
+    /// Returns this daemon's slot among the fleet for a subject. See [`Self::rank`].
+    pub fn slot(&self, subject: &str) -> Slot {
+        let state = self.state();
+        Slot { rank: self.rank(&state, subject), size: state.roster.size() }
+    }
+
     /// Returns the retry allowance of the whole fleet.
     pub fn retry_allowance(&self) -> RetryAllowance {
         let bounds = &self.settings.bounds;
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -29,10 +29,12 @@
 use crate::state::Shared;
 use crate::state::State;
 
-/// Time for which a feed waits for a change.
-const FEED_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which the lease holder's feed of the engines waits, as a fraction of the drain time.
-const HOLDER_FEED_FRACTION: f64 = 0.25;
+/// Time for which a feed of the operator's table waits for a change.
+const OPERATOR_FEED_WAIT: Duration = Duration::from_secs(10);
+/// Time for which a feed of the engines waits for a change, as a fraction of the drain time. Entries
+/// change so often that a longer wait would save no call, but it would delay the discovery that the
+/// store doesn't answer.
+const ENGINE_FEED_FRACTION: f64 = 0.25;
 /// Age of the latest read from which on the whole table is read instead of its changes. Engines
 /// rewrite their entries about once a second, so beyond this age the table is smaller than the
 /// changes.
@@ -59,12 +61,10 @@
 impl Table {
     /// Returns how long a feed waits for a change. The lease holder announces the age of its latest
     /// read of the engines and polls again before that age makes the other daemons poll.
-    fn feed_timeout(self, shared: &Shared) -> Duration {
-        let is_holder = self == Table::Engines && shared.state().holds_lease(clock::now());
-        if is_holder {
-            shared.settings.bounds.drain().mul_f64(HOLDER_FEED_FRACTION)
-        } else {
-            FEED_TIMEOUT
+    fn feed_wait(self, shared: &Shared) -> Duration {
+        match self {
+            Table::Operator => OPERATOR_FEED_WAIT,
+            Table::Engines => shared.settings.bounds.drain().mul_f64(ENGINE_FEED_FRACTION),
         }
     }
 
@@ -134,7 +134,9 @@
                     let name = table.name();
                     events::log(Event::PlatformFailed, format_args!("table={name} {error}"));
                 }
-                sleep(backoff).await;
+                // Daemons that noticed an outage at the same moment must not call again together.
+                let slot = shared.slot(table.name());
+                sleep(slot.backoff(backoff)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
                 if table == Table::Engines {
                     // A daemon that receives announcements needn't add load to a failing store.
@@ -150,7 +152,7 @@
     async fn poll(&mut self) -> Result<(), Error> {
         match self.table {
             Table::Operator => {
-                self.fetch(FEED_TIMEOUT).await?;
+                self.fetch(self.table.feed_wait(&self.shared)).await?;
                 self.shared.state().operator.read = self.after.unwrap_or_default();
                 Ok(())
             }
@@ -160,7 +162,7 @@
                     (state.holder_updates.begin_poll(), clock::now().since(state.last_poll))
                 };
                 self.after = self.after.filter(|_| age < FULL_READ_AGE);
-                let result = self.fetch(self.table.feed_timeout(&self.shared)).await;
+                let result = self.fetch(self.table.feed_wait(&self.shared)).await;
                 let mut state = self.shared.state();
                 match result {
                     Ok(()) => state.last_poll = clock::now(),
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -19,6 +19,7 @@
 mod raw_engine;
 mod restored;
 mod resumed_streams;
+mod silent_store;
 mod soak;
 mod stopping;
 mod store;
--- /dev/null
+++ b/crates/daemon/tests/fleet/silent_store.rs
@@ -0,0 +1,71 @@
+//! Tests of a store that swallows the calls it gets, and the responses that are due, for some time.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+use tokio::time::Instant;
+
+use crate::fixture::Daemon;
+use crate::fixture::Fixture;
+
+/// Time after the end of an outage from which on changes count as usual.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time within which an engine that leaves gets its last request.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Time in which the first daemon takes the lease.
+const LEASE_TIME: Duration = Duration::from_secs(2);
+/// Outage that outlasts the announcements of the lease holder and its term.
+const LONG_OUTAGE: Duration = Duration::from_millis(4_500);
+
+/// Starts daemons, the first of which holds the lease.
+async fn fleet<const COUNT: usize>(fixture: &Fixture) -> [Daemon; COUNT] {
+    let mut daemons = Vec::new();
+    for index in 0..COUNT {
+        daemons.push(fixture.daemon(&format!("d{index}")).await);
+        if index == 0 {
+            sleep(LEASE_TIME).await;
+        }
+    }
+    daemons.try_into().unwrap_or_else(|_| unreachable!("as many as were started"))
+}
+
+async fn status(fixture: &Fixture, daemon: &Daemon, path: &str, id: &str) -> Option<u16> {
+    let response = fixture.request(daemon, path, id).send().await;
+    response.ok().map(|response| response.status().as_u16())
+}
+
+/// Makes the store swallow calls for `outage`, and calls `change` halfway.
+async fn silent_for(fixture: &Fixture, outage: Duration, change: impl FnOnce()) {
+    fixture.store.set_silent(true);
+    sleep(outage / 2).await;
+    change();
+    sleep(outage / 2).await;
+    fixture.store.set_silent(false);
+}
+
+/// Guards against reads of the engines' entries that a silent store swallowed and that were awaited
+/// until their time limit: engines that left went on getting requests.
+#[tokio::test]
+async fn engine_that_leaves_after_a_silent_outage_gets_no_more_requests() {
+    let fixture = Fixture::start().await;
+    let (leaving, other) = (fixture.plain_engine("i-1").await, fixture.plain_engine("i-2").await);
+    let [holder, others @ ..]: [Daemon; 3] = fleet(&fixture).await;
+    // From now on the others read the entries themselves.
+    drop(holder);
+    sleep(Duration::from_secs(1)).await;
+    silent_for(&fixture, LONG_OUTAGE, || other.write_entry("ready")).await;
+    sleep(STABLE_WINDOW).await;
+    leaving.write_entry("draining");
+    sleep(DRAIN).await;
+    let before = leaving.received().len();
+    let end = Instant::now() + Duration::from_secs(1);
+    let mut count = 0;
+    while Instant::now() < end {
+        for daemon in &others {
+            count += 1;
+            let status = status(&fixture, daemon, "/again/", &format!("{count:x}")).await;
+            assert_eq!(status, Some(200));
+        }
+    }
+    assert_eq!(leaving.received().len(), before, "of {count} requests");
+}
--- a/crates/daemon/tests/fleet/store.rs
+++ b/crates/daemon/tests/fleet/store.rs
@@ -27,9 +27,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
-/// Longest time that a feed request waits for a change, regardless of the time it requests.
-const FEED_WAIT: Duration = Duration::from_millis(500);
-
 /// Number of pieces in which a slow response body is sent.
 const SLOW_PIECES: usize = 10;
 
@@ -54,6 +51,8 @@
     version: u64,
     rows: BTreeMap<RowKey, RowContent>,
     down: bool,
+    /// Whether calls get no response, nor those before whose response is due now.
+    silent: bool,
     /// Table whose feed requests get no response, and the number of those requests so far.
     stalled: Option<(String, usize)>,
     /// Table whose feed responses take this long after their head.
@@ -153,11 +152,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets whether the store swallows what it gets, and the responses that are due meanwhile.
+    pub fn set_silent(&self, silent: bool) {
+        self.tables.lock().silent = silent;
+    }
+
     /// Makes all later feed requests of `table` hang without a response; `None` makes later ones
     /// succeed again. Returns the number of requests that hung before this call.
     pub fn stall_feeds(&self, table: Option<&str>) -> usize {
         let stalled = table.map(|table| (table.to_owned(), 0));
         let previous = std::mem::replace(&mut self.tables.lock().stalled, stalled);
+        // The feeds that wait now end, so that the next ones hang.
+        self.changed.notify_waiters();
         previous.map_or(0, |(_, count)| count)
     }
 
@@ -175,10 +181,16 @@
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
         let slow = self.tables.lock().slow.clone();
+        if self.is_silent() {
+            return std::future::pending().await;
+        }
         let slow = slow.filter(|(table, _)| {
             path == "/rows-feed" && query.split('&').any(|pair| pair == format!("table={table}"))
         });
         let (head, body) = self.answer(request).await.into_parts();
+        if self.is_silent() {
+            return std::future::pending().await;
+        }
         let body = match slow {
             Some((_, span)) => slow_body(body, span).await,
             None => body.boxed_unsync(),
@@ -186,6 +198,10 @@
         Response::from_parts(head, body)
     }
 
+    fn is_silent(&self) -> bool {
+        self.tables.lock().silent
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (is_down, era) = {
             let tables = self.tables.lock();
@@ -202,7 +218,11 @@
         };
         match request.uri().path() {
             "/rows-get" => self.get(&param("table"), &param("from"), &param("to")),
-            "/rows-feed" => self.feed(&param("table"), param("after").parse().unwrap_or(0)).await,
+            "/rows-feed" => {
+                let wait_ms = param("wait_ms").parse().unwrap_or(0);
+                let after = param("after").parse().unwrap_or(0);
+                self.feed(&param("table"), after, Duration::from_millis(wait_ms)).await
+            }
             "/rows-tx" => {
                 let body = request.into_body().collect().await.expect("the body is complete");
                 let body: Value =
@@ -229,30 +249,37 @@
         )
     }
 
-    async fn feed(&self, table: &str, after: u64) -> Response<Full<Bytes>> {
-        let is_stalled = {
+    async fn feed(&self, table: &str, after: u64, wait: Duration) -> Response<Full<Bytes>> {
+        let (is_stalled, era) = {
             let mut tables = self.tables.lock();
             let stalled = tables.stalled.as_mut().filter(|(name, _)| name == table);
-            stalled.map(|(_, count)| *count += 1).is_some()
+            (stalled.map(|(_, count)| *count += 1).is_some(), tables.era)
         };
         if is_stalled {
             return std::future::pending().await;
         }
-        let changed = self.changed.notified();
-        let is_waiting = {
-            let tables = self.tables.lock();
-            tables.changes(table, after).is_empty() && after <= tables.version
-        };
-        if is_waiting {
-            let _ = tokio::time::timeout(FEED_WAIT, changed).await;
-        }
-        let tables = self.tables.lock();
-        if after > tables.version {
-            return json_response(410, tables.era, &json!({}));
+        let end = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let tables = self.tables.lock();
+                if tables.down {
+                    return json_response(503, tables.era, &json!({}));
+                }
+                if after > tables.version {
+                    return json_response(410, tables.era, &json!({}));
+                }
+                let rows = tables.changes(table, after);
+                let is_stalled = tables.stalled.as_ref().is_some_and(|(name, _)| name == table);
+                let is_over = Instant::now() >= end || tables.era != era || is_stalled;
+                if is_over || !rows.is_empty() {
+                    let body =
+                        json!({"rows": rows, "ver": tables.version, "now_ms": self.now_ms()});
+                    return json_response(200, tables.era, &body);
+                }
+            }
+            let _ = tokio::time::timeout_at(end.into(), changed).await;
         }
-        let rows = tables.changes(table, after);
-        let body = json!({"rows": rows, "ver": tables.version, "now_ms": self.now_ms()});
-        json_response(200, tables.era, &body)
     }
 
     fn now_ms(&self) -> u64 {
