daemon: doubt a feed of the operator's table after a silent outage

Cause: each daemon waits for changes with a feed of 10 s and 2 s of slack, and can't tell a store without changes from one that swallowed the call or the answer. The feeds of all daemons have the same phase after a change, so that one outage swallows them together, and a second time when they are sent again.

Evidence: E110 at 14.06 s on all eight daemons within 9 ms, each with 12 s as its limit; E111 and E300 at 26.29 s, and no read in between.

Fix: a feed is doubted when another call of the daemon got no response in time, when another daemon has read a newer row, and when the daemon no longer hears the lease holder, which notices an outage first. The daemon then reads by calls that don't wait until one is answered, and the feed goes on beside them. The waits of the daemons are spread from 8 to 12 s around the former 10 s, and retries by their ranks. Without such an event nothing is sent that wasn't sent before.

--- a/crates/coord/src/serving/polling.rs
+++ b/crates/coord/src/serving/polling.rs
@@ -127,17 +127,22 @@
         self.missed |= poll.missed;
     }
 
+    /// Returns whether this daemon receives all announcements, and the holder can read the entries.
+    pub fn is_informed(&self, fleet: FleetTiming, now: Tick) -> bool {
+        let since = self.last_heard.map(|at| now.since(at));
+        let is_heard = since.is_some_and(|since| {
+            let fresh = since.saturating_add(self.age) < fleet.drain.mul_f64(MAX_AGE_FRACTION);
+            fresh && since < fleet.report_interval * MAX_MISSED_REPORTS
+        });
+        is_heard && !self.missed
+    }
+
     /// Returns the interval between two polls. `holds` says whether this daemon holds the lease.
     pub fn poll_interval(&self, holds: bool, fleet: FleetTiming, now: Tick) -> Duration {
         if holds {
             return MIN_INTERVAL;
         }
-        let since = self.last_heard.map(|at| now.since(at));
-        let informed = since.is_some_and(|since| {
-            let fresh = since.saturating_add(self.age) < fleet.drain.mul_f64(MAX_AGE_FRACTION);
-            fresh && since < fleet.report_interval * MAX_MISSED_REPORTS
-        });
-        if informed && !self.missed {
+        if self.is_informed(fleet, now) {
             return INFORMED_INTERVAL;
         }
         let max_interval = fleet.drain.mul_f64(MAX_INTERVAL_FRACTION).max(MIN_INTERVAL);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod call;
 mod directory;
+mod feed;
 mod forward;
 mod front;
 mod joining;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -255,6 +255,8 @@
     pub recheck_poll: Notify,
     /// Notified when another daemon has read an operator's row that this one hasn't.
     pub operator_behind: Notify,
+    /// Notified when this daemon no longer hears the lease holder.
+    pub holder_silent: Notify,
     /// Notified when the rows of all daemons must be read because one of them is unknown.
     pub unknown_peer: Notify,
     /// Notified when the store came back from an older copy.
@@ -322,6 +324,7 @@
             replan: Notify::new(),
             recheck_poll: Notify::new(),
             operator_behind: Notify::new(),
+            holder_silent: Notify::new(),
             unknown_peer: Notify::new(),
             restored: Notify::new(),
             peer_keys: Mutex::default(),
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -6,7 +6,6 @@
 use corianderyoke_adapter::desired;
 use corianderyoke_adapter::entries;
 use corianderyoke_adapter::store::Feed;
-use corianderyoke_adapter::store::FeedResponse;
 use corianderyoke_adapter::store::Rows;
 use corianderyoke_adapter::store::StoreRow;
 use corianderyoke_adapter::store::MAX_ROWS;
@@ -23,14 +22,14 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::feed;
+use crate::feed::Doubts;
 use crate::peers;
 use crate::restoration;
 use crate::settings::Bounds;
 use crate::state::Shared;
 use crate::state::State;
 
-/// Time for which a feed of the operator's table waits for a change.
-const OPERATOR_FEED_WAIT: Duration = Duration::from_secs(10);
 /// Time for which a feed of the engines waits for a change, as a fraction of the drain time. Entries
 /// change so often that a longer wait would save no call, but it would delay the discovery that the
 /// store doesn't answer.
@@ -43,9 +42,6 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest backoff after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Time within which a feed must return a row that another daemon has already read. After it, the
-/// connection counts as unresponsive and the row is fetched over another one.
-const BEHIND_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay between two feeds of the operator's table.
 const OPERATOR_FEED_GAP: Duration = Duration::from_millis(40);
 
@@ -63,7 +59,7 @@
     /// read of the engines and polls again before that age makes the other daemons poll.
     fn feed_wait(self, shared: &Shared) -> Duration {
         match self {
-            Table::Operator => OPERATOR_FEED_WAIT,
+            Table::Operator => feed::operator_wait(shared.slot(desired::TABLE)),
             Table::Engines => shared.settings.bounds.drain().mul_f64(ENGINE_FEED_FRACTION),
         }
     }
@@ -110,6 +106,10 @@
     timeline: Timeline,
     /// Whether the latest poll failed.
     is_failing: bool,
+    /// Reasons to doubt a feed of the operator's table.
+    doubts: Doubts,
+    /// Whether this daemon heard the lease holder at the latest poll.
+    was_informed: bool,
 }
 
 /// Polls a table until the task is aborted.
@@ -120,6 +120,8 @@
         after: None,
         timeline: Timeline::default(),
         is_failing: false,
+        doubts: Doubts::new(&shared),
+        was_informed: false,
     };
     let mut backoff = INITIAL_BACKOFF;
     loop {
@@ -157,6 +159,7 @@
                 Ok(())
             }
             Table::Engines => {
+                self.check_informed();
                 let (poll, age) = {
                     let mut state = self.shared.state();
                     (state.holder_updates.begin_poll(), clock::now().since(state.last_poll))
@@ -173,12 +176,33 @@
         }
     }
 
+    /// Makes this daemon doubt its feed of the operator's table when it no longer hears the lease
+    /// holder. The holder calls the store more often than the others and notices an outage first.
+    fn check_informed(&mut self) {
+        let is_informed = {
+            let state = self.shared.state();
+            let fleet = peers::fleet_timing(&self.shared, &state);
+            let now = clock::now();
+            state.holds_lease(now) || state.holder_updates.is_informed(fleet, now)
+        };
+        if std::mem::replace(&mut self.was_informed, is_informed) && !is_informed {
+            self.shared.holder_silent.notify_one();
+        }
+    }
+
     /// Reads the changes since the last read. Reads the whole table if there was none, or if the
     /// store doesn't have all changes because it dropped them or came back from an older copy.
     async fn fetch(&mut self, wait: Duration) -> Result<(), Error> {
         let mut wait = wait;
         while let Some(after) = self.after {
-            let response = begin_feed(self.table, &self.shared, after.version, wait).await?;
+            let response = match self.table {
+                Table::Operator => {
+                    feed::begin(&self.shared, &mut self.doubts, after.version, wait).await?
+                }
+                Table::Engines => {
+                    self.shared.store.begin_feed(entries::TABLE, after.version, wait).await?
+                }
+            };
             let changes = match response.read().await? {
                 Feed::Changes(changes) if changes.position.era == after.era => changes,
                 Feed::Changes(changes) => {
@@ -232,39 +256,6 @@
     }
 }
 
-/// Waits until this daemon has lacked a row that another one has read for [`BEHIND_TIMEOUT`].
-async fn falls_behind(shared: &Shared) {
-    loop {
-        shared.operator_behind.notified().await;
-        sleep(BEHIND_TIMEOUT).await;
-        if shared.state().operator.is_behind() {
-            return;
-        }
-    }
-}
-
-/// Requests the changes of a table. A request for the operator's table that waits on a connection
-/// which may be unresponsive is replaced, but not once its response has begun: the response may be
-/// large and the link busy.
-async fn begin_feed(
-    table: Table,
-    shared: &Shared,
-    after: u64,
-    wait: Duration,
-) -> Result<FeedResponse<'_>, Error> {
-    let response = shared.store.begin_feed(table.name(), after, wait);
-    if table != Table::Operator {
-        return response.await;
-    }
-    tokio::select! {
-        response = response => response,
-        // Uses another connection and doesn't wait for a change.
-        () = falls_behind(shared) => {
-            shared.store.begin_feed(table.name(), after, Duration::ZERO).await
-        }
-    }
-}
-
 /// Applies a read of the whole table: what it doesn't contain no longer exists.
 fn replace_table(table: Table, shared: &Shared, rows: Rows, timeline: &Timeline) {
     match table {
--- a/crates/daemon/tests/fleet/silent_store.rs
+++ b/crates/daemon/tests/fleet/silent_store.rs
@@ -5,6 +5,8 @@
 use tokio::time::sleep;
 use tokio::time::Instant;
 
+use crate::fixture::desired_state;
+use crate::fixture::desired_state_with_added_route;
 use crate::fixture::Daemon;
 use crate::fixture::Fixture;
 
@@ -43,6 +45,62 @@
     fixture.store.set_silent(false);
 }
 
+/// Guards against a feed of the operator's table that a silent store swallowed and that was awaited
+/// until its time limit: revoked keys went on working.
+#[tokio::test]
+async fn change_during_a_silent_outage_is_in_force_once_the_store_is_stable() {
+    let fixture = Fixture::start().await;
+    let _engine = fixture.plain_engine("i-1").await;
+    let daemons: [Daemon; 3] = fleet(&fixture).await;
+    let write = |desired| fixture.write_desired_state(&desired);
+    silent_for(&fixture, LONG_OUTAGE, || write(desired_state_with_added_route(2))).await;
+    sleep(STABLE_WINDOW).await;
+    for daemon in &daemons {
+        assert_eq!(status(&fixture, daemon, "/added/", "1").await, Some(200));
+    }
+}
+
+/// Guards against the same in outages that only the lease holder notices, or that end while the first
+/// calls are still awaited.
+#[tokio::test]
+async fn change_during_a_short_silent_outage_is_in_force_once_the_store_is_stable() {
+    let fixture = Fixture::start().await;
+    let _engine = fixture.plain_engine("i-1").await;
+    let daemons: [Daemon; 3] = fleet(&fixture).await;
+    let mut revision = 1;
+    for outage_ms in [700, 1_300, 2_600] {
+        for (desired, expected) in
+            [(desired_state_with_added_route as fn(u64) -> _, 200), (desired_state, 404)]
+        {
+            revision += 1;
+            let write = || fixture.write_desired_state(&desired(revision));
+            silent_for(&fixture, Duration::from_millis(outage_ms), write).await;
+            sleep(STABLE_WINDOW).await;
+            for (index, daemon) in daemons.iter().enumerate() {
+                let status = status(&fixture, daemon, "/added/", &format!("{revision:x}")).await;
+                assert_eq!(status, Some(expected), "d{index} after {outage_ms} ms");
+            }
+        }
+    }
+}
+
+/// Guards against a change that nobody reads because the lease holder ends right after an outage that
+/// only it has noticed.
+#[tokio::test]
+async fn change_is_read_when_the_holder_ends_after_a_short_silent_outage() {
+    let fixture = Fixture::start().await;
+    let _engine = fixture.plain_engine("i-1").await;
+    let [holder, others @ ..]: [Daemon; 3] = fleet(&fixture).await;
+    let outage = Duration::from_millis(700);
+    let write = || fixture.write_desired_state(&desired_state_with_added_route(2));
+    silent_for(&fixture, outage, write).await;
+    drop(holder);
+    sleep(STABLE_WINDOW).await;
+    for daemon in &others {
+        assert_eq!(status(&fixture, daemon, "/added/", "1").await, Some(200));
+    }
+}
+
 /// Guards against reads of the engines' entries that a silent store swallowed and that were awaited
 /// until their time limit: engines that left went on getting requests.
 #[tokio::test]
--- a/crates/util/src/events.rs
+++ b/crates/util/src/events.rs
@@ -50,6 +50,7 @@
     PlatformRestored = 112, Warn, "the platform came back from an older copy";
     TableReread = 113, Info, "changes of a table can't be followed further, it is read in full";
     PlatformContradicted = 114, Warn, "an answer of the platform contradicts earlier ones";
+    FeedDoubted = 115, Info, "a feed may have lost its answer, changes are read by another call";
     LinesDropped = 120, Warn, "log lines were dropped because standard output was not read in time";
     Joined = 200, Info, "the member joined the view";
     ViewChanged = 201, Info, "a new view is in force";
