daemon: limit what a connection to an engine reads without progress

Callers: while an engine sent interim heads (100 Continue) or the digits of a chunk's size without end, other callers of the same daemon waited for seconds, whichever engine served them.

Cause: the HTTP library parses such bytes within one turn of its task as long as any arrive, and a daemon of a small machine has one thread.

Evidence: with six flooded requests that may not be repeated, the second request of another caller to another engine waited for over 1 s.

The attempt ends with the cause "flooded", without a check for a crash. This holds for any bytes that amount to nothing, wherever they stand in a response.

Test: fleet::endless::endless_bytes_of_an_engine_do_not_hold_up_other_callers failed before ("interim heads: request 2 waits").

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -27,7 +27,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -38,6 +37,7 @@
 use crate::forward::wait::Missing;
 use crate::forward::wait::WaitGuard;
 use crate::forward::CallEnd;
+use crate::meter::MeteredBody;
 use crate::notices;
 use crate::notices::Receiver;
 use crate::peers;
@@ -79,7 +79,7 @@
     /// Status and headers of the response.
     pub head: Parts,
     /// Unread body.
-    pub body: Incoming,
+    pub body: MeteredBody,
     /// Connection that carries the response.
     pub connection: Connection,
     /// Engine that responded.
@@ -481,6 +481,7 @@
             Err(Error::Foreign { status, origin }) => (*status, *origin),
             Err(Error::Connect(_) | Error::Unsent) => return Err(Failure::Unsent),
             Err(Error::Broken(_)) => return Err(Failure::Cut("connection_failed")),
+            Err(Error::Flooded(_)) => return Err(Failure::Broken("flooded")),
         };
         self.reply = Some(Reply { status, origin, carried: connection.carried() });
         let Ok(response) = result else { return Err(Failure::Broken("other_request")) };
@@ -516,7 +517,7 @@
     /// or the signature.
     async fn classify(
         &mut self,
-        response: Response<Incoming>,
+        response: Response<MeteredBody>,
         connection: Connection,
         target: &Target,
         guard: LoadGuard,
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -80,6 +80,10 @@
     drop(guard);
     let bytes = match result {
         Some(Ok(collected)) => collected.to_bytes(),
+        Some(Err(_)) if connection.is_flooded() => {
+            attempts.record_broken(&target, "flooded");
+            return None;
+        }
         Some(Err(_)) => {
             attempts.record_cut(&target, "body_broken");
             return None;
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -148,6 +148,9 @@
             let frame = self.attempts.wait_for_event(source.body.frame(), &source.target).await;
             match frame {
                 None => return NextChunk::Broken("silent"),
+                Some(Some(Err(_))) if source.connection.is_flooded() => {
+                    return NextChunk::Broken("flooded");
+                }
                 Some(Some(Err(_))) => return NextChunk::Cut("stream_broken"),
                 Some(None) if self.buffer.is_partial() => return NextChunk::Cut("stream_cut"),
                 Some(None) if self.buffer.lacks_rest() => return NextChunk::Broken("empty"),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod front;
 mod joining;
+mod meter;
 mod metrics;
 mod notices;
 mod orders;
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -20,7 +20,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
@@ -31,6 +30,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::meter::Meter;
+use crate::meter::MeteredBody;
+use crate::meter::MeteredStream;
+
 /// Timeout of a connection attempt; several round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle time limit of a connection to an engine that names none.
@@ -43,6 +46,8 @@
 const SAFE_IDLE_DIVISOR: u32 = 2;
 /// Most idle connections kept for one engine.
 const MAX_IDLE_PER_ENGINE: usize = 16;
+/// Largest read buffer of a connection, and so the largest head of a response.
+const READ_BUFFER_BYTES: usize = 32 << 10;
 /// Length of a version and a status at the start of a response.
 const STATUS_LINE_START_BYTES: usize = "HTTP/1.1 200".len();
 
@@ -58,6 +63,10 @@
     /// The connection failed before the response head arrived; the request may have been executed.
     #[error("connection failed before the response head: {0}")]
     Broken(#[source] hyper::Error),
+    /// The engine sent too many bytes that were no head of a response; the request may have been
+    /// executed.
+    #[error("read bytes without end before the response head: {0}")]
+    Flooded(#[source] hyper::Error),
     /// The response may answer an earlier request on this connection, so that the request may have
     /// been executed.
     #[error("read a response of status {status} to another request: {origin:?}")]
@@ -81,6 +90,7 @@
     task: Option<AbortHandle>,
     reset: Option<oneshot::Sender<()>>,
     history: ConnectionHistory,
+    meter: Meter,
 }
 
 #[derive(Debug)]
@@ -98,7 +108,7 @@
 
 /// Returns whether a head consists of two: where a response breaks off within its reason or a header,
 /// the next response continues that line, and its headers pass for those of the first.
-fn is_merged(response: &Response<Incoming>) -> bool {
+fn is_merged(response: &Response<MeteredBody>) -> bool {
     let reason = response.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
     let values = response.headers().values().map(HeaderValue::as_bytes);
     values.chain(reason).any(|text| text.windows(STATUS_LINE_START_BYTES).any(starts_status_line))
@@ -127,16 +137,21 @@
         &mut self,
         request: Request<Full<Bytes>>,
         id: &str,
-    ) -> Result<Response<Incoming>> {
+    ) -> Result<Response<MeteredBody>> {
         self.history.begin(id);
+        // What was read since the last response belongs to none.
+        self.meter.record_progress();
         let response = self.sender.send_request(request).await.map_err(|error| {
             // The connection closed before it accepted the request.
             if error.is_canceled() {
                 Error::Unsent
+            } else if self.meter.is_flooded() {
+                Error::Flooded(error)
             } else {
                 Error::Broken(error)
             }
         })?;
+        let response = response.map(|body| MeteredBody::new(body, self.meter.clone()));
         let origin = if is_merged(&response) {
             Origin::Ambiguous
         } else {
@@ -153,6 +168,11 @@
         self.history.count()
     }
 
+    /// Returns whether the engine sent too many bytes that were no part of a response.
+    pub fn is_flooded(&self) -> bool {
+        self.meter.is_flooded()
+    }
+
     /// Resets the connection. What the engine hasn't received is discarded, whereas the operating
     /// system goes on delivering it after a close.
     pub fn reset(mut self) {
@@ -177,7 +197,7 @@
 /// Drives a connection until it ends or is to be reset. An error is reported to the request that the
 /// connection carries.
 async fn drive(
-    mut driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    mut driver: http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>,
     reset: oneshot::Receiver<()>,
 ) {
     tokio::select! {
@@ -186,7 +206,7 @@
         Ok(()) = reset => {}
         _ = &mut driver => return,
     }
-    let stream = driver.into_parts().io.into_inner();
+    let stream = driver.into_parts().io.into_inner().into_inner();
     if let Err(error) = stream.set_zero_linger() {
         events::log(Event::AttemptFailed, format_args!("cause=not_reset {error}"));
     }
@@ -210,10 +230,14 @@
         if let Some(connection) = self.take_idle(engine, address, id, avoid_stale) {
             return Ok(connection);
         }
+        let meter = Meter::new(READ_BUFFER_BYTES);
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            http1::handshake(TokioIo::new(stream)).await.ok()
+            let stream = MeteredStream::new(stream, meter.clone());
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(READ_BUFFER_BYTES);
+            builder.handshake(TokioIo::new(stream)).await.ok()
         };
         let result = timeout(CONNECT_TIMEOUT, connecting).await.ok().flatten();
         let Some((sender, driver)) = result else { return Err(Error::Connect(address)) };
@@ -225,6 +249,7 @@
             task: Some(task),
             reset: Some(reset),
             history: ConnectionHistory::default(),
+            meter,
         })
     }
 
--- a/crates/daemon/tests/fleet/raw_engine.rs
+++ b/crates/daemon/tests/fleet/raw_engine.rs
@@ -14,6 +14,9 @@
 
 use crate::fixture::Fixture;
 
+/// Bytes of a flood that are written at once.
+const FLOOD_BYTES: usize = 65_536;
+
 /// Request that an engine received.
 #[derive(Clone, Debug)]
 pub struct RawRequest {
@@ -38,6 +41,8 @@
 pub enum Step {
     /// Writes bytes.
     Send(Vec<u8>),
+    /// Writes the same bytes again and again until the connection ends.
+    Flood(&'static [u8]),
     /// Waits.
     Pause(Duration),
     /// Closes the connection.
@@ -105,6 +110,12 @@
             for step in steps {
                 match step {
                     Step::Send(bytes) => write_all(&stream, &bytes).await?,
+                    Step::Flood(piece) => {
+                        let pieces = piece.repeat(FLOOD_BYTES.div_ceil(piece.len()));
+                        loop {
+                            write_all(&stream, &pieces).await?;
+                        }
+                    }
                     Step::Pause(span) => sleep(span).await,
                     Step::Close => return Ok(()),
                     Step::Reset => return stream.set_zero_linger(),
@@ -182,7 +193,8 @@
     }
 }
 
-async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> std::io::Result<()> {
+/// Writes all bytes.
+pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> std::io::Result<()> {
     while !bytes.is_empty() {
         stream.writable().await?;
         match stream.try_write(bytes) {
