daemon: refuse requests that may outlast a stopping process

Callers: in a planned stop, requests that came on open connections up to 2.5 s after SIGTERM were passed on and cut without an answer when the process exited, those that may not be repeated as well.

Cause: a stopping daemon accepted whatever came in that time, regardless of how long it may take.

Evidence: the cuts come at the exit, 0.4 s before the end of the grace time, for requests that need longer than what was left.

Fix: from SIGTERM on, a request whose time limit lies beyond the exit is refused at once with 503 and a Retry-After of 0, also one that still waits for an engine. Requests that are in progress at the exit and have no head yet get 502, which promises nothing, instead of a cut.

Tests: fleet::stopping::requests_that_a_stopping_daemon_accepts_are_answered failed before (/once/ 2: IncompleteMessage), request_that_outlasts_the_grace_time_is_answered_at_its_end as well.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -163,6 +163,10 @@
             }
             Some((status, cause @ "broken_off")) => (Event::Broken, status, cause),
             Some((status, cause)) => (Event::Refused, status, cause),
+            None if self.shared.state().exiting => {
+                let refusal = Refusal::OutcomeUnknown;
+                (Event::Refused, refusal.status().as_u16(), refusal.cause())
+            }
             None => (Event::Cancelled, 0, "caller_left"),
         };
         events::log(
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -353,8 +353,13 @@
         loop {
             let shared = std::sync::Arc::clone(&self.call.shared);
             let changed = shared.changed.notified();
-            // The daemon is about to exit; another daemon can still serve the waiting request.
-            if shared.state().closed {
+            // The daemon stops; another daemon can still serve the waiting request.
+            let is_late = {
+                let state = shared.state();
+                let may_outlast = self.send_count == 0 && state.may_outlast(self.call.deadline);
+                state.closed || may_outlast
+            };
+            if is_late {
                 return Err(self.end_with(Refusal::Stopping));
             }
             if let Some(left) = self.quarantined_for() {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -90,7 +90,11 @@
     let mut response = match admit(&shared, &facts, request).await {
         Ok((routed, outgoing)) => {
             let call = Call::new(&shared, record, facts, routed, outgoing);
-            forward::serve(call).await
+            tokio::select! {
+                response = forward::serve(call) => response,
+                // Requests that weren't sent to an engine have been refused before.
+                () = shared.exiting() => Refusal::OutcomeUnknown.response(),
+            }
         }
         Err(refusal) => {
             record.set_refusal(refusal);
@@ -123,6 +127,10 @@
         }
     };
     let time_limit = facts.timeout.unwrap_or(route.timeout).min(route.timeout);
+    if shared.state().may_outlast(arrived + time_limit) {
+        discard(body).await;
+        return Err(Refusal::Stopping);
+    }
     let body = read_body(body, desired.callers.body_bytes, time_limit).await?;
     let caller = Caller { team: team.as_deref(), host: call::host(&head.headers) };
     let identity = || call::identify(caller, &head.method, &head.uri, &body);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -41,6 +41,8 @@
 const ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 /// Margin before the forced end of the process at which a stopping daemon exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time in which the last requests are answered before the process exits with them in progress.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Interval between two checks for requests in progress during shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -129,19 +131,21 @@
 }
 
 /// Shuts down: keeps accepting requests of callers that cached the address for [`ACCEPT_TIME`],
-/// then returns once no request is in progress or the time runs out.
+/// unless they may outlast the process, then returns once no request is in progress or the time runs
+/// out.
 async fn stop(shared: &Shared, front: JoinHandle<()>, lease: JoinHandle<()>) {
     let stop_requested = clock::now();
+    let exit_at = stop_requested + shared.settings.stop().saturating_sub(EXIT_MARGIN);
     let open = {
         let mut state = shared.state();
         state.leaving = true;
+        state.exit_at = Some(exit_at);
         shared.report_soon(&mut state);
         state.open_requests
     };
     events::log(Event::Stopping, format_args!("open={open}"));
     lease.abort();
     orders::release(shared).await;
-    let exit_at = stop_requested + shared.settings.stop().saturating_sub(EXIT_MARGIN);
     let mut accepting = Some(front);
     loop {
         let now = clock::now();
@@ -159,6 +163,11 @@
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
     let open = shared.state().open_requests;
+    if open > 0 {
+        shared.state().exiting = true;
+        shared.exit.notify_waiters();
+        sleep(LAST_ANSWERS_TIME).await;
+    }
     events::log(Event::Stopped, format_args!("name={} open={open}", shared.settings.name));
     sink::flush();
 }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -222,6 +222,10 @@
     pub unknown_since: Option<Tick>,
     /// Whether the process received the signal to stop.
     pub leaving: bool,
+    /// Time at which the process exits at the latest, once it received that signal.
+    pub exit_at: Option<Tick>,
+    /// Whether the process is about to exit with requests in progress.
+    pub exiting: bool,
     /// Whether the process accepts no more requests because it is about to exit.
     pub closed: bool,
     /// Number of callers' requests in progress.
@@ -259,6 +263,8 @@
     pub holder_silent: Notify,
     /// Notified when the rows of all daemons must be read because one of them is unknown.
     pub unknown_peer: Notify,
+    /// Notified when the process is about to exit. See [`Shared::exiting`].
+    pub exit: Notify,
     /// Notified when the store came back from an older copy.
     pub restored: Notify,
     /// Keys that authenticate datagrams between daemons.
@@ -308,6 +314,8 @@
             is_relay: false,
             unknown_since: None,
             leaving: false,
+            exit_at: None,
+            exiting: false,
             closed: false,
             open_requests: 0,
         };
@@ -326,6 +334,7 @@
             operator_behind: Notify::new(),
             holder_silent: Notify::new(),
             unknown_peer: Notify::new(),
+            exit: Notify::new(),
             restored: Notify::new(),
             peer_keys: Mutex::default(),
             state: Mutex::new(state),
@@ -342,6 +351,17 @@
         self.state().is_ready()
     }
 
+    /// Waits until the process is about to exit.
+    pub async fn exiting(&self) {
+        loop {
+            let exit = self.exit.notified();
+            if self.state().exiting {
+                return;
+            }
+            exit.await;
+        }
+    }
+
     /// Returns the incarnation of the process; 0 until the store was read.
     pub fn incarnation(&self) -> u64 {
         self.incarnation.get().copied().unwrap_or(0)
@@ -389,6 +409,11 @@
         self.desired_in_force().is_some() && self.engines_read && self.peers_read && !self.leaving
     }
 
+    /// Returns whether a request that may take until `deadline` may outlast the process.
+    pub fn may_outlast(&self, deadline: Tick) -> bool {
+        self.exit_at.is_some_and(|exit_at| deadline > exit_at)
+    }
+
     /// Returns the desired state by which requests are handled. A daemon that starts on a restored
     /// store has none while it knows only an older revision than the others.
     pub fn desired_in_force(&self) -> Option<&Arc<Desired>> {
--- a/crates/daemon/tests/fleet/stopping.rs
+++ b/crates/daemon/tests/fleet/stopping.rs
@@ -5,10 +5,93 @@
 use nix::sys::signal::Signal;
 
 use crate::engine::Behavior;
+use crate::fixture;
 use crate::fixture::status_and_retry_after;
 use crate::fixture::wait_until;
+use crate::fixture::Daemon;
 use crate::fixture::Fixture;
 
+/// Pause between two requests that come while the daemon stops.
+const LATE_REQUEST_GAP: Duration = Duration::from_millis(600);
+/// Number of requests that come while the daemon stops.
+const LATE_REQUESTS: u32 = 7;
+/// Kinds of routes, each with a behavior that takes between 2.5 and 3.5 s.
+const SLOW_RESPONSES: [(&str, Behavior); 4] = [
+    ("/once/", Behavior::Respond(Duration::from_millis(3_500))),
+    ("/again/", Behavior::Respond(Duration::from_millis(2_500))),
+    ("/stream/", Behavior::Stream(5, Duration::from_millis(600))),
+    ("/resume/", Behavior::Stream(5, Duration::from_millis(600))),
+];
+
+/// Returns a client with an open connection to a daemon.
+async fn connected_client(fixture: &Fixture, daemon: &Daemon, id: &str) -> reqwest::Client {
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let request = fixture.request(daemon, "/none/", id).build().expect("a request");
+    let response = client.execute(request).await.expect("a response");
+    assert_eq!(response.status(), 404);
+    response.bytes().await.expect("the response is complete");
+    client
+}
+
+/// Guards against requests that come late in the grace time and are cut when the process ends.
+#[tokio::test]
+async fn requests_that_a_stopping_daemon_accepts_are_answered() {
+    for (path, behavior) in SLOW_RESPONSES {
+        let fixture = Fixture::start().await;
+        let engine = fixture.engine_for(path, "i-1").await;
+        engine.queue_behaviors(&[behavior; LATE_REQUESTS as usize]);
+        let daemon = fixture.daemon("d1").await;
+        let mut clients = Vec::new();
+        for number in 0..LATE_REQUESTS {
+            clients.push(connected_client(&fixture, &daemon, &format!("a{number}")).await);
+        }
+        daemon.signal(Signal::SIGTERM);
+        let sent = clients.iter().zip(0..).map(|(client, number)| {
+            let request = fixture.request_for(&daemon, path, &format!("b{number}"));
+            let request = request.build().expect("a request");
+            async move {
+                tokio::time::sleep(LATE_REQUEST_GAP * number).await;
+                let response = client.execute(request).await?;
+                let status = response.status().as_u16();
+                Ok::<_, reqwest::Error>((status, response.text().await?))
+            }
+        });
+        for (number, result) in futures::future::join_all(sent).await.into_iter().enumerate() {
+            match result {
+                Ok((status, body)) => {
+                    assert!(matches!(status, 200 | 503), "{path} {number}: {status} {body}");
+                }
+                // The process has ended and closed the open connection before.
+                Err(error) if error.is_connect() => {}
+                Err(error) => panic!("{path} {number}: {error:?}"),
+            }
+        }
+        let executed = engine.received().len();
+        assert!(executed > 0, "{path}: the first request still fits");
+    }
+}
+
+/// Guards against requests that outlast the grace time and end without an answer.
+#[tokio::test]
+async fn request_that_outlasts_the_grace_time_is_answered_at_its_end() {
+    let fixture = Fixture::start().await;
+    let mut desired = fixture::desired_state(2);
+    desired["routes"][0]["timeout_ms"] = 20_000.into();
+    fixture.write_desired_state(&desired);
+    let engine = fixture.plain_engine("i-1").await;
+    engine.queue_behaviors(&[Behavior::Respond(Duration::from_secs(10))]);
+    let daemon = fixture.daemon("d1").await;
+    let request = fixture.request(&daemon, "/once/", "1");
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let mut request = request.build().expect("a request");
+    request.headers_mut().insert("corianderyoke-deadline-ms", 15_000.into());
+    let sent = tokio::spawn(async move { client.execute(request).await });
+    wait_until(|| async { engine.in_flight() == 1 }).await;
+    daemon.signal(Signal::SIGTERM);
+    let response = sent.await.expect("the task ends").expect("a response");
+    assert_eq!(response.status(), 502, "the request may have run");
+}
+
 #[tokio::test]
 async fn stopping_daemon_completes_requests_in_flight() {
     let fixture = Fixture::start().await;
