tests: heads of engines that break off, after interim ones and on kept connections

From another operator: an engine stopped in the middle of its head and closed, and clients got a 200 with an empty or short body. It doesn't happen in the daemon: heads cut off at each 13th byte, with length, chunks and neither, alone and after 100 and 103, on the first and second response of a connection, closed and reset, on /once/ and /stream/, end with 502 or 504. The test held before any change.

--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod crashing_part;
 mod crashing_request;
+mod cut_heads;
 mod endless;
 mod engine;
 mod engine_limit;
