planner: load no adapter beyond an engine's memory

Callers: where the models of an engine leave less memory than its adapter slots could take, the lease holder ordered one adapter too many.

Cause: an adapter was ordered as long as a slot was free. The memory was checked for models only.

A plan for an engine with room for the model and one adapter ordered a second one.

Fix: an adapter is ordered where a slot and the memory are free, else after the least recently used one is unloaded, and nowhere if the weights of the models leave no room at all.

Tests: adapter_beyond_the_memory_replaces_the_least_recently_used_one and adapter_is_loaded_where_it_fits_or_nowhere failed before.

--- a/crates/coord/src/serving/residency.rs
+++ b/crates/coord/src/serving/residency.rs
@@ -766,12 +766,13 @@
             }
             // An engine that executes a model order refuses every other order.
             let free = holders.into_iter().filter(|(key, _)| !self.pending.contains_key(key));
-            let Some((key, engine)) = free.min_by_key(|(_, engine)| adapters_held(engine)) else {
-                continue;
-            };
+            let rooms = free.filter_map(|(key, engine)| {
+                Some((adapter_room(spec, engines, engine, model)?, key, engine))
+            });
+            let best = rooms.min_by_key(|(room, _, engine)| (*room, adapters_held(engine)));
+            let Some((room, key, engine)) = best else { continue };
             let Some(expected) = engine.order_count else { continue };
-            let full = adapters_held(engine) >= spec.adapter_slots as usize;
-            let op = if full {
+            let op = if room == AdapterRoom::AfterUnload {
                 let Some((model, oldest)) = self.oldest_adapter(key, engine) else { continue };
                 Op::UnloadAdapter(model, oldest)
             } else {
@@ -841,6 +842,37 @@
     }
 }
 
+/// Whether an engine has room for one more adapter. The variants are in the order of preference.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum AdapterRoom {
+    /// A slot and the memory are free.
+    Free,
+    /// An adapter must be unloaded before.
+    AfterUnload,
+}
+
+/// Returns which room an engine has for one more adapter of a model. Returns `None` if it lacks the
+/// memory even without its other adapters.
+fn adapter_room(
+    spec: &EngineSpec,
+    engines: &Engines,
+    engine: &Engine,
+    model: ModelKey,
+) -> Option<AdapterRoom> {
+    let model_spec = spec.models.get(engines.names.models.name(model));
+    let adapter_mb = model_spec.map_or(0.0, |model_spec| model_spec.adapter_mb);
+    let free_mb = spec.memory_mb - used_mb(spec, engines, engine);
+    let held_mb = engine.models.keys().map(|&held| adapters_mb(spec, engines, engine, held));
+    let has_slot = adapters_held(engine) < spec.adapter_slots as usize;
+    if has_slot && adapter_mb <= free_mb {
+        Some(AdapterRoom::Free)
+    } else if adapter_mb <= free_mb + held_mb.sum::<f64>() {
+        Some(AdapterRoom::AfterUnload)
+    } else {
+        None
+    }
+}
+
 fn adapters_held(engine: &Engine) -> usize {
     engine.models.keys().map(|&model| engine.adapters(model)).sum()
 }
--- a/crates/coord/tests/serving/residency.rs
+++ b/crates/coord/tests/serving/residency.rs
@@ -422,6 +422,50 @@
     assert_eq!(second, [Order { engine: key, op: Op::LoadAdapter(base, a3), expected: 1 }]);
 }
 
+/// Guards against adapters that are ordered beyond an engine's memory while it has slots left: the
+/// engine crashed.
+#[test]
+fn adapter_beyond_the_memory_replaces_the_least_recently_used_one() {
+    let mut held = entry("e1", &["m"], &[]);
+    held.models.insert("m".to_owned(), vec!["a1".to_owned()]);
+    let mut engines = engines(std::slice::from_ref(&held));
+    // The model and one adapter fit, and a second adapter doesn't.
+    let spec = spec(60_080.0, &["m"]);
+    let key = engine(&engines, "e1");
+    let base = model(&mut engines, "m");
+    let adapter = |engines: &mut Engines, name| engines.names.adapter("m", name);
+    let (a1, a2) = (adapter(&mut engines, "a1"), adapter(&mut engines, "a2"));
+    let mut planner = Planner::default();
+    planner.request_adapter(base, a2, ms(0));
+    let unload = Order { engine: key, op: Op::UnloadAdapter(base, a1), expected: 0 };
+    assert_eq!(orders(&plan(&mut planner, &spec, &engines, 0)), [unload]);
+    planner.handle_answer(unload, Answer::Holds, &spec, &mut engines, ms(5));
+    let load = Order { engine: key, op: Op::LoadAdapter(base, a2), expected: 1 };
+    assert_eq!(orders(&plan(&mut planner, &spec, &engines, 10)), [load]);
+}
+
+/// Guards against the same where an engine has no adapter to unload, and against unloads that make no
+/// room.
+#[test]
+fn adapter_is_loaded_where_it_fits_or_nowhere() {
+    let mut full = entry("e1", &["m", "other"], &[]);
+    let mut engines = engines(&[full.clone(), entry("e2", &["m"], &[])]);
+    let base = model(&mut engines, "m");
+    let a1 = engines.names.adapter("m", "a1");
+    let mut planner = Planner::default();
+    planner.request_adapter(base, a1, ms(0));
+    let load = Order { engine: engine(&engines, "e2"), op: Op::LoadAdapter(base, a1), expected: 0 };
+    let spec = spec(120_040.0, &["m", "other"]);
+    assert_eq!(orders(&plan(&mut planner, &spec, &engines, 0)), [load]);
+    full.models.insert("other".to_owned(), vec!["a9".to_owned()]);
+    let mut engines = crate::fixtures::engines(std::slice::from_ref(&full));
+    let base = model(&mut engines, "m");
+    let a1 = engines.names.adapter("m", "a1");
+    let mut planner = Planner::default();
+    planner.request_adapter(base, a1, ms(0));
+    assert_eq!(orders(&plan(&mut planner, &spec, &engines, 0)), []);
+}
+
 #[test]
 fn refused_request_frees_no_memory() {
     let mut engines = engines(&[entry("e1", &["held"], &["m"])]);
