daemon: reset the connection of a request that is given up

Cause: the connection was closed, and the operating system goes on delivering what was written before a close. Orders were reset for that reason; requests weren't.

Fix: a connection that is dropped before its response was read to the end is reset, whoever drops it.

--- a/crates/coord/tests/serving/notices.rs
+++ b/crates/coord/tests/serving/notices.rs
@@ -402,3 +402,15 @@
     engines.record_leaving(engine(&engines, "e0"), process(1));
     assert_eq!(engines.entry_count(), 512);
 }
+
+/// Guards against an engine whose new process says that it leaves before its entry arrives, which a
+/// silent store may delay: it got requests again once the entry came.
+#[test]
+fn process_that_says_it_leaves_before_its_entry_arrives_stays_away() {
+    let mut engines = engines(&[written("e1", 1, 1), written("e2", 1, 1)]);
+    let (leaving, other) = (engine(&engines, "e1"), engine(&engines, "e2"));
+    // The first process has ended, and the second one answers at the same address.
+    assert!(engines.record_leaving(leaving, process(1)));
+    engines.upsert(written("e1", 2, 2), ms(3_000));
+    assert_eq!(engines.usable(SERVICE, ms(3_000)), [other]);
+}
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -398,8 +398,8 @@
 }
 
 /// Sends a request and reads the complete response. Returns `None` on failure or timeout. The
-/// connection is then reset, so that an order doesn't arrive after those of the next holder, when the
-/// link works again.
+/// connection is then reset as it is dropped, so that an order doesn't arrive after those of the next
+/// holder, when the link works again.
 async fn exchange(
     shared: &Shared,
     receiver: &Receiver<'_>,
@@ -412,10 +412,7 @@
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?;
         Some((head, body.to_bytes()))
     });
-    let Some((head, body)) = response.await.ok().flatten() else {
-        connection.reset();
-        return None;
-    };
+    let (head, body) = response.await.ok().flatten()?;
     let facts = headers::decode_response(&head.headers);
     notices::record(shared, receiver, &path, head.status, &facts);
     shared.pool.release(receiver.id, connection, &head);
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -86,11 +86,14 @@
 pub struct Connection {
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
-    /// Task that drives the connection; `None` once the connection is to be reset.
-    task: Option<AbortHandle>,
+    /// Task that drives the connection.
+    task: AbortHandle,
+    /// Makes the task reset the connection.
     reset: Option<oneshot::Sender<()>>,
     history: ConnectionHistory,
     meter: Meter,
+    /// Whether a request was sent whose response hasn't been read to its end.
+    is_busy: bool,
 }
 
 #[derive(Debug)]
@@ -139,6 +142,7 @@
         id: &str,
     ) -> Result<Response<MeteredBody>> {
         self.history.begin(id);
+        self.is_busy = true;
         // What was read since the last response belongs to none.
         self.meter.record_progress();
         let response = self.sender.send_request(request).await.map_err(|error| {
@@ -172,24 +176,17 @@
     pub fn is_flooded(&self) -> bool {
         self.meter.is_flooded()
     }
-
-    /// Resets the connection. What the engine hasn't received is discarded, whereas the operating
-    /// system goes on delivering it after a close.
-    pub fn reset(mut self) {
-        self.task = None;
-        if let Some(reset) = self.reset.take() {
-            // Fails if the connection has ended already.
-            let _ = reset.send(());
-        }
-    }
 }
 
 impl Drop for Connection {
+    /// Closes the connection, or resets it if a request is given up: the engine cancels the request,
+    /// and what it hasn't received is discarded, whereas the operating system goes on delivering it
+    /// after a close.
     fn drop(&mut self) {
-        // Closes the connection. If the response wasn't read to its end, the engine cancels the
-        // request.
-        if let Some(task) = &self.task {
-            task.abort();
+        match self.reset.take().filter(|_| self.is_busy) {
+            // Fails if the connection has ended already.
+            Some(reset) => drop(reset.send(())),
+            None => self.task.abort(),
         }
     }
 }
@@ -246,16 +243,18 @@
         Ok(Connection {
             address,
             sender,
-            task: Some(task),
+            task,
             reset: Some(reset),
             history: ConnectionHistory::default(),
             meter,
+            is_busy: false,
         })
     }
 
     /// Returns a connection to the pool after its response was read to the end. The response's `head`
     /// states whether and for how long the engine keeps the connection alive.
     pub fn release(&self, engine: &str, mut connection: Connection, head: &Parts) {
+        connection.is_busy = false;
         let facts = headers::decode_response(&head.headers);
         let execution = Execution::of(head.status.as_u16(), facts.not_executed);
         // The caller gets any other response, so that the request isn't sent again.
