daemon: go on with streams at other engines while stopping

Cause: the engine is given up after half of the caller's patience, since another one can go on. From 2.5 s after SIGTERM the daemon took no engine for any request, also for one within whose response it has to go on.

Fix: a stopping daemon refuses only what can't have run. Whatever may have run goes on until the exit.

Test: fleet::stopping::stream_whose_engine_falls_silent_is_resumed_by_a_stopping_daemon failed before (the body broke off).

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -353,13 +353,12 @@
         loop {
             let shared = std::sync::Arc::clone(&self.call.shared);
             let changed = shared.changed.notified();
-            // The daemon stops; another daemon can still serve the waiting request.
+            // The daemon stops; another daemon can still serve a request that hasn't run.
             let is_late = {
                 let state = shared.state();
-                let may_outlast = self.send_count == 0 && state.may_outlast(self.call.deadline);
-                state.closed || may_outlast
+                state.closed || state.may_outlast(self.call.deadline)
             };
-            if is_late {
+            if is_late && !self.may_have_run() {
                 return Err(self.end_with(Refusal::Stopping));
             }
             if let Some(left) = self.quarantined_for() {
--- a/crates/daemon/tests/fleet/stopping.rs
+++ b/crates/daemon/tests/fleet/stopping.rs
@@ -10,6 +10,9 @@
 use crate::fixture::wait_until;
 use crate::fixture::Daemon;
 use crate::fixture::Fixture;
+use crate::raw_engine::RawEngine;
+use crate::raw_engine::Step;
+use crate::raw_engine::SEAL;
 
 /// Pause between two requests that come while the daemon stops.
 const LATE_REQUEST_GAP: Duration = Duration::from_millis(600);
@@ -144,3 +147,41 @@
     assert_eq!(sent.await.expect("the task ends").expect("a response").status(), 200);
     assert_eq!(fixture.status(daemon.ready, "/readyz").await, Some(200));
 }
+
+/// Guards against a stream that is given up because its engine pauses, and that a stopping daemon then
+/// doesn't go on with at another engine.
+#[tokio::test]
+async fn stream_whose_engine_falls_silent_is_resumed_by_a_stopping_daemon() {
+    const EVENT_GAP: Duration = Duration::from_millis(800);
+    let fixture = Fixture::start().await;
+    let mut desired = fixture::desired_state(2);
+    desired["routes"][3]["timeout_ms"] = 20_000.into();
+    fixture.write_desired_state(&desired);
+    let silent = RawEngine::start(&fixture, "i-1", "advice", &["m1"], |request| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncorianderyoke-attempt-id: {}\r\n{SEAL}\r\n\
+             content-type: text/event-stream\r\n\r\n",
+            request.id
+        );
+        let event = |id| Step::Send(format!("id: {id}\ndata: piece {id}\n\n").into_bytes());
+        let mut steps = vec![Step::Send(head.into_bytes())];
+        for id in 1..=4 {
+            steps.extend([event(id), Step::Pause(EVENT_GAP)]);
+        }
+        steps.push(Step::Pause(Duration::from_secs(30)));
+        steps
+    })
+    .await;
+    let daemon = fixture.daemon("d1").await;
+    let request = fixture.generation_request(&daemon, "/resume/soak", "1", "m1");
+    let mut request = request.build().expect("a request");
+    request.headers_mut().insert("corianderyoke-deadline-ms", 15_000.into());
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let sent = tokio::spawn(async move { client.execute(request).await?.text().await });
+    wait_until(|| async { !silent.received().is_empty() }).await;
+    let other = fixture.model_engine("i-2", &["m1"]).await;
+    daemon.signal(Signal::SIGTERM);
+    let text = sent.await.expect("the task ends").expect("the stream is complete");
+    assert!(text.contains("id: 4\n") && text.contains("id: 8\n"), "{text}");
+    assert_eq!(other.received().len(), 1);
+}
