--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -92,7 +92,7 @@
             let call = Call::new(&shared, record, facts, routed, outgoing);
             tokio::select! {
                 response = forward::serve(call) => response,
-                // Requests that weren't sent to an engine have been refused before.
+                // Requests that can't have run have been refused before.
                 () = shared.exiting() => Refusal::OutcomeUnknown.response(),
             }
         }
