--- a/review/6/case.py
+++ b/review/6/case.py
@@ -37,7 +37,7 @@
     """Streams for some seconds."""
     attempt, name = (message.headers[f'corianderyoke-{key}'] for key in ('attempt-id', 'model'))
     if name not in engine.models:
-        return standin.response(421, b'', [('Corianderyoke-Instance-Id', engine.id)])
+        return engine.misdirected(message)
     engine.runs[name] = engine.runs.get(name, 0) + 1
     engine.arrived.append(attempt)
     try:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -24,7 +24,7 @@
     attempt = message.headers['corianderyoke-attempt-id']
     model, _, adapter = message.headers['corianderyoke-model'].partition('/')
     if adapter not in engine.models.get(model, ()):
-        return standin.response(421, b'', [('Corianderyoke-Instance-Id', engine.id)])
+        return engine.misdirected(message)
     await asyncio.sleep(0.03)
     events = ''.join(f'id: {number}\ndata: a part\n\n' for number in (1, 2, 3)).encode()
     return standin.response(200, events, [('Content-Type', 'text/event-stream'),
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -339,7 +339,7 @@
         load = [('Corianderyoke-Instance-Load', f'{self.running},0,{self.slots}')]
         expected = message.headers.get('corianderyoke-expect-instance')
         if expected not in (None, self.id):
-            return response(421, b'', [('Corianderyoke-Instance-Id', self.id)])
+            return self.misdirected(message)
         if target == '/healthz':
             return response(200, b'', [('Corianderyoke-Instance-Id', self.id), *load])
         if target == '/report':
@@ -356,6 +356,11 @@
         finally:
             self.running -= 1
 
+    def misdirected(self, message):
+        attempt = message.headers.get('corianderyoke-attempt-id')
+        echoed = [('Corianderyoke-Attempt-Id', attempt)] if attempt else []
+        return response(421, b'', [('Corianderyoke-Instance-Id', self.id), *echoed])
+
     def used_mb(self):
         sizes = {model['name']: model for model in self.spec['models']}
         return sum(sizes[m]['weights_mb'] + len(a) * sizes[m]['adapter_mb']
