Add review case 8: a short silence of the store hides a change

A silence of 0.15 s swallows the answers to all feeds of the operator's table, and a key that was taken away goes on working. The former cases 8 and 9 become 9 and 10.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
 cd review
-python3 -B - standin-2/*.py [6-9]/case.py <<'PYTHON'
+python3 -B - standin-2/*.py [6-9]/case.py 10/case.py <<'PYTHON'
 import sys
 for path in sys.argv[1:]:
     compile(open(path).read(), path, 'exec')
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -143,6 +143,8 @@
     def __init__(self):
         self.rows, self.version, self.changed = {}, 0, asyncio.Event()
         self.start = time.monotonic()
+        # While the store is silent, calls get no answer, and their channels deliver nothing further.
+        self.silent, self.swallowed, self.writes = False, [], {}
 
     async def listen(self):
         self.ip = loopback()
@@ -172,7 +174,15 @@
             row['value'] = base64.b64encode(value).decode()
         return row
 
-    async def handle(self, message, _):
+    async def handle(self, message, writer):
+        was_silent = self.silent
+        answer = await self.answer(message)
+        if was_silent or self.silent:
+            self.swallowed.append(message.first.split(' ')[1])
+            await asyncio.sleep(3600)
+        return answer
+
+    async def answer(self, message):
         method, target, _ = message.first.split(' ')
         url = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
@@ -212,6 +222,7 @@
                 return json_response(412, {'rows': rows, 'ver': self.version, 'now_ms': self.now_ms()}, era)
             self.version += 1
             for row in call['put']:
+                self.writes[row['table']] = time.monotonic()
                 self.rows[name(row)] = (base64.b64decode(row['value']), self.version)
             for row in call['remove']:
                 self.rows[name(row)] = (None, self.version)
@@ -331,6 +342,7 @@
     async def beat(self):
         while True:
             self.beats += 1
+            self.beaten = time.monotonic()
             self.store.put('servers', self.id, self.entry())
             await asyncio.sleep(1.2)
 
