--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -238,11 +238,15 @@
 # --- links ---
 
 class Link:
-    """A proxy on the way to a server. `delay` holds bytes towards it back, in order; `mode` is 'pass',
-    'reset' or 'silent'. `rate` limits the bytes a second from the server, of all channels together."""
+    """A proxy on the way to a server; `mode` is 'pass', 'reset' or 'silent'. `loss` is the share of the
+    packets that is lost on channels on which the machine `lossy_for` has given an order. A lost packet is
+    sent again after `RETRANSMISSION_S`, then after twice that, and holds up those behind it."""
+
+    RETRANSMISSION_S = 0.2
 
     def __init__(self, to):
-        self.to, self.delay, self.mode, self.writers = to, 0.0, 'pass', set()
+        self.to, self.mode, self.writers = to, 'pass', set()
+        self.loss, self.lossy_for = 0.0, None
 
     async def listen(self, ip=None):
         self.ip = ip or loopback()
@@ -265,8 +269,9 @@
             return
         self.writers |= {writer, far_writer}
         try:
-            await asyncio.gather(self.forward(reader, far_writer, True),
-                                 self.forward(far_reader, writer, False))
+            machine = []
+            await asyncio.gather(self.forward(reader, far_writer, machine),
+                                 self.forward(far_reader, writer, machine))
         except OSError:
             pass
         finally:
@@ -274,7 +279,15 @@
                 self.writers.discard(end)
                 end.transport.abort()
 
-    async def forward(self, reader, writer, is_outward):
+    def held_up(self, machine):
+        """Returns for how long the next packet of a channel is held up by losses."""
+        total, wait = 0.0, self.RETRANSMISSION_S
+        while self.lossy_for in machine and random.random() < self.loss:
+            total, wait = total + wait, wait * 2
+        return total
+
+    async def forward(self, reader, writer, machine):
+        """Passes bytes on. `machine` gets the name of the machine whose channel this is, once known."""
         queue = asyncio.Queue()
 
         async def send():
@@ -291,7 +304,9 @@
         try:
             while True:
                 piece = await reader.read(65536)
-                due = time.monotonic() + (self.delay if is_outward else 0.0)
+                if (order := re.search(rb'"holder": ?"([^"]*)"', piece)) and not machine:
+                    machine.append(order[1].decode())
+                due = time.monotonic() + self.held_up(machine)
                 if self.mode != 'silent':
                     queue.put_nowait((due, piece))
                 if not piece:
@@ -573,11 +588,11 @@
 
 # --- clients ---
 
-def request(method, path, deadline_ms, body=b'', headers=()):
+def request(method, path, deadline_ms, body=b'', headers=(), key=KEY):
     """Returns the id and the bytes of a request."""
     attempt = f'{random.getrandbits(64):016x}'
     head = (f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nCorianderyoke-Attempt-Id: {attempt}\r\n'
-            f'Corianderyoke-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n'
+            f'Corianderyoke-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n'
             f'Content-Length: {len(body)}\r\n')
     head += ''.join(f'{name}: {value}\r\n' for name, value in headers)
     return attempt, head.encode() + b'\r\n' + body
